--- /dev/null
+++ b/internal/wire/node.go
@@ -0,0 +1,336 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strings"
+
+	"github.com/mailru/easyjson/jwriter"
+
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+// node is one instance: it maps the wire's ids to small indices, and is the module's Host.
+type node struct {
+	balancer   *logic.Balancer
+	terms      map[string]any
+	out        *orders
+	namespaces map[string]int
+	partners   map[string]int
+	machines   map[string]int
+	servers    map[string]int
+	names      []string
+	boxes      []logic.Box
+	index      map[string]int // tickets of lookups that are not yet forgotten
+	tickets    []ticket
+	free       []int
+}
+
+type ticket struct {
+	id          string
+	shots, out  int
+	over, freed bool
+}
+
+// tenths turns the wire's milliseconds into whole tenths, rounded down.
+func tenths(ms float64) logic.Time { return logic.Time(math.Floor(ms * 10)) }
+
+// newNode reads the settings and gives them our names. What is missing or of another form is left out:
+// the module then falls back to its cautious default.
+func newNode(info []byte) (*node, error) {
+	var wire map[string]any
+	if err := json.Unmarshal(info, &wire); err != nil {
+		return nil, fmt.Errorf("its settings can't be read: %w", err)
+	}
+	n := &node{terms: map[string]any{}, namespaces: map[string]int{}, partners: map[string]int{},
+		machines: map[string]int{}, servers: map[string]int{}, index: map[string]int{}}
+	whole := func(v any) any {
+		if x, ok := v.(float64); ok {
+			return int(x)
+		}
+		return nil
+	}
+	span := func(v any) any {
+		if x, ok := v.(float64); ok {
+			return tenths(x)
+		}
+		return nil
+	}
+	same := func(v any) any { return v }
+	at := func(path string) any {
+		var v any = wire
+		for name := range strings.SplitSeq(path, "/") {
+			m, ok := v.(map[string]any)
+			if !ok {
+				return nil
+			}
+			v = m[name]
+		}
+		return v
+	}
+	put := func(terms map[string]any, name string, v any) {
+		if v != nil {
+			terms[name] = v
+		}
+	}
+	for _, t := range []struct {
+		name, path string
+		form       func(any) any
+	}{
+		{"nodes", "balancers", whole},
+		{"mode", "domain/mode", same},
+		{"origin kind", "domain/origin-kind", whole},
+		{"most shots", "permissions/most-shots", whole},
+		{"second copies", "permissions/parallel-tries", same},
+		{"longest retry-after", "permissions/max-retry-after-ms", span},
+		{"cold share", "invariants/cold-from", same},
+		{"warm-up", "invariants/warm-up-ms", span},
+		{"overload factor", "invariants/overload-factor", same},
+		{"fall window", "invariants/fall-ms", span},
+		{"ask within", "invariants/ask-within-ms", span},
+		{"tick", "tick-ms", span},
+	} {
+		put(n.terms, t.name, t.form(at(t.path)))
+	}
+	if advice, ok := at("permissions/retry-after").(bool); ok && !advice {
+		delete(n.terms, "longest retry-after")
+	}
+	kinds := map[any]string{"safe": "replayable", "keyed": "tagged", "unsafe": "single-use"}
+	var namespaces, partners []map[string]any
+	for i, m := range maps(wire["namespaces"]) {
+		ns := map[string]any{}
+		put(ns, "repeat", kinds[m["repeat"]])
+		put(ns, "group", m["group"])
+		put(ns, "target time", span(m["target-time-ms"]))
+		put(ns, "time limit", span(m["time-limit-ms"]))
+		put(ns, "memory span", span(m["memory-span-ms"]))
+		put(ns, "late utility", m["late-utility"])
+		put(ns, "utility", m["utility"])
+		namespaces = append(namespaces, ns)
+		n.namespaces[fmt.Sprint(m["name"])] = i
+	}
+	for i, m := range maps(wire["tenants"]) {
+		p := map[string]any{}
+		put(p, "lookups a second", m["quota-rps"])
+		partners = append(partners, p)
+		n.partners[fmt.Sprint(m["name"])] = i
+	}
+	n.terms["namespaces"], n.terms["partners"] = namespaces, partners
+	models, _ := wire["models"].([]any)
+	for i, m := range models {
+		n.machines[fmt.Sprint(m)] = i
+	}
+	return n, nil
+}
+
+// maps gives the objects of a JSON array.
+func maps(v any) []map[string]any {
+	list, _ := v.([]any)
+	out := make([]map[string]any, 0, len(list))
+	for _, x := range list {
+		m, _ := x.(map[string]any)
+		out = append(out, m)
+	}
+	return out
+}
+
+func (n *node) ingress(f *fields, now logic.Time) error {
+	if _, known := n.index[f.ticket]; known || f.ticket == "" {
+		return fmt.Errorf("ticket %q is missing or came before", f.ticket)
+	}
+	ns, ok := n.namespaces[f.namespace]
+	if !ok {
+		return fmt.Errorf("namespace %q is unknown", f.namespace)
+	}
+	partner, ok := n.partners[f.account]
+	if !ok {
+		partner = -1
+	}
+	lkp := len(n.tickets)
+	if last := len(n.free) - 1; last >= 0 {
+		lkp, n.free = n.free[last], n.free[:last]
+	} else {
+		n.tickets = append(n.tickets, ticket{})
+	}
+	id := strings.Clone(f.ticket)
+	n.tickets[lkp] = ticket{id: id}
+	n.index[id] = lkp
+	n.balancer.Lookup(now, lkp, logic.Lookup{Namespace: ns, Partner: partner, Key: f.key,
+		Limit: tenths(f.expires), Work: f.hint, Write: f.write})
+	return nil
+}
+
+func (n *node) settled(f *fields, now logic.Time) error {
+	lkp, ok := n.index[f.ticket]
+	if !ok {
+		return fmt.Errorf("lookup %q is unknown", f.ticket)
+	}
+	code, ok := codes[f.code]
+	if !ok {
+		return fmt.Errorf("code %q is unknown", f.code)
+	}
+	t := &n.tickets[lkp]
+	if f.number < 0 || f.number >= t.shots {
+		return fmt.Errorf("lookup %q had no shot %d", f.ticket, f.number)
+	}
+	t.out--
+	n.balancer.Settled(now, lkp, f.number, code, f.ended)
+	if f.ended {
+		n.over(lkp)
+	}
+	n.forget(lkp)
+	return nil
+}
+
+func (n *node) list(f *fields, now logic.Time) error {
+	how, ok := listKinds[f.how]
+	if !ok {
+		return fmt.Errorf("list kind %q is unknown", f.how)
+	}
+	n.boxes = n.boxes[:0]
+	for _, e := range f.boxes {
+		state, ok := states[e.state]
+		if !ok {
+			return fmt.Errorf("state %q of %s is unknown", e.state, e.server)
+		}
+		i, ok := n.servers[e.server]
+		if !ok {
+			i = len(n.names)
+			n.servers[e.server] = i
+			n.names = append(n.names, e.server)
+		}
+		kind, ok := n.machines[e.machine]
+		if !ok {
+			kind = -1
+		}
+		n.boxes = append(n.boxes, logic.Box{Server: i, ID: e.server, Kind: kind, State: state,
+			Since: tenths(e.since)})
+	}
+	n.balancer.List(now, how, n.boxes)
+	return nil
+}
+
+// over marks a lookup as ended.
+func (n *node) over(lkp int) {
+	n.tickets[lkp].over = true
+	n.forget(lkp)
+}
+
+// forget frees a lookup's index once it has ended and all its shots have settled.
+func (n *node) forget(lkp int) {
+	t := &n.tickets[lkp]
+	if t.over && t.out == 0 && !t.freed {
+		t.freed = true
+		delete(n.index, t.id)
+		n.free = append(n.free, lkp)
+	}
+}
+
+// Shoot is the module's; so are the other exported methods.
+func (n *node) Shoot(lkp, server int, timeout logic.Time) {
+	t := &n.tickets[lkp]
+	t.shots++
+	t.out++
+	n.out.begin("transmit")
+	n.out.text("ticket", t.id)
+	n.out.text("server", n.names[server])
+	n.out.millis("timeout-ms", timeout)
+	n.out.end()
+}
+
+// Retract calls off a shot.
+func (n *node) Retract(lkp, shot int) {
+	n.out.begin("retract")
+	n.out.text("ticket", n.tickets[lkp].id)
+	n.out.number("try", shot)
+	n.out.end()
+}
+
+// Defer turns a lookup away.
+func (n *node) Defer(lkp int, retryAfter logic.Time) {
+	n.out.begin("overload-reply")
+	n.out.text("ticket", n.tickets[lkp].id)
+	n.out.millis("retry-after-ms", retryAfter)
+	n.out.end()
+	n.over(lkp)
+}
+
+// Abandon gives a lookup up.
+func (n *node) Abandon(lkp int) {
+	n.out.begin("lose")
+	n.out.text("ticket", n.tickets[lkp].id)
+	n.out.end()
+	n.over(lkp)
+}
+
+// Subscribe asks for the list and its changes.
+func (n *node) Subscribe() {
+	n.out.begin("observe")
+	n.out.w.RawString(`,"on":true`)
+	n.out.end()
+}
+
+// Wake asks for an alarm.
+func (n *node) Wake(at logic.Time, handle int) {
+	n.out.begin("remind")
+	n.out.millis("due-at-ms", at)
+	n.out.number("handle", handle)
+	n.out.end()
+}
+
+// orders writes one instance's orders into the reply; its part is opened by the first of them.
+type orders struct {
+	w     *jwriter.Writer
+	node  string
+	comma bool
+	open  bool
+}
+
+func (o *orders) begin(what string) {
+	if o.open {
+		o.w.RawByte(',')
+	} else {
+		if o.comma {
+			o.w.RawByte(',')
+		}
+		o.w.RawString(`{"node":`)
+		o.w.String(o.node)
+		o.w.RawString(`,"orders":[`)
+		o.open, o.comma = true, true
+	}
+	o.w.RawString(`{"what":"`)
+	o.w.RawString(what)
+	o.w.RawByte('"')
+}
+
+func (o *orders) field(name string) {
+	o.w.RawString(`,"`)
+	o.w.RawString(name)
+	o.w.RawString(`":`)
+}
+
+func (o *orders) text(name, value string) {
+	o.field(name)
+	o.w.String(value)
+}
+
+func (o *orders) number(name string, value int) {
+	o.field(name)
+	o.w.Int(value)
+}
+
+func (o *orders) millis(name string, t logic.Time) {
+	o.field(name)
+	o.w.Float64(float64(t) / 10)
+}
+
+func (o *orders) end() { o.w.RawByte('}') }
+
+// close ends the part, and tells whether any part has been written by now.
+func (o *orders) close() bool {
+	if o.open {
+		o.w.RawString(`]}`)
+	}
+	return o.comma
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,320 @@
+// Package wire speaks the simulator's wire, lagoon-8246: it decodes events into calls of the decision
+// module and encodes the module's Host calls into orders. The wire's own names end here.
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+
+	"github.com/mailru/easyjson/jlexer"
+	"github.com/mailru/easyjson/jwriter"
+
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+// Serve answers every batch read from in with one reply line on out, until the input ends.
+func Serve(in io.Reader, out io.Writer) error {
+	r := bufio.NewReaderSize(in, 1<<20)
+	w := bufio.NewWriterSize(out, 1<<20)
+	h := &hub{nodes: map[string]*node{}}
+	for {
+		line, err := readLine(r, h.line[:0])
+		h.line = line
+		if len(bytes.TrimSpace(line)) > 0 {
+			if err := h.batch(line); err != nil {
+				return fmt.Errorf("this line is no batch: %w", err)
+			}
+			if _, err := h.out.DumpTo(w); err != nil {
+				return err
+			}
+			w.WriteByte('\n')
+			if err := w.Flush(); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// readLine appends one line, however long, to buf.
+func readLine(r *bufio.Reader, buf []byte) ([]byte, error) {
+	for {
+		part, err := r.ReadSlice('\n')
+		buf = append(buf, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return buf, err
+		}
+	}
+}
+
+// hub hosts the instances of one process; they share nothing but its buffers.
+type hub struct {
+	nodes map[string]*node
+	line  []byte
+	now   float64
+	out   jwriter.Writer
+	msg   fields
+}
+
+// fields holds what one message said, whatever its kind; it is used again for the next one.
+type fields struct {
+	what, ticket, namespace, account, key, server, code, how string
+	number, handle                                           int
+	seed                                                     uint64
+	expires, hint                                            float64
+	ended, write                                             bool
+	info                                                     []byte
+	boxes                                                    []entry
+}
+
+// entry is one line of the box list before its names have become indices.
+type entry struct {
+	state, server, machine string
+	since                  float64
+}
+
+// batch answers one line into h.out.
+func (h *hub) batch(line []byte) error {
+	if first := bytes.TrimSpace(line); first[0] != '{' {
+		return errors.New("not a JSON object")
+	}
+	// The clock stands before the parts on the wire; a line that has them the other way is read twice.
+	number, hasNow, hasParts := 0, false, false
+	scan := jlexer.Lexer{Data: line}
+	for scan.Delim('{'); !scan.IsDelim('}'); scan.WantComma() {
+		name := scan.UnsafeFieldName(false)
+		scan.WantColon()
+		switch name {
+		case "now-ms":
+			h.now, hasNow = scan.Float64(), true
+		case "batch":
+			number = scan.Int()
+		case "parts":
+			hasParts = true
+			scan.SkipRecursive()
+		default:
+			scan.SkipRecursive()
+		}
+	}
+	scan.Delim('}')
+	scan.Consumed()
+	if err := scan.Error(); err != nil {
+		return err
+	}
+	if !hasNow || !hasParts {
+		return errors.New("it has no clock or no parts")
+	}
+	h.out.RawString(`{"batch":`)
+	h.out.Int(number)
+	h.out.RawString(`,"parts":[`)
+	in := jlexer.Lexer{Data: line}
+	comma := false
+	for in.Delim('{'); !in.IsDelim('}'); in.WantComma() {
+		name := in.UnsafeFieldName(false)
+		in.WantColon()
+		if name != "parts" {
+			in.SkipRecursive()
+			continue
+		}
+		for in.Delim('['); !in.IsDelim(']'); in.WantComma() {
+			comma = h.part(&in, comma)
+		}
+		in.Delim(']')
+	}
+	h.out.RawString(`]}`)
+	return in.Error()
+}
+
+// part plays one instance's messages and writes its orders, if there are any.
+func (h *hub) part(in *jlexer.Lexer, comma bool) bool {
+	name, msgs := "", []byte(nil)
+	for in.Delim('{'); !in.IsDelim('}'); in.WantComma() {
+		field := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch field {
+		case "node":
+			name = in.String()
+		case "msgs":
+			msgs = in.Raw()
+		default:
+			in.SkipRecursive()
+		}
+	}
+	in.Delim('}')
+	if in.Error() != nil || msgs == nil {
+		return comma
+	}
+	orders := orders{w: &h.out, node: name, comma: comma}
+	list := jlexer.Lexer{Data: msgs}
+	for list.Delim('['); !list.IsDelim(']'); list.WantComma() {
+		h.msg.read(&list)
+		if list.Error() != nil {
+			break
+		}
+		if err := h.play(name, &orders); err != nil {
+			log.Printf("%s: %s: %v", name, h.msg.what, err)
+		}
+	}
+	if err := list.Error(); err != nil {
+		in.AddError(err)
+	}
+	return orders.close()
+}
+
+// read takes one message apart; what it does not know it passes over.
+func (f *fields) read(in *jlexer.Lexer) {
+	*f = fields{boxes: f.boxes[:0]}
+	if in.IsNull() {
+		in.Skip()
+		return
+	}
+	for in.Delim('{'); !in.IsDelim('}'); in.WantComma() {
+		name := in.UnsafeFieldName(false)
+		in.WantColon()
+		if in.IsNull() {
+			in.Skip()
+			in.WantComma()
+			continue
+		}
+		switch name {
+		case "what":
+			f.what = in.UnsafeString()
+		case "ticket":
+			f.ticket = in.UnsafeString()
+		case "tier-class":
+			f.namespace = in.UnsafeString()
+		case "account":
+			if account, ok := in.Interface().(string); ok {
+				f.account = account
+			}
+		case "route-key":
+			f.key = in.UnsafeString()
+		case "server":
+			f.server = in.UnsafeString()
+		case "state-code":
+			f.code = in.UnsafeString()
+		case "how":
+			f.how = in.UnsafeString()
+		case "try":
+			f.number = in.Int()
+		case "handle":
+			f.handle = in.Int()
+		case "prng":
+			f.seed = in.Uint64()
+		case "expires-ms":
+			f.expires = in.Float64()
+		case "size-hint-ms":
+			f.hint = in.Float64()
+		case "ended":
+			f.ended = in.Bool()
+		case "is-write":
+			f.write = in.Bool()
+		case "info":
+			f.info = in.Raw()
+		case "entries":
+			for in.Delim('['); !in.IsDelim(']'); in.WantComma() {
+				f.boxes = append(f.boxes, readEntry(in))
+			}
+			in.Delim(']')
+		default:
+			in.SkipRecursive()
+		}
+	}
+	in.Delim('}')
+}
+
+func readEntry(in *jlexer.Lexer) (e entry) {
+	for in.Delim('{'); !in.IsDelim('}'); in.WantComma() {
+		name := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch name {
+		case "state":
+			e.state = in.UnsafeString()
+		case "server":
+			e.server = in.String()
+		case "machine":
+			e.machine = in.String()
+		case "ready-at-ms":
+			e.since = in.Float64()
+		default:
+			in.SkipRecursive()
+		}
+	}
+	in.Delim('}')
+	return e
+}
+
+var codes = map[string]logic.Code{
+	"S": logic.Answered, "E": logic.Errored, "F": logic.Full, "T": logic.TimedOut, "C": logic.Unconnected,
+	"R": logic.Broken, "X": logic.CalledOff, "N": logic.Unsent, "M": logic.Missing,
+}
+
+var listKinds = map[string]logic.ListKind{
+	"Partial": logic.Changes, "Complete": logic.Whole, "Persisted": logic.Persisted, "Error": logic.Failed,
+}
+
+var states = map[string]logic.State{
+	"healthy": logic.Ready, "cordoned": logic.Draining, "deregistered": logic.Gone,
+}
+
+// play turns the message at hand into a call. A panic below is told on the wire.
+func (h *hub) play(name string, out *orders) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			out.begin("internal-error")
+			out.text("text", fmt.Sprint(r))
+			out.end()
+		}
+	}()
+	f, now := &h.msg, tenths(h.now)
+	if f.what == "create" {
+		n, err := newNode(f.info)
+		if err != nil {
+			return err
+		}
+		h.nodes[name] = n
+		n.out = out
+		n.balancer = logic.New(n, f.seed, now, n.terms)
+		return nil
+	}
+	n := h.nodes[name]
+	if n == nil {
+		return errors.New("there is no such instance")
+	}
+	n.out = out
+	switch f.what {
+	case "ingress":
+		return n.ingress(f, now)
+	case "settled":
+		return n.settled(f, now)
+	case "started":
+		if lkp, ok := n.index[f.ticket]; ok {
+			n.balancer.Started(now, lkp)
+		}
+	case "client-left":
+		if lkp, ok := n.index[f.ticket]; ok {
+			n.balancer.Left(now, lkp)
+			n.over(lkp)
+		}
+	case "alarm":
+		n.balancer.Alarm(now, f.handle)
+	case "peers-known":
+		return n.list(f, now)
+	case "power-off":
+		delete(h.nodes, name)
+	case "sampled", "note-from":
+		// The module neither probes nor talks to peers, so these tell it nothing.
+	default:
+		return errors.New("this event is unknown")
+	}
+	return nil
+}
--- /dev/null
+++ b/logic/host.go
@@ -0,0 +1,83 @@
+// Package logic decides what a balancer node does with each lookup. logic.go holds every decision;
+// this file only names what the decisions are told and how they act.
+package logic
+
+// Time is a clock reading or a span in whole tenths of a millisecond. Limits are rounded down on
+// their way in, timers up.
+type Time int64
+
+// Millisecond is a thousandth of a second.
+const Millisecond Time = 10
+
+// Host is all that a Balancer can do. Lookups and servers are named by small indices that the caller
+// hands out: a lookup's index may be used again once it has ended and all its shots have settled, a
+// server's never. Shots of a lookup are numbered from 0 in the order of Shoot.
+type Host interface {
+	// Shoot sends the lookup to a server; no answer within timeout settles the shot as TimedOut.
+	Shoot(lkp, server int, timeout Time)
+	// Retract stops waiting for one shot; it settles as CalledOff unless it already has settled.
+	Retract(lkp, shot int)
+	// Defer ends the lookup: a retry is harmless, and welcome after the time given (0: no advice).
+	Defer(lkp int, retryAfter Time)
+	// Abandon ends the lookup with no promise about its effect.
+	Abandon(lkp int)
+	// Subscribe asks for the box list and its changes; List tells how it went.
+	Subscribe()
+	// Wake asks for Alarm with this handle at that time or soon after.
+	Wake(at Time, handle int)
+}
+
+// Lookup is what a client asked for.
+type Lookup struct {
+	Namespace, Partner int     // places in the terms' lists; Partner is -1 where there are none
+	Key                string  // may be empty
+	Limit              Time    // clock time at which the client gives up
+	Work               float64 // expected work in milliseconds, rough; 0 where not told
+	Write              bool
+}
+
+// Code says how a shot ended.
+type Code int
+
+// The codes. Full, Unconnected, Unsent and Missing prove that the shot never ran.
+const (
+	Answered    Code = iota
+	Errored          // the server answered with an error
+	Full             // turned away unseen
+	TimedOut         // no answer in time
+	Unconnected      // no connection could be made
+	Broken           // the connection broke while the shot was out
+	CalledOff        // retracted
+	Unsent           // the host had no business sending it
+	Missing          // the server has nothing under this key
+)
+
+// ListKind says what a box list event holds.
+type ListKind int
+
+// The kinds of list event.
+const (
+	Changes   ListKind = iota // changed boxes only
+	Whole                     // all boxes: those missing are gone
+	Persisted                 // all boxes as last known, maybe old
+	Failed                    // a call failed or the subscription broke; the old list stands
+)
+
+// State of a box.
+type State int
+
+// The states.
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// Box is one server on the list, a cache box or the origin.
+type Box struct {
+	Server int    // the caller's index
+	ID     string // sorted, it gives the order of the ranges
+	Kind   int    // place among the machine models
+	State  State
+	Since  Time // its last start; 0: long ago
+}
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,729 @@
+package logic
+
+// This file holds every decision of a balancer node. New makes one Balancer per node from the terms
+// (a plain map of names to values, filled by the caller) and a Host to act through; host.go has the
+// Host interface and the plain types. After that the caller reports each thing that happens by calling
+// one method: Lookup, Started, Settled, Left, List or Alarm, each with the clock. Methods act
+// by calling the Host before they return; nothing happens between calls.
+//
+// Read it in this order: the rules (mayShoot, mayDefer, finish), the line and its ranges (learn, recut,
+// rangeOf), the walk along the ranges (pick, passOver), the origin (fetch), then the bounds and the
+// box list. docs/design.md says where all this comes from.
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	bins       = 2000               // bins of the line; the design's figure
+	alphaFloor = 0.000001           // least weight of a lookup; the design's figure
+	klStep     = 0.1                // KL divergence (nats) for each doubling of alpha; the design's figure
+	klSpan     = 1000 * Millisecond // age of the histogram compared with; the design's figure
+	fadeFloor  = 1e-9               // renormalise there: far from losing digits, yet rare
+	recutSpan  = 200 * Millisecond  // between recuts: a range moves little in it, and 2000 adds are dear
+
+	busyLeast  = 2   // own shots in flight below which a cache is never passed over; the design's figure
+	busyFactor = 2.0 // well over our mean: twice it, and one more for chance
+
+	halveSpan   = 1000 * Millisecond // between halvings of what is measured: a few seconds' memory
+	roomPart    = 0.5                // share of a target time that shots in flight may fill: the rest is for a miss
+	roomLeast   = 4                  // shots that may always be in flight to a cache, else a slow start starves it
+	originPart  = 0.6                // share of a target time that fetches in flight may fill at the origin
+	originLeast = 4                  // fetches that may always be in flight, to measure the origin by
+	writeRoom   = 2                  // writes may fill the origin this many times as far as fetches
+	overRoom    = 0.5                // share of any room that a partner beyond its share may fill: it yields first
+
+	strikesOut   = 2                  // strikes that make a server suspect: one broken connection, two silences
+	suspectLeast = 250 * Millisecond  // first rest of a suspect: a few connect time-outs
+	suspectMost  = 4000 * Millisecond // longest rest: the list takes about that long to tell
+	fullRest     = 20 * Millisecond   // rest after a server turned us away: a few answers' time
+
+	coldMargin = 0.5 // share of the cold budget that is used: speeds differ, and estimates err
+	coldLeast  = 2.0 // shots in a fall window that a cold cache always gets, or it never warms
+
+	creditEarned = 0.1 // credit for an answer: further shots stay near a tenth of all
+	creditMost   = 5.0 // most credit kept: a burst of further shots no longer than this
+	patience     = 0.6 // share of the target time after which a replayable shot is given up for another
+
+	askSpread  = 300 * Millisecond  // nodes that start together spread their first calls over this
+	askLeast   = 500 * Millisecond  // first wait after a failed call
+	askMost    = 4000 * Millisecond // longest wait: well inside the ask-within limit
+	listHandle = 0                  // the list's alarm; a lookup's handle is its index and one
+)
+
+type kind int // what a repeat of a lookup would do
+
+const (
+	replayable kind = iota
+	tagged
+	singleUse
+)
+
+type namespace struct {
+	kind          kind
+	target, limit Time
+	memory        Time // span in which repeats of a tagged lookup are dropped
+	groupAll      bool // all servers drop them
+	late          float64
+	work, asked   float64 // work hinted so far, and by how many
+}
+
+type partner struct {
+	rate, room float64 // lookups a second within our part of its share, and what is left of it
+	at         Time
+}
+
+// spans is a small histogram of shot times: bin i holds those under 4ms<<i. It is halved now and then.
+type spans [9]float64
+
+type server struct {
+	Box
+	inFlight      int
+	took          spans
+	strikes       int
+	rest, restEnd Time // how long a suspect rests, and until when; rest 0: not suspect
+	trial         bool // a suspect's one trial is out
+	fullEnd       Time
+	credit        float64
+	budget        float64 // shots left of a cold cache's budget
+	budgetAt      Time
+}
+
+type shot struct {
+	server int
+	sent   Time
+	out    bool
+	notRun bool
+}
+
+type lookup struct {
+	Lookup
+	live     bool
+	point    float64
+	key      uint64 // 0: none was named
+	arrived  Time
+	giveUp   Time // when an answer is worth nothing any more; the time limit at the latest
+	over     bool // beyond its partner's share
+	missed   bool
+	fetching bool // its fetch stands for all lookups of its key
+	waiting  bool // for another's fetch
+	work     float64
+	shots    []shot
+}
+
+// Balancer decides for one node. It is not safe for concurrent use.
+type Balancer struct {
+	host     Host
+	terms    map[string]any
+	seed     uint64
+	drawn    uint64
+	now      Time
+	spaces   []namespace
+	partners []partner
+
+	servers []*server
+	ready   []int // ready caches in id order
+	origins []int
+	lookups []lookup
+	fetches map[uint64][]int // key to the lookups that wait for its fetch
+
+	weight        []float64 // the bins, to be multiplied by fade
+	fade          float64
+	alpha         float64
+	level         int       // whole klSteps passed
+	before        []float64 // the bins a klSpan ago
+	cuts          []float64 // upper ends of the ranges, in bins
+	klDue, cutDue Time
+	halved        Time
+	perCache      float64 // our answers a second from a warm cache
+	subscribed    bool
+	askWait       Time
+}
+
+// term reads one of the terms, or the default where it is missing.
+func term[T any](terms map[string]any, name string, otherwise T) T {
+	if v, ok := terms[name].(T); ok {
+		return v
+	}
+	return otherwise
+}
+
+// New starts a node. The terms it reads are listed in docs/design.md.
+func New(host Host, seed uint64, now Time, terms map[string]any) *Balancer {
+	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1, halved: now,
+		klDue: now + klSpan, fetches: map[uint64][]int{}, askWait: askLeast,
+		weight: make([]float64, bins), before: make([]float64, bins)}
+	for i := range b.weight {
+		b.weight[i], b.before[i] = 1.0/bins, 1.0/bins
+	}
+	for _, t := range term(terms, "namespaces", []map[string]any(nil)) {
+		ns := namespace{kind: singleUse, target: term(t, "target time", 1000*Millisecond),
+			memory: term(t, "memory span", Time(0)), groupAll: term(t, "group", "") == "all",
+			late: term(t, "late utility", 0.0), limit: term(t, "time limit", 2000*Millisecond)}
+		switch term(t, "repeat", "") {
+		case "replayable":
+			ns.kind = replayable
+		case "tagged":
+			ns.kind = tagged
+		}
+		b.spaces = append(b.spaces, ns)
+	}
+	nodes := float64(max(1, term(terms, "nodes", 1)))
+	for _, t := range term(terms, "partners", []map[string]any(nil)) {
+		rate := term(t, "lookups a second", math.Inf(1)) / nodes
+		b.partners = append(b.partners, partner{rate: rate, room: rate, at: now})
+	}
+	host.Wake(now+Time(b.draw()*float64(askSpread)), listHandle)
+	return b
+}
+
+// draw gives the next number in [0, 1) of this node's own chance.
+func (b *Balancer) draw() float64 {
+	b.drawn++
+	h := fnv.New64a()
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], b.seed)
+	binary.LittleEndian.PutUint64(buf[8:], b.drawn)
+	h.Write(buf[:])
+	return float64(h.Sum64()%(1<<20)) / (1 << 20)
+}
+
+// ---- The rules ----
+
+// mayDefer: a deferral promises that a retry is harmless.
+func (b *Balancer) mayDefer(l *lookup) bool {
+	ns := &b.spaces[l.Namespace]
+	_, ran := l.firstRun()
+	return !ran || ns.kind == replayable || ns.kind == tagged && ns.groupAll
+}
+
+// mayShoot: no effect happens twice, nothing follows the end, and the host's bound on shots holds.
+func (b *Balancer) mayShoot(l *lookup) bool {
+	if !l.live || b.now >= l.giveUp || len(l.shots) >= term(b.terms, "most shots", 1) {
+		return false
+	}
+	ns := &b.spaces[l.Namespace]
+	first, ran := l.firstRun()
+	// Half the memory span is kept for the way to the server: it counts from the send.
+	return !ran || ns.kind == replayable || ns.kind == tagged && ns.groupAll && b.now-first < ns.memory/2
+}
+
+// firstRun tells when the first shot that may have run was sent, if there is one.
+func (l *lookup) firstRun() (Time, bool) {
+	for _, s := range l.shots {
+		if !s.notRun {
+			return s.sent, true
+		}
+	}
+	return 0, false
+}
+
+// finish gives the final answer at once.
+func (b *Balancer) finish(lkp int) {
+	l := &b.lookups[lkp]
+	if b.mayDefer(l) {
+		b.host.Defer(lkp, term(b.terms, "longest retry-after", Time(0)))
+	} else {
+		b.host.Abandon(lkp)
+	}
+	b.end(lkp)
+}
+
+// end forgets a lookup; its shots that are out still settle.
+func (b *Balancer) end(lkp int) {
+	l := &b.lookups[lkp]
+	l.live = false
+	if l.waiting {
+		l.waiting = false
+		q := b.fetches[l.key]
+		if i := slices.Index(q, lkp); i >= 0 {
+			b.fetches[l.key] = slices.Delete(q, i, i+1)
+		}
+	}
+	b.release(lkp)
+}
+
+// ---- The line and its ranges ----
+
+// learn fades all bins and adds alpha at the lookup's own, lazily.
+func (b *Balancer) learn(point float64) {
+	b.fade *= 1 - b.alpha
+	b.weight[int(point)] += b.alpha / b.fade
+	if b.fade < fadeFloor {
+		for i := range b.weight {
+			b.weight[i] *= b.fade
+		}
+		b.fade = 1
+	}
+}
+
+// adapt doubles alpha for each klStep that the divergence from a klSpan ago has newly passed, and
+// halves it for each that it has fallen back.
+func (b *Balancer) adapt() {
+	kl := 0.0
+	for i, w := range b.weight {
+		p, q := w*b.fade, b.before[i]
+		if p > 0 && q > 0 {
+			kl += p * math.Log(p/q)
+		}
+		b.before[i] = p
+	}
+	level := int(max(0, kl) / klStep)
+	b.alpha = b.bounded(math.Ldexp(b.alpha, level-b.level))
+	b.level = level
+}
+
+func (b *Balancer) bounded(alpha float64) float64 {
+	return max(alphaFloor, min(alpha, b.alphaCap()))
+}
+
+func (b *Balancer) alphaCap() float64 {
+	n := float64(max(1, len(b.ready)))
+	return 1 / (4 * n * n)
+}
+
+// recut lays the cuts at equal shares of the sum, interpolated inside bins.
+func (b *Balancer) recut() {
+	b.cutDue = b.now + recutSpan
+	n := len(b.ready)
+	b.cuts = b.cuts[:0]
+	sum := 0.0
+	for _, w := range b.weight {
+		sum += w
+	}
+	run := 0.0
+	for i, w := range b.weight {
+		for len(b.cuts) < n-1 && run+w >= sum*float64(len(b.cuts)+1)/float64(n) {
+			b.cuts = append(b.cuts, float64(i)+(sum*float64(len(b.cuts)+1)/float64(n)-run)/w)
+		}
+		run += w
+	}
+	for len(b.cuts) < n {
+		b.cuts = append(b.cuts, bins)
+	}
+}
+
+// rangeOf gives the place in ready of the range that holds the point. A key heavier than one whole
+// share would drown its cache: inside a bin that heavy, chance picks among the ranges it spans.
+func (b *Balancer) rangeOf(point float64) int {
+	bin := math.Floor(point)
+	if b.weight[int(bin)]*b.fade*float64(len(b.ready)) > 1 {
+		point = bin + b.draw()
+	}
+	return min(sort.SearchFloat64s(b.cuts, point), len(b.ready)-1)
+}
+
+// ---- The walk along the ranges ----
+
+// pick walks from the lookup's own range to the first cache that nothing speaks against, or gives -1.
+func (b *Balancer) pick(l *lookup) int {
+	n := len(b.ready)
+	if n == 0 {
+		return -1
+	}
+	if b.now >= b.cutDue || len(b.cuts) != n {
+		b.recut()
+	}
+	mean := 0.0
+	for _, i := range b.ready {
+		mean += float64(b.servers[i].inFlight)
+	}
+	mean /= float64(n)
+	at, busy := b.rangeOf(l.point), -1
+	for step := range n {
+		i := b.ready[(at+step)%n]
+		s := b.servers[i]
+		if b.passOver(l, i, s) {
+			continue
+		}
+		if s.inFlight < busyLeast || float64(s.inFlight) <= busyFactor*mean+1 {
+			return i
+		}
+		if busy < 0 {
+			busy = i
+		}
+	}
+	return busy
+}
+
+// passOver gives the exceptions: each is one more reason to skip a cache.
+func (b *Balancer) passOver(l *lookup, i int, s *server) bool {
+	for _, t := range l.shots {
+		if t.server == i {
+			return true // it had its try
+		}
+	}
+	if !b.trusted(l, s) || b.now < s.fullEnd {
+		return true
+	}
+	if len(l.shots) > 0 && !l.missed && s.credit < 1 {
+		return true // a further shot wants credit, lest a jam feed itself
+	}
+	if float64(s.inFlight) >= b.room(l, s, roomPart, roomLeast) {
+		return true
+	}
+	return b.coldShare(s) < 1 && b.coldBudget(s) < l.work
+}
+
+// trusted is false for a suspect at rest. After its rest one replayable lookup tries it out.
+func (b *Balancer) trusted(l *lookup, s *server) bool {
+	return s.rest == 0 || b.now >= s.restEnd && !s.trial && b.spaces[l.Namespace].kind == replayable
+}
+
+// room bounds what is in flight by rate times time, as measured: a share of the lookup's target time.
+func (b *Balancer) room(l *lookup, s *server, part, least float64) float64 {
+	r := max(least, b.rate(s)*part*seconds(b.spaces[l.Namespace].target))
+	if l.over {
+		r *= overRoom
+	}
+	return r
+}
+
+// rate gives our answers a second from a server. Halving keeps twice a span's count in the long run.
+func (b *Balancer) rate(s *server) float64 {
+	sum := 0.0
+	for _, n := range s.took {
+		sum += n
+	}
+	return sum / (seconds(halveSpan) + seconds(b.now-b.halved))
+}
+
+func seconds(t Time) float64 { return float64(t) / float64(1000*Millisecond) }
+
+// coldShare is the least share of its capacity that a server has by now.
+func (b *Balancer) coldShare(s *server) float64 {
+	cold, warmUp := term(b.terms, "cold share", 0.1), term(b.terms, "warm-up", 30000*Millisecond)
+	age := b.now - s.Since
+	if s.Since == 0 || age >= warmUp {
+		return 1
+	}
+	return cold + (1-cold)*max(0, float64(age)/float64(max(1, warmUp)))
+}
+
+// coldBudget fills with time. All nodes together must stay under factor x cold share x capacity x
+// window; what a warm cache answers to this node is this node's part of a capacity it can count on.
+func (b *Balancer) coldBudget(s *server) float64 {
+	window := term(b.terms, "fall window", 1000*Millisecond)
+	most := max(coldLeast, coldMargin*term(b.terms, "overload factor", 2.0)*b.coldShare(s)*
+		b.perCache*seconds(window))
+	s.budget = min(most/2, s.budget+most*float64(b.now-s.budgetAt)/float64(max(1, window)))
+	s.budgetAt = b.now
+	return s.budget
+}
+
+// shoot sends a lookup and books it.
+func (b *Balancer) shoot(lkp, i int, timeout Time) {
+	l, s := &b.lookups[lkp], b.servers[i]
+	if s.rest > 0 {
+		s.trial = true
+	}
+	if !b.isOrigin(s) {
+		if len(l.shots) > 0 && !l.missed {
+			s.credit--
+		}
+		if b.coldShare(s) < 1 {
+			s.budget -= l.work
+		}
+	}
+	s.inFlight++
+	l.shots = append(l.shots, shot{server: i, sent: b.now, out: true})
+	b.host.Shoot(lkp, i, timeout)
+}
+
+// advance takes a lookup's next step: its cache, the origin, a wait for the key's fetch, or its end.
+func (b *Balancer) advance(lkp int) {
+	l := &b.lookups[lkp]
+	for _, s := range l.shots {
+		if s.out {
+			return // its outcome will come
+		}
+	}
+	if !b.mayShoot(l) {
+		b.finish(lkp)
+		return
+	}
+	if l.Write || l.missed {
+		b.fetch(lkp)
+		return
+	}
+	if q, out := b.fetches[l.key]; out && l.key != 0 {
+		b.wait(lkp, q)
+		return
+	}
+	i := b.pick(l)
+	if i < 0 {
+		b.finish(lkp)
+		return
+	}
+	timeout := l.giveUp - b.now
+	ns := &b.spaces[l.Namespace]
+	if ns.kind == replayable {
+		timeout = min(timeout, max(Time(patience*float64(ns.target)), 1))
+	}
+	b.shoot(lkp, i, timeout)
+}
+
+// ---- The origin ----
+
+// fetch sends a miss or a write to the origin: one fetch a key, bounded by rate times time, writes first.
+func (b *Balancer) fetch(lkp int) {
+	l := &b.lookups[lkp]
+	if q, out := b.fetches[l.key]; out && !l.Write && l.key != 0 {
+		b.wait(lkp, q)
+		return
+	}
+	best := -1
+	for _, i := range b.origins {
+		if s := b.servers[i]; s.State == Ready && (best < 0 || s.inFlight < b.servers[best].inFlight) {
+			best = i
+		}
+	}
+	if best < 0 {
+		b.finish(lkp)
+		return
+	}
+	s := b.servers[best]
+	room := b.room(l, s, originPart, originLeast)
+	if l.Write {
+		room *= writeRoom
+	}
+	if float64(s.inFlight) >= room {
+		b.finish(lkp)
+		return
+	}
+	if !l.Write && l.key != 0 {
+		l.fetching = true
+		b.fetches[l.key] = nil
+	}
+	b.shoot(lkp, best, l.giveUp-b.now)
+}
+
+// wait holds a lookup while another of its key is at the origin.
+func (b *Balancer) wait(lkp int, q []int) {
+	l := &b.lookups[lkp]
+	l.waiting = true
+	b.fetches[l.key] = append(q, lkp)
+	b.host.Wake(l.giveUp, lkp+1)
+}
+
+// release lets those who waited for this lookup's fetch go on.
+func (b *Balancer) release(lkp int) {
+	l := &b.lookups[lkp]
+	if !l.fetching {
+		return
+	}
+	l.fetching = false
+	q := b.fetches[l.key]
+	delete(b.fetches, l.key)
+	for _, w := range q {
+		b.lookups[w].waiting = false
+		b.lookups[w].missed = false // the value may be stored by now
+		b.advance(w)
+	}
+}
+
+func (b *Balancer) isOrigin(s *server) bool {
+	return term(b.terms, "mode", "") == "aside" && s.Kind == term(b.terms, "origin kind", -1)
+}
+
+// ---- What happens ----
+
+// Lookup takes a client's lookup, which is owed one final answer from now on.
+func (b *Balancer) Lookup(now Time, lkp int, in Lookup) {
+	b.clock(now)
+	for lkp >= len(b.lookups) {
+		b.lookups = append(b.lookups, lookup{})
+	}
+	l, ns := &b.lookups[lkp], &b.spaces[in.Namespace]
+	*l = lookup{Lookup: in, live: true, arrived: now, giveUp: in.Limit, work: 1, shots: l.shots[:0]}
+	if ns.late == 0 && ns.kind == replayable {
+		// Two ticks early, so that a deferral is still inside the target time.
+		l.giveUp = min(in.Limit, now+ns.target-2*term(b.terms, "tick", Time(0)))
+	}
+	if l.point = b.draw() * bins; in.Key != "" {
+		l.key = xxhash.Sum64String(in.Key) | 1
+		l.point = float64(l.key>>11) / (1 << 53) * bins
+		b.learn(l.point)
+	}
+	if in.Work > 0 {
+		ns.work, ns.asked = ns.work+in.Work, ns.asked+1
+		l.work = in.Work * ns.asked / ns.work
+	}
+	if in.Partner >= 0 {
+		p := &b.partners[in.Partner]
+		p.room = min(p.rate, p.room+p.rate*seconds(now-p.at)) - 1
+		p.at = now
+		if p.room < 0 {
+			l.over, p.room = true, p.room+1
+		}
+	}
+	b.advance(lkp)
+}
+
+// Started tells that an answer streams: the rest is the server's and the client's.
+func (b *Balancer) Started(now Time, lkp int) { b.Left(now, lkp) }
+
+// Settled tells how a shot ended, and whether the lookup is over.
+func (b *Balancer) Settled(now Time, lkp, number int, code Code, ended bool) {
+	b.clock(now)
+	l := &b.lookups[lkp]
+	t := &l.shots[number]
+	t.out = false
+	t.notRun = code == Full || code == Unconnected || code == Unsent || code == Missing
+	b.judge(b.servers[t.server], code, now-t.sent)
+	if code == Missing {
+		l.missed = true
+	}
+	if !l.live {
+		return
+	}
+	if ended {
+		b.end(lkp)
+		return
+	}
+	b.release(lkp)
+	b.advance(lkp)
+}
+
+// Left tells that a lookup is over without us.
+func (b *Balancer) Left(now Time, lkp int) {
+	b.clock(now)
+	if b.lookups[lkp].live {
+		b.end(lkp)
+	}
+}
+
+// Alarm comes at or after a time asked for with Wake; a stale one does nothing.
+func (b *Balancer) Alarm(now Time, handle int) {
+	b.clock(now)
+	if handle == listHandle {
+		if !b.subscribed {
+			b.host.Subscribe()
+			b.askWait = min(2*b.askWait, askMost)
+		}
+		return
+	}
+	if lkp := handle - 1; lkp >= 0 && lkp < len(b.lookups) {
+		if l := &b.lookups[lkp]; l.live && l.waiting && now >= l.giveUp {
+			b.finish(lkp)
+		}
+	}
+}
+
+// List tells of the boxes.
+func (b *Balancer) List(now Time, how ListKind, boxes []Box) {
+	b.clock(now)
+	if how == Failed {
+		b.subscribed = false
+		b.host.Wake(now+b.askWait/2+Time(b.draw()*float64(b.askWait)/2), listHandle)
+		return
+	}
+	if how != Persisted {
+		b.subscribed, b.askWait = true, askLeast
+	}
+	if how != Changes {
+		for _, s := range b.servers {
+			if s != nil {
+				s.State = Gone
+			}
+		}
+	}
+	for _, x := range boxes {
+		for x.Server >= len(b.servers) {
+			b.servers = append(b.servers, nil)
+		}
+		s := b.servers[x.Server]
+		if s == nil || s.Since != x.Since {
+			// A restart makes a server another one, cold and without a past; its old shots still settle.
+			fresh := &server{budgetAt: now}
+			if s != nil {
+				fresh.inFlight = s.inFlight
+			}
+			s = fresh
+			b.servers[x.Server] = s
+		}
+		s.Box = x
+	}
+	b.ready, b.origins = b.ready[:0], b.origins[:0]
+	for i, s := range b.servers {
+		if s != nil && s.State == Ready {
+			if b.isOrigin(s) {
+				b.origins = append(b.origins, i)
+			} else {
+				b.ready = append(b.ready, i)
+			}
+		}
+	}
+	slices.SortFunc(b.ready, func(x, y int) int { return strings.Compare(b.servers[x].ID, b.servers[y].ID) })
+	if b.alpha == 0 {
+		b.alpha = b.alphaCap()
+	}
+	b.alpha = b.bounded(b.alpha)
+	b.recut()
+}
+
+// clock moves the time on and does what is due.
+func (b *Balancer) clock(now Time) {
+	b.now = now
+	if now >= b.klDue {
+		b.klDue = now + klSpan
+		b.adapt()
+	}
+	if now < b.halved+halveSpan {
+		return
+	}
+	sum, warm := 0.0, 0
+	for _, i := range b.ready {
+		if s := b.servers[i]; b.coldShare(s) == 1 {
+			sum, warm = sum+b.rate(s), warm+1
+		}
+	}
+	b.perCache = sum / float64(max(1, warm))
+	for _, s := range b.servers {
+		if s == nil {
+			continue
+		}
+		for i := range s.took {
+			s.took[i] /= 2
+		}
+	}
+	b.halved = now
+}
+
+// judge learns from an outcome, late ones too.
+func (b *Balancer) judge(s *server, code Code, took Time) {
+	s.inFlight--
+	s.trial = false
+	switch code {
+	case Answered, Missing:
+		s.strikes, s.rest = 0, 0
+		s.credit = min(creditMost, s.credit+creditEarned)
+		i := 0
+		for i < len(s.took)-1 && took >= 4*Millisecond<<i {
+			i++
+		}
+		s.took[i]++
+	case Full:
+		s.strikes, s.rest = 0, 0
+		s.fullEnd = b.now + fullRest
+	case Unconnected, Broken:
+		b.strike(s, strikesOut)
+	case TimedOut, Errored:
+		b.strike(s, 1)
+	}
+}
+
+// strike counts failures in a row; enough of them make a suspect, resting longer each time.
+func (b *Balancer) strike(s *server, n int) {
+	if s.strikes += n; s.strikes >= strikesOut && b.now >= s.restEnd {
+		s.rest = min(max(suspectLeast, 2*s.rest), suspectMost)
+		s.restEnd = b.now + s.rest
+	}
+}
