Let a shot run until the lookup is given up instead of timing it out early

Change: shots run until the lookup itself is given up. A silent server now needs another cure than an early time-out.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -462,12 +462,7 @@
 		b.finish(lkp)
 		return
 	}
-	timeout := l.giveUp - b.now
-	ns := &b.spaces[l.Namespace]
-	if ns.kind == replayable {
-		timeout = min(timeout, max(Time(patience*float64(ns.target)), 1))
-	}
-	b.shoot(lkp, i, timeout)
+	b.shoot(lkp, i, l.giveUp-b.now)
 }
 
 // ---- The origin ----
