--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,8 +33,8 @@
 	busyFactor = 2.0 // well over our mean: twice it, and one more for chance
 
 	halveSpan   = 1000 * Millisecond // between halvings of what is measured: a few seconds' memory
-	roomPart    = 0.5                // share of a target time that shots in flight may fill: the rest is for a miss
-	roomLeast   = 4                  // shots that may always be in flight to a cache, else a slow start starves it
+	roomPart    = 0.25                // share of a target time that shots in flight may fill: the rest is for a miss
+	roomLeast   = 2                  // shots that may always be in flight to a cache, else a slow start starves it
 	originPart  = 0.6                // share of a target time that fetches in flight may fill at the origin
 	originLeast = 4                  // fetches that may always be in flight, to measure the origin by
 	writeRoom   = 2                  // writes may fill the origin this many times as far as fetches
