Let partners beyond their share yield by an ease that in-share failures take away

Change: a lookup beyond its partner's share is taken with a chance, the ease, that falls by 0.1 with each in-share lookup failed or late and rises by 0.005 with each in time; before, it got half the room.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,12 +33,13 @@
 	busyFactor = 2.0 // well over our mean: twice it, and one more for chance
 
 	halveSpan   = 1000 * Millisecond // between halvings of what is measured: a few seconds' memory
-	roomPart    = 0.25                // share of a target time that shots in flight may fill: the rest is for a miss
+	roomPart    = 0.25               // share of a target time that shots in flight may fill: the rest is for a miss
 	roomLeast   = 2                  // shots that may always be in flight to a cache, else a slow start starves it
 	originPart  = 0.6                // share of a target time that fetches in flight may fill at the origin
 	originLeast = 4                  // fetches that may always be in flight, to measure the origin by
 	writeRoom   = 2                  // writes may fill the origin this many times as far as fetches
-	overRoom    = 0.5                // share of any room that a partner beyond its share may fill: it yields first
+	easeLost    = 0.1                // ease lost with a lookup inside its share that we failed, and
+	easeWon     = 0.005              // won with one answered in time: past 5% failed it goes to nothing
 
 	strikesOut   = 2                  // strikes that make a server suspect: one broken connection, two silences
 	suspectLeast = 250 * Millisecond  // first rest of a suspect: a few connect time-outs
@@ -143,6 +144,7 @@
 	klDue, cutDue Time
 	halved        Time
 	perCache      float64 // our answers a second from a warm cache
+	ease          float64 // share of the lookups beyond a partner's share that we take: 1 where all goes well
 	subscribed    bool
 	askWait       Time
 }
@@ -157,7 +159,7 @@
 
 // New starts a node. The terms it reads are listed in docs/design.md.
 func New(host Host, seed uint64, now Time, terms map[string]any) *Balancer {
-	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1, halved: now,
+	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1, halved: now, ease: 1,
 		klDue: now + klSpan, fetches: map[uint64][]int{}, askWait: askLeast,
 		weight: make([]float64, bins), before: make([]float64, bins)}
 	for i := range b.weight {
@@ -228,6 +230,7 @@
 // finish gives the final answer at once.
 func (b *Balancer) finish(lkp int) {
 	l := &b.lookups[lkp]
+	b.feel(l, false)
 	if b.mayDefer(l) {
 		b.host.Defer(lkp, term(b.terms, "longest retry-after", Time(0)))
 	} else {
@@ -236,6 +239,18 @@
 	b.end(lkp)
 }
 
+// feel notes how we fare with what is inside its share: where it suffers, what is beyond yields first.
+func (b *Balancer) feel(l *lookup, inTime bool) {
+	if l.over {
+		return
+	}
+	if inTime {
+		b.ease = min(1, b.ease+easeWon)
+	} else {
+		b.ease = max(0, b.ease-easeLost)
+	}
+}
+
 // end forgets a lookup; its shots that are out still settle.
 func (b *Balancer) end(lkp int) {
 	l := &b.lookups[lkp]
@@ -379,11 +394,7 @@
 
 // room bounds what is in flight by rate times time, as measured: a share of the lookup's target time.
 func (b *Balancer) room(l *lookup, s *server, part, least float64) float64 {
-	r := max(least, b.rate(s)*part*seconds(b.spaces[l.Namespace].target))
-	if l.over {
-		r *= overRoom
-	}
-	return r
+	return max(least, b.rate(s)*part*seconds(b.spaces[l.Namespace].target))
 }
 
 // rate gives our answers a second from a server. Halving keeps twice a span's count in the long run.
@@ -559,6 +570,10 @@
 			l.over, p.room = true, p.room+1
 		}
 	}
+	if l.over && b.draw() >= b.ease {
+		b.finish(lkp)
+		return
+	}
 	b.advance(lkp)
 }
 
@@ -580,6 +595,7 @@
 		return
 	}
 	if ended {
+		b.feel(l, now-l.arrived <= b.spaces[l.Namespace].target)
 		b.end(lkp)
 		return
 	}
