--- a/logic/host.go
+++ b/logic/host.go
@@ -1,5 +1,5 @@
 // Package logic decides what a balancer node does with each lookup. logic.go holds every decision;
-// this file only names what the decisions are told and how they act.
+// this file only names what the decisions are told, how they act, and what they keep in mind.
 package logic
 
 // Time is a clock reading or a span in whole tenths of a millisecond. Limits are rounded down on
@@ -81,3 +81,85 @@
 	State  State
 	Since  Time // its last start; 0: long ago
 }
+
+// ---- What the module keeps in mind ----
+
+type kind int // what a repeat of a lookup would do
+
+const (
+	replayable kind = iota
+	tagged
+	singleUse
+)
+
+type namespace struct {
+	kind          kind
+	target, limit Time
+	memory        Time // span in which repeats of a tagged lookup are dropped
+	groupAll      bool // all servers drop them
+	late          float64
+	work, asked   float64 // work hinted so far, and by how many
+}
+
+type partner struct {
+	rate, room float64 // lookups a second within our part of its share, and what is left of it
+	at         Time
+}
+
+// spans is a small histogram of shot times: bin i holds those under 4ms<<i. It is halved now and then.
+type spans [9]float64
+
+type server struct {
+	Box
+	inFlight      int
+	took          spans
+	strikes       int
+	rest, restEnd Time // how long a suspect rests, and until when; rest 0: not suspect
+	trial         bool // a suspect's one trial is out
+	fullEnd       Time
+	credit        float64
+	budget        float64 // shots left of a cold cache's budget
+	budgetAt      Time
+}
+
+type shot struct {
+	server int
+	sent   Time
+	out    bool
+	notRun bool
+}
+
+type lookup struct {
+	Lookup
+	live     bool
+	point    float64
+	key      uint64 // 0: none was named
+	arrived  Time
+	giveUp   Time // when an answer is worth nothing any more; the time limit at the latest
+	over     bool // beyond its partner's share
+	missed   bool
+	fetching bool // its fetch stands for all lookups of its key
+	waiting  bool // for another's fetch
+	work     float64
+	shots    []shot
+}
+
+// firstRun tells when the first shot that may have run was sent, if there is one.
+func (l *lookup) firstRun() (Time, bool) {
+	for _, s := range l.shots {
+		if !s.notRun {
+			return s.sent, true
+		}
+	}
+	return 0, false
+}
+
+// term reads one of the terms, or the default where it is missing.
+func term[T any](terms map[string]any, name string, otherwise T) T {
+	if v, ok := terms[name].(T); ok {
+		return v
+	}
+	return otherwise
+}
+
+func seconds(t Time) float64 { return float64(t) / float64(1000*Millisecond) }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -59,66 +59,6 @@
 	listHandle = 0                  // the list's alarm; a lookup's handle is its index and one
 )
 
-type kind int // what a repeat of a lookup would do
-
-const (
-	replayable kind = iota
-	tagged
-	singleUse
-)
-
-type namespace struct {
-	kind          kind
-	target, limit Time
-	memory        Time // span in which repeats of a tagged lookup are dropped
-	groupAll      bool // all servers drop them
-	late          float64
-	work, asked   float64 // work hinted so far, and by how many
-}
-
-type partner struct {
-	rate, room float64 // lookups a second within our part of its share, and what is left of it
-	at         Time
-}
-
-// spans is a small histogram of shot times: bin i holds those under 4ms<<i. It is halved now and then.
-type spans [9]float64
-
-type server struct {
-	Box
-	inFlight      int
-	took          spans
-	strikes       int
-	rest, restEnd Time // how long a suspect rests, and until when; rest 0: not suspect
-	trial         bool // a suspect's one trial is out
-	fullEnd       Time
-	credit        float64
-	budget        float64 // shots left of a cold cache's budget
-	budgetAt      Time
-}
-
-type shot struct {
-	server int
-	sent   Time
-	out    bool
-	notRun bool
-}
-
-type lookup struct {
-	Lookup
-	live     bool
-	point    float64
-	key      uint64 // 0: none was named
-	arrived  Time
-	giveUp   Time // when an answer is worth nothing any more; the time limit at the latest
-	over     bool // beyond its partner's share
-	missed   bool
-	fetching bool // its fetch stands for all lookups of its key
-	waiting  bool // for another's fetch
-	work     float64
-	shots    []shot
-}
-
 // Balancer decides for one node. It is not safe for concurrent use.
 type Balancer struct {
 	host     Host
@@ -149,14 +89,6 @@
 	askWait       Time
 }
 
-// term reads one of the terms, or the default where it is missing.
-func term[T any](terms map[string]any, name string, otherwise T) T {
-	if v, ok := terms[name].(T); ok {
-		return v
-	}
-	return otherwise
-}
-
 // New starts a node. The terms it reads are listed in docs/design.md.
 func New(host Host, seed uint64, now Time, terms map[string]any) *Balancer {
 	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1, halved: now, ease: 1,
@@ -217,16 +149,6 @@
 	return !ran || ns.kind == replayable || ns.kind == tagged && ns.groupAll && b.now-first < ns.memory/2
 }
 
-// firstRun tells when the first shot that may have run was sent, if there is one.
-func (l *lookup) firstRun() (Time, bool) {
-	for _, s := range l.shots {
-		if !s.notRun {
-			return s.sent, true
-		}
-	}
-	return 0, false
-}
-
 // finish gives the final answer at once.
 func (b *Balancer) finish(lkp int) {
 	l := &b.lookups[lkp]
@@ -406,8 +328,6 @@
 	return sum / (seconds(halveSpan) + seconds(b.now-b.halved))
 }
 
-func seconds(t Time) float64 { return float64(t) / float64(1000*Millisecond) }
-
 // coldShare is the least share of its capacity that a server has by now.
 func (b *Balancer) coldShare(s *server) float64 {
 	cold, warmUp := term(b.terms, "cold share", 0.1), term(b.terms, "warm-up", 30000*Millisecond)
