--- a/logic/logic.go
+++ b/logic/logic.go
@@ -49,9 +49,9 @@
 	coldMargin = 0.5 // share of the cold budget that is used: speeds differ, and estimates err
 	coldLeast  = 2.0 // shots in a fall window that a cold cache always gets, or it never warms
 
-	creditEarned = 0.1 // credit for an answer: further shots stay near a tenth of all
-	creditMost   = 5.0 // most credit kept: a burst of further shots no longer than this
-	patience     = 0.6 // share of the target time after which a replayable shot is given up for another
+	creditEarned = 0.25 // credit for an answer: further shots stay near a quarter of all
+	creditMost   = 5.0  // most credit kept, and what a server starts with: no longer a burst of further shots
+	patience     = 0.6  // share of the target time after which a replayable shot is given up for another
 
 	askSpread  = 300 * Millisecond  // nodes that start together spread their first calls over this
 	askLeast   = 500 * Millisecond  // first wait after a failed call
@@ -573,7 +573,7 @@
 		s := b.servers[x.Server]
 		if s == nil || s.Since != x.Since {
 			// A restart makes a server another one, cold and without a past; its old shots still settle.
-			fresh := &server{budgetAt: now}
+			fresh := &server{budgetAt: now, credit: creditMost}
 			if s != nil {
 				fresh.inFlight = s.inFlight
 			}
