--- a/logic/logic.go
+++ b/logic/logic.go
@@ -27,7 +27,7 @@
 	klStep     = 0.1                // KL divergence (nats) for each doubling of alpha; the design's figure
 	klSpan     = 1000 * Millisecond // age of the histogram compared with; the design's figure
 	fadeFloor  = 1e-9               // renormalise there: far from losing digits, yet rare
-	recutSpan  = 200 * Millisecond  // between recuts: a range moves little in it, and 2000 adds are dear
+	recutSpan  = 2000 * Millisecond // between recuts: a range moves little in it, and 2000 adds are dear
 
 	busyLeast  = 2   // own shots in flight below which a cache is never passed over; the design's figure
 	busyFactor = 2.0 // well over our mean: twice it, and one more for chance
