--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,6 +30,7 @@
 	recutSpan  = 2000 * Millisecond // between recuts: a range moves little in it, and 2000 adds are dear
 
 	busyLeast  = 2   // own shots in flight below which a cache is never passed over; the design's figure
+	walkMost   = 2 // caches passed over for want of room: a hot key needs some, a jam must not scatter all
 	busyFactor = 2.0 // well over our mean: twice it, and one more for chance
 
 	halveSpan   = 1000 * Millisecond // between halvings of what is measured: a few seconds' memory
@@ -273,13 +274,17 @@
 		mean += float64(b.servers[i].inFlight)
 	}
 	mean /= float64(n)
-	at, busy := b.rangeOf(l.point), -1
-	for step := range n {
+	at, busy, passed := b.rangeOf(l.point), -1, 0
+	for step := 0; step < n && passed <= walkMost; step++ {
 		i := b.ready[(at+step)%n]
 		s := b.servers[i]
 		if b.passOver(l, i, s) {
 			continue
 		}
+		// The walk for want of room is short: under overload a long one spreads every key over all caches.
+		if passed++; float64(s.inFlight) >= b.room(l, s, roomPart, roomLeast) {
+			continue
+		}
 		if s.inFlight < busyLeast || float64(s.inFlight) <= busyFactor*mean+1 {
 			return i
 		}
@@ -303,9 +308,6 @@
 	if len(l.shots) > 0 && !l.missed && s.credit < 1 {
 		return true // a further shot wants credit, lest a jam feed itself
 	}
-	if float64(s.inFlight) >= b.room(l, s, roomPart, roomLeast) {
-		return true
-	}
 	return b.coldShare(s) < 1 && b.coldBudget(s) < l.work
 }
 
