--- a/logic/host.go
+++ b/logic/host.go
@@ -118,6 +118,7 @@
 	trial         bool // a suspect's one trial is out
 	fullEnd       Time
 	credit        float64
+	calm          float64 // shots in flight with which its answers are quick
 	budget        float64 // shots left of a cold cache's budget
 	budgetAt      Time
 }
