--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,15 +32,12 @@
 	busyLeast  = 2   // own shots in flight below which a cache is never passed over; the design's figure
 	walkMost   = 2   // caches passed over for want of room: a hot key needs some, a jam must not scatter all
 	busyFactor = 2.0 // well over our mean: twice it, and one more for chance
-	jamFactor = 1.5 // a full cache with no more than this many times our mean tells of a jam
+	jamFactor  = 1.5 // a full cache with no more than this many times our mean tells of a jam
 
 	halveSpan   = 1000 * Millisecond // between halvings of what is measured: a few seconds' memory
 	roomPart    = 0.25               // share of a target time that shots in flight may fill: the rest is for a miss
 	roomLeast   = 2                  // shots that may always be in flight to a cache, else a slow start starves it
 	calmPart    = 0.25               // share of its target time after which an answer counts as slow
-	calmFactor  = 3.0                // so does one that took this many times what answers take when all is calm
-	calmDrift   = 1.01               // the calm time may grow by a hundredth each second: work does change
-	calmAnswers = 10                 // answers a second from which the calm time can be told
 	calmLost    = 0.1                // share of a cache's calm room that a slow answer takes, and
 	calmWon     = 0.1                // shots that a quick one adds: a third slow answers is too many at a room of two
 	calmMost    = 16.0               // most calm room: where rate times time bounds, it need not grow on
@@ -93,8 +90,6 @@
 	klDue, cutDue Time
 	halved        Time
 	perCache      float64 // our answers a second from a warm cache
-	calmTime      float64 // the least of late that our caches' answers took, as a second's geometric mean
-	logs, timed   float64 // sum of this second's logarithms, and their number
 	ease          float64 // share of the lookups beyond a partner's share that we take: 1 where all goes well
 	subscribed    bool
 	askWait       Time
@@ -102,7 +97,7 @@
 
 // New starts a node. The terms it reads are listed in docs/design.md.
 func New(host Host, seed uint64, now Time, terms map[string]any) *Balancer {
-	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1, halved: now, ease: 1, calmTime: math.Inf(1),
+	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1, halved: now, ease: 1,
 		klDue: now + klSpan, fetches: map[uint64][]int{}, askWait: askLeast,
 		weight: make([]float64, bins), before: make([]float64, bins)}
 	for i := range b.weight {
@@ -521,11 +516,7 @@
 	s := b.servers[t.server]
 	b.judge(s, code, now-t.sent)
 	// Crowded caches slow down, so the room shrinks until their answers are quick again.
-	took := float64(now - t.sent)
-	if !b.isOrigin(s) {
-		b.logs, b.timed = b.logs+math.Log(max(1, took)), b.timed+1
-	}
-	if took > min(calmPart*float64(b.spaces[l.Namespace].target), calmFactor*b.calmTime) {
+	if now-t.sent > Time(calmPart*float64(b.spaces[l.Namespace].target)) {
 		s.calm = max(1, s.calm*(1-calmLost))
 	} else {
 		s.calm = min(calmMost, s.calm+calmWon)
@@ -638,10 +629,6 @@
 			sum, warm = sum+b.rate(s), warm+1
 		}
 	}
-	if b.timed >= calmAnswers {
-		b.calmTime = min(b.calmTime*calmDrift, math.Exp(b.logs/b.timed))
-	}
-	b.logs, b.timed = 0, 0
 	b.perCache = sum / float64(max(1, warm))
 	for _, s := range b.servers {
 		if s == nil {
