--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,7 +37,7 @@
 	halveSpan   = 1000 * Millisecond // between halvings of what is measured: a few seconds' memory
 	roomPart    = 0.25               // share of a target time that shots in flight may fill: the rest is for a miss
 	roomLeast   = 2                  // shots that may always be in flight to a cache, else a slow start starves it
-	calmPart    = 0.25               // share of its target time after which an answer counts as slow
+	calmPart    = 0.4                // share of its target time after which an answer counts as slow
 	calmLost    = 0.1                // share of a cache's calm room that a slow answer takes, and
 	calmWon     = 0.1                // shots that a quick one adds: a third slow answers is too many at a room of two
 	calmMost    = 16.0               // most calm room: where rate times time bounds, it need not grow on
