Ask early deferred clients back while an answer can still be in time

Change: a lookup deferred in the first quarter of its target time gets a retry-after of a quarter to a half of it, by chance; later ones get the longest.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,6 +44,7 @@
 	originPart  = 0.6                // share of a target time that fetches in flight may fill at the origin
 	originLeast = 4                  // fetches that may always be in flight, to measure the origin by
 	writeRoom   = 2                  // writes may fill the origin this many times as far as fetches
+	returnPart  = 0.25               // share of the target time, and as much by chance, after which to come back
 	easeLost    = 0.1                // ease lost with a lookup inside its share that we failed, and
 	easeWon     = 0.005              // won with one answered in time: past 5% failed it goes to nothing
 
@@ -160,13 +161,23 @@
 	l := &b.lookups[lkp]
 	b.feel(l, false)
 	if b.mayDefer(l) {
-		b.host.Defer(lkp, term(b.terms, "longest retry-after", Time(0)))
+		b.host.Defer(lkp, b.retryAfter(l))
 	} else {
 		b.host.Abandon(lkp)
 	}
 	b.end(lkp)
 }
 
+// retryAfter asks a client back while an answer can still be in time, else to stay away for long.
+func (b *Balancer) retryAfter(l *lookup) Time {
+	most := term(b.terms, "longest retry-after", Time(0))
+	target := float64(b.spaces[l.Namespace].target)
+	if float64(b.now-l.arrived) < returnPart*target {
+		return min(most, Time(returnPart*target*(1+b.draw())))
+	}
+	return most
+}
+
 // feel notes how we fare with what is inside its share: where it suffers, what is beyond yields first.
 func (b *Balancer) feel(l *lookup, inTime bool) {
 	if l.over {
