--- a/logic/fake_test.go
+++ b/logic/fake_test.go
@@ -1,11 +1,242 @@
 package logic
 
-// fake is a Host that notes what it is told.
-type fake struct{}
-
-func (f *fake) Shoot(lkp, server int, timeout Time) {}
-func (f *fake) Retract(lkp, shot int)               {}
-func (f *fake) Defer(lkp int, retryAfter Time)      {}
-func (f *fake) Abandon(lkp int)                     {}
-func (f *fake) Subscribe()                          {}
-func (f *fake) Wake(at Time, handle int)            {}
+import (
+	"fmt"
+	"math/rand"
+)
+
+// fake is a Host that checks the rules at every call and remembers what is out.
+type fake struct {
+	b      *Balancer
+	rnd    *rand.Rand
+	now    Time
+	lkps   []*client
+	free   []int
+	boxes  []Box
+	wakes  map[int][]Time
+	asked  int
+	faults []string
+}
+
+// client is one lookup as its client and the servers see it.
+type client struct {
+	kind     string
+	memory   Time
+	limit    Time
+	ended    bool
+	deferred Time // the retry-after, if it was deferred
+	shots    []fakeShot
+	out      int
+}
+
+type fakeShot struct {
+	server    int
+	sent, due Time
+	settled   bool
+	code      Code
+}
+
+func (s *fakeShot) mayHaveRun() bool {
+	return !s.settled || s.code != Full && s.code != Unconnected && s.code != Unsent && s.code != Missing
+}
+
+func (f *fake) fault(format string, args ...any) {
+	f.faults = append(f.faults, fmt.Sprintf(format, args...))
+}
+
+func (f *fake) Shoot(lkp, server int, timeout Time) {
+	c := f.lkps[lkp]
+	if c.ended || f.now >= c.limit {
+		f.fault("shot for an ended or overdue lookup")
+	}
+	if f.boxes[server].State != Ready {
+		f.fault("shot at a server that is not ready")
+	}
+	for i := range c.shots {
+		s := &c.shots[i]
+		late := c.kind == "tagged" && f.now-s.sent >= c.memory
+		if s.mayHaveRun() && (c.kind == "single-use" || late) {
+			f.fault("a %s lookup may run twice", c.kind)
+		}
+	}
+	c.shots = append(c.shots, fakeShot{server: server, sent: f.now, due: min(f.now+timeout, c.limit)})
+	c.out++
+}
+
+func (f *fake) Retract(lkp, shot int) {}
+
+func (f *fake) Defer(lkp int, retryAfter Time) {
+	c := f.lkps[lkp]
+	for i := range c.shots {
+		if c.kind == "single-use" && c.shots[i].mayHaveRun() {
+			f.fault("a single-use lookup was deferred though it may have run")
+		}
+	}
+	c.deferred = retryAfter
+	f.end(lkp)
+}
+
+func (f *fake) Abandon(lkp int) { f.end(lkp) }
+
+func (f *fake) end(lkp int) {
+	if c := f.lkps[lkp]; c.ended {
+		f.fault("a second final answer")
+	} else {
+		c.ended = true
+	}
+	f.forget(lkp)
+}
+
+func (f *fake) Subscribe() { f.asked++ }
+
+func (f *fake) Wake(at Time, handle int) { f.wakes[handle] = append(f.wakes[handle], at) }
+
+// forget hands the index out again, as the adapter does, once nothing of the lookup is out.
+func (f *fake) forget(lkp int) {
+	if c := f.lkps[lkp]; c.ended && c.out == 0 {
+		f.free = append(f.free, lkp)
+		f.lkps[lkp] = &client{ended: true, out: -1}
+	}
+}
+
+var kinds = []string{"replayable", "tagged", "single-use"}
+
+// newFake starts a node with three namespaces, two partners, n warm caches and an origin.
+func newFake(seed int64, n int) *fake {
+	f := &fake{rnd: rand.New(rand.NewSource(seed)), now: 1000, wakes: map[int][]Time{}}
+	var spaces []map[string]any
+	for _, k := range kinds {
+		spaces = append(spaces, map[string]any{"repeat": k, "group": "all", "target time": 200 * Millisecond,
+			"memory span": 400 * Millisecond, "time limit": 800 * Millisecond})
+	}
+	f.b = New(f, uint64(seed), f.now, map[string]any{"nodes": 2, "mode": "aside", "origin kind": 1,
+		"most shots": 4, "longest retry-after": 400 * Millisecond, "cold share": 0.2, "tick": 2 * Millisecond,
+		"warm-up": 20000 * Millisecond, "overload factor": 4.0, "fall window": 1500 * Millisecond,
+		"namespaces": spaces, "partners": []map[string]any{{"lookups a second": 50.0}, {}}})
+	for i := range n {
+		f.boxes = append(f.boxes, Box{Server: i, ID: fmt.Sprintf("10.0.0.%02d", i)})
+	}
+	f.boxes = append(f.boxes, Box{Server: n, ID: "origin", Kind: 1})
+	f.b.List(f.now, Persisted, f.boxes)
+	return f
+}
+
+// ask brings one lookup and gives its client.
+func (f *fake) ask(space int, key string, write bool, limit Time) (int, *client) {
+	lkp := len(f.lkps)
+	if n := len(f.free); n > 0 {
+		lkp, f.free = f.free[n-1], f.free[:n-1]
+	} else {
+		f.lkps = append(f.lkps, nil)
+	}
+	c := &client{kind: kinds[space], memory: 400 * Millisecond, limit: limit}
+	f.lkps[lkp] = c
+	f.b.Lookup(f.now, lkp, Lookup{Namespace: space, Partner: space % 2, Key: key, Write: write, Limit: limit})
+	return lkp, c
+}
+
+// settle ends one shot.
+func (f *fake) settle(lkp, shot int, code Code) {
+	c := f.lkps[lkp]
+	c.shots[shot].settled, c.shots[shot].code = true, code
+	c.out--
+	told := c.ended || code == Answered
+	wasEnded := c.ended
+	if told {
+		c.ended = true
+	}
+	f.b.Settled(f.now, lkp, shot, code, told || wasEnded)
+	f.forget(lkp)
+}
+
+// pass moves the clock on and plays time-outs and alarms.
+func (f *fake) pass(span Time) {
+	f.now += span
+	for lkp, c := range f.lkps {
+		for i := range c.shots {
+			if s := &c.shots[i]; !s.settled && f.now >= s.due && f.lkps[lkp] == c {
+				f.settle(lkp, i, TimedOut)
+			}
+		}
+	}
+	for handle := 0; handle <= len(f.lkps); handle++ {
+		due := f.wakes[handle]
+		f.wakes[handle] = nil
+		for _, at := range due {
+			if at <= f.now {
+				f.b.Alarm(f.now, handle)
+			} else {
+				f.wakes[handle] = append(f.wakes[handle], at)
+			}
+		}
+	}
+	for _, c := range f.lkps {
+		if !c.ended && f.now > c.limit+8*Millisecond {
+			f.fault("a lookup has no final answer in time")
+		}
+	}
+}
+
+// step plays one random event.
+func (f *fake) step() {
+	switch r := f.rnd.Intn(100); {
+	case r < 45:
+		limit := f.now + Time(f.rnd.Intn(8000))
+		if f.rnd.Intn(50) == 0 {
+			limit = f.now - 5 // already past
+		}
+		key := ""
+		if f.rnd.Intn(20) > 0 {
+			key = fmt.Sprint("k", f.rnd.Intn(1+f.rnd.Intn(40)))
+		}
+		space := f.rnd.Intn(3)
+		f.ask(space, key, space > 0 && f.rnd.Intn(2) == 0, limit)
+	case r < 80:
+		f.settleAny(Code(f.rnd.Intn(int(Missing) + 1)))
+	case r < 82 && len(f.lkps) > 0:
+		if lkp := f.rnd.Intn(len(f.lkps)); !f.lkps[lkp].ended {
+			f.lkps[lkp].ended = true
+			f.b.Left(f.now, lkp)
+			f.forget(lkp)
+		}
+	case r < 84:
+		f.b.Alarm(f.now, f.rnd.Intn(50)) // stale
+	case r < 88:
+		x := &f.boxes[f.rnd.Intn(len(f.boxes))]
+		x.State = State(f.rnd.Intn(3))
+		if f.rnd.Intn(2) == 0 {
+			x.State, x.Since = Ready, f.now
+		}
+		f.b.List(f.now, Changes, []Box{*x})
+	case r < 89:
+		f.b.List(f.now, Failed, nil)
+	case r < 90:
+		var some []Box
+		for i := range f.boxes {
+			if x := &f.boxes[i]; f.rnd.Intn(8) == 0 {
+				x.State = Gone
+			} else if x.State != Gone {
+				some = append(some, *x)
+			}
+		}
+		f.b.List(f.now, Whole, some)
+	default:
+		f.pass(Time(1 + f.rnd.Intn(200)))
+	}
+}
+
+// settleAny settles a random shot that is out.
+func (f *fake) settleAny(code Code) {
+	for range 20 {
+		if len(f.lkps) == 0 {
+			return
+		}
+		lkp := f.rnd.Intn(len(f.lkps))
+		for i, s := range f.lkps[lkp].shots {
+			if !s.settled {
+				f.settle(lkp, i, code)
+				return
+			}
+		}
+	}
+}
--- a/logic/host.go
+++ b/logic/host.go
@@ -93,12 +93,12 @@
 )
 
 type namespace struct {
-	kind          kind
-	target, limit Time
-	memory        Time // span in which repeats of a tagged lookup are dropped
-	groupAll      bool // all servers drop them
-	late          float64
-	work, asked   float64 // work hinted so far, and by how many
+	kind        kind
+	target      Time
+	memory      Time // span in which repeats of a tagged lookup are dropped
+	groupAll    bool // all servers drop them
+	late        float64
+	work, asked float64 // work hinted so far, and by how many
 }
 
 type partner struct {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,25 +30,25 @@
 	recutSpan  = 2000 * Millisecond // between recuts: a range moves little in it, and 2000 adds are dear
 
 	busyLeast  = 2   // own shots in flight below which a cache is never passed over; the design's figure
-	walkMost   = 2   // caches passed over for want of room: a hot key needs some, a jam must not scatter all
+	walkMost   = 2   // caches passed over for want of room: a hot key needs some, more scatter keys
 	busyFactor = 2.0 // well over our mean: twice it, and one more for chance
 	jamFactor  = 1.5 // a full cache with no more than this many times our mean tells of a jam
 
 	halveSpan   = 1000 * Millisecond // between halvings of what is measured: a few seconds' memory
-	roomPart    = 0.25               // share of a target time that shots in flight may fill: the rest is for a miss
-	roomLeast   = 2                  // shots that may always be in flight to a cache, else a slow start starves it
+	roomPart    = 0.25               // share of a target time that shots in flight may fill: misses need more
+	roomLeast   = 2                  // shots that rate times time always allows: a slow start must not starve
 	calmPart    = 0.4                // share of its target time after which an answer counts as slow
 	calmLost    = 0.1                // share of a cache's calm room that a slow answer takes, and
-	calmWon     = 0.1                // shots that a quick one adds: a third slow answers is too many at a room of two
+	calmWon     = 0.1                // shots a quick one adds: a third slow is too many at a room of two
 	calmMost    = 16.0               // most calm room: where rate times time bounds, it need not grow on
 	originPart  = 0.6                // share of a target time that fetches in flight may fill at the origin
 	originLeast = 4                  // fetches that may always be in flight, to measure the origin by
 	writeRoom   = 2                  // writes may fill the origin this many times as far as fetches
-	returnPart  = 0.25               // share of the target time, and as much by chance, after which to come back
+	returnPart  = 0.25               // share of the target time, and up to as much by chance, to stay away
 	easeLost    = 0.1                // ease lost with a lookup inside its share that we failed, and
 	easeWon     = 0.005              // won with one answered in time: past 5% failed it goes to nothing
 
-	strikesOut   = 2                  // strikes that make a server suspect: one broken connection, two silences
+	strikesOut   = 2                  // strikes that make a suspect: one broken connection, two silences
 	suspectLeast = 250 * Millisecond  // first rest of a suspect: a few connect time-outs
 	suspectMost  = 4000 * Millisecond // longest rest: the list takes about that long to tell
 	fullRest     = 20 * Millisecond   // rest after a server turned us away: a few answers' time
@@ -57,8 +57,7 @@
 	coldLeast  = 2.0 // shots in a fall window that a cold cache always gets, or it never warms
 
 	creditEarned = 0.25 // credit for an answer: further shots stay near a quarter of all
-	creditMost   = 5.0  // most credit kept, and what a server starts with: no longer a burst of further shots
-	patience     = 0.6  // share of the target time after which a replayable shot is given up for another
+	creditMost   = 5.0  // most credit kept, and a server's first: no longer burst of further shots
 
 	askSpread  = 300 * Millisecond  // nodes that start together spread their first calls over this
 	askLeast   = 500 * Millisecond  // first wait after a failed call
@@ -98,7 +97,7 @@
 
 // New starts a node. The terms it reads are listed in docs/design.md.
 func New(host Host, seed uint64, now Time, terms map[string]any) *Balancer {
-	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1, halved: now, ease: 1,
+	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1, alpha: 1, halved: now, ease: 1,
 		klDue: now + klSpan, fetches: map[uint64][]int{}, askWait: askLeast,
 		weight: make([]float64, bins), before: make([]float64, bins)}
 	for i := range b.weight {
@@ -107,7 +106,7 @@
 	for _, t := range term(terms, "namespaces", []map[string]any(nil)) {
 		ns := namespace{kind: singleUse, target: term(t, "target time", 1000*Millisecond),
 			memory: term(t, "memory span", Time(0)), groupAll: term(t, "group", "") == "all",
-			late: term(t, "late utility", 0.0), limit: term(t, "time limit", 2000*Millisecond)}
+			late: term(t, "late utility", 0.0)}
 		switch term(t, "repeat", "") {
 		case "replayable":
 			ns.kind = replayable
@@ -206,6 +205,9 @@
 
 // ---- The line and its ranges ----
 
+// pointOf maps a key's hash to its point on the line.
+func pointOf(key uint64) float64 { return float64(key>>11) / (1 << 53) * bins }
+
 // learn fades all bins and adds alpha at the lookup's own, lazily.
 func (b *Balancer) learn(point float64) {
 	b.fade *= 1 - b.alpha
@@ -235,12 +237,8 @@
 }
 
 func (b *Balancer) bounded(alpha float64) float64 {
-	return max(alphaFloor, min(alpha, b.alphaCap()))
-}
-
-func (b *Balancer) alphaCap() float64 {
 	n := float64(max(1, len(b.ready)))
-	return 1 / (4 * n * n)
+	return max(alphaFloor, min(alpha, 1/(4*n*n)))
 }
 
 // recut lays the cuts at equal shares of the sum, interpolated inside bins.
@@ -492,7 +490,7 @@
 	}
 	if l.point = b.draw() * bins; in.Key != "" {
 		l.key = xxhash.Sum64String(in.Key) | 1
-		l.point = float64(l.key>>11) / (1 << 53) * bins
+		l.point = pointOf(l.key)
 		b.learn(l.point)
 	}
 	if in.Work > 0 {
@@ -617,9 +615,6 @@
 		}
 	}
 	slices.SortFunc(b.ready, func(x, y int) int { return strings.Compare(b.servers[x].ID, b.servers[y].ID) })
-	if b.alpha == 0 {
-		b.alpha = b.alphaCap()
-	}
 	b.alpha = b.bounded(b.alpha)
 	b.recut()
 }
