--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -339,3 +339,19 @@
 		t.Errorf("%d calls, want no more after one went through", f.asked)
 	}
 }
+
+// A tagged lookup that may have run is sent again only while repeats of it are surely still dropped.
+func TestTaggedIsRepeatedOnlyInItsMemorySpan(t *testing.T) {
+	for _, c := range []struct {
+		after Time
+		shots int
+	}{{100 * Millisecond, 2}, {250 * Millisecond, 1}} {
+		f := newFake(1, 1)
+		lkp, tagged := f.ask(1, "a", true, f.now+5000)
+		f.now += c.after
+		f.settle(lkp, 0, Errored)
+		if len(tagged.shots) != c.shots {
+			t.Errorf("%d shots after %d, want %d", len(tagged.shots), c.after, c.shots)
+		}
+	}
+}
