Let a crowded box's room fall below one shot, and let being turned away shrink it

Symptom: price for overdriven servers, a third to half of the shots turned away as full, some boxes (dar-ubungo) answering 3 a second while others of their kind answer 30. Cause: boxes slow down when crowded; with 8 or 9 nodes a room of one shot each is still a crowd. Told from lost capacity by the times: the crowded ones take 130 to 170 ms (p50), the calm ones 20. Change: the calm room falls to 0.1 of a shot (by chance), a turned-away shot takes a quarter of it, slow starts at 0.3 of the target time.

--- a/logic/host.go
+++ b/logic/host.go
@@ -116,7 +116,7 @@
 	strikes       int
 	rest, restEnd Time // how long a suspect rests, and until when; rest 0: not suspect
 	trial         bool // a suspect's one trial is out
-	fullEnd       Time
+	fullEnd       Time // until when one that turned us away rests
 	credit        float64
 	calm          float64 // shots in flight with which its answers are quick
 	budget        float64 // shots left of a cold cache's budget
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,9 +37,11 @@
 	halveSpan   = 1000 * Millisecond // between halvings of what is measured: a few seconds' memory
 	roomPart    = 0.25               // share of a target time that shots in flight may fill: misses need more
 	roomLeast   = 2                  // shots that rate times time always allows: a slow start must not starve
-	calmPart    = 0.4                // share of its target time after which an answer counts as slow
+	calmPart    = 0.3                // share of its target time after which an answer counts as slow
 	calmLost    = 0.1                // share of a cache's calm room that a slow answer takes, and
 	calmWon     = 0.1                // shots a quick one adds: a third slow is too many at a room of two
+	calmFull    = 0.25               // share of it that being turned away takes: a box that is full has had too much
+	calmLeast   = 0.1                // least calm room: one in ten lookups shows whether a crowded box is well again
 	calmMost    = 16.0               // most calm room: where rate times time bounds, it need not grow on
 	originPart  = 0.6                // share of a target time that fetches in flight may fill at the origin
 	originLeast = 4                  // fetches that may always be in flight, to measure the origin by
@@ -285,9 +287,8 @@
 	}
 	mean := 0.0
 	for _, i := range b.ready {
-		mean += float64(b.servers[i].inFlight)
+		mean += float64(b.servers[i].inFlight) / float64(n)
 	}
-	mean /= float64(n)
 	at, busy, passed := b.rangeOf(l.point), -1, 0
 	for step := 0; step < n && passed <= walkMost; step++ {
 		i := b.ready[(at+step)%n]
@@ -295,8 +296,8 @@
 		if b.passOver(l, i, s) {
 			continue
 		}
-		full := s.inFlight >= int(min(s.calm, b.room(l, s, roomPart, roomLeast))+b.draw())
-		if full && float64(s.inFlight) <= jamFactor*mean {
+		full := s.inFlight >= int(b.room(l, s)+b.draw())
+		if full && s.inFlight > 0 && float64(s.inFlight) <= jamFactor*mean {
 			break // all are about as full: walking on would only scatter the keys and jam the rest
 		} else if !full && (s.inFlight < busyLeast || float64(s.inFlight) <= busyFactor*mean+1) {
 			return i
@@ -329,9 +330,9 @@
 	return s.rest == 0 || b.now >= s.restEnd && !s.trial && b.spaces[l.Namespace].kind == replayable
 }
 
-// room bounds what is in flight by rate times time, as measured: a share of the lookup's target time.
-func (b *Balancer) room(l *lookup, s *server, part, least float64) float64 {
-	return max(least, b.rate(s)*part*seconds(b.spaces[l.Namespace].target))
+// room bounds what is in flight at a cache: by rate times time, as measured, and by what keeps it calm.
+func (b *Balancer) room(l *lookup, s *server) float64 {
+	return min(s.calm, max(roomLeast, b.rate(s)*roomPart*seconds(b.spaces[l.Namespace].target)))
 }
 
 // rate gives our answers a second from a server. Halving keeps twice a span's count in the long run.
@@ -431,7 +432,7 @@
 		return
 	}
 	s := b.servers[best]
-	room := b.room(l, s, originPart, originLeast)
+	room := max(originLeast, b.rate(s)*originPart*seconds(b.spaces[l.Namespace].target))
 	if l.Write {
 		room *= writeRoom
 	}
@@ -525,9 +526,12 @@
 	s := b.servers[t.server]
 	b.judge(s, code, now-t.sent)
 	// Crowded caches slow down, so the room shrinks until their answers are quick again.
-	if now-t.sent > Time(calmPart*float64(b.spaces[l.Namespace].target)) {
-		s.calm = max(1, s.calm*(1-calmLost))
-	} else {
+	switch {
+	case code == Full:
+		s.calm = max(calmLeast, s.calm*(1-calmFull))
+	case now-t.sent > Time(calmPart*float64(b.spaces[l.Namespace].target)):
+		s.calm = max(calmLeast, s.calm*(1-calmLost))
+	default:
 		s.calm = min(calmMost, s.calm+calmWon)
 	}
 	if code == Missing {
