--- a/logic/logic.go
+++ b/logic/logic.go
@@ -599,7 +599,7 @@
 		s := b.servers[x.Server]
 		if s == nil || s.Since != x.Since {
 			// A restart makes a server another one, cold and without a past; its old shots still settle.
-			fresh := &server{budgetAt: now, calm: calmMost, credit: creditMost}
+			fresh := &server{budgetAt: now, calm: roomLeast, credit: creditMost}
 			if s != nil {
 				fresh.inFlight = s.inFlight
 			}
