--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,7 +44,7 @@
 	calmLeast   = 0.1                // least calm room: one in ten lookups shows whether a crowded box is well again
 	calmMost    = 16.0               // most calm room: where rate times time bounds, it need not grow on
 	originPart  = 0.6                // share of a target time that fetches in flight may fill at the origin
-	originLeast = 4                  // fetches that may always be in flight, to measure the origin by
+	originLeast = 12.0               // fetches that all nodes together may always have in flight, to measure the origin by
 	writeRoom   = 2                  // writes may fill the origin this many times as far as fetches
 	returnPart  = 0.25               // share of the target time, and up to as much by chance, to stay away
 	easeLost    = 0.1                // ease lost with a lookup inside its share that we failed, and
@@ -72,6 +72,7 @@
 	host     Host
 	terms    map[string]any
 	seed     uint64
+	nodes    float64
 	drawn    uint64
 	now      Time
 	spaces   []namespace
@@ -99,7 +100,8 @@
 
 // New starts a node. The terms it reads are listed in docs/design.md.
 func New(host Host, seed uint64, now Time, terms map[string]any) *Balancer {
-	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1, alpha: 1, halved: now, ease: 1,
+	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1,
+		nodes: float64(max(1, term(terms, "nodes", 1))), alpha: 1, halved: now, ease: 1,
 		klDue: now + klSpan, fetches: map[uint64][]int{}, askWait: askLeast,
 		weight: make([]float64, bins), before: make([]float64, bins)}
 	for i := range b.weight {
@@ -117,9 +119,8 @@
 		}
 		b.spaces = append(b.spaces, ns)
 	}
-	nodes := float64(max(1, term(terms, "nodes", 1)))
 	for _, t := range term(terms, "partners", []map[string]any(nil)) {
-		rate := term(t, "lookups a second", math.Inf(1)) / nodes
+		rate := term(t, "lookups a second", math.Inf(1)) / b.nodes
 		b.partners = append(b.partners, partner{rate: rate, room: rate, at: now})
 	}
 	host.Wake(now+Time(b.draw()*float64(askSpread)), listHandle)
@@ -432,7 +433,7 @@
 		return
 	}
 	s := b.servers[best]
-	room := max(originLeast, b.rate(s)*originPart*seconds(b.spaces[l.Namespace].target))
+	room := max(1, originLeast/b.nodes, b.rate(s)*originPart*seconds(b.spaces[l.Namespace].target))
 	if l.Write {
 		room *= writeRoom
 	}
