Share the least room at a cache among the nodes, from one to two shots each

Symptom: overdriven servers, boxes with short queues turning most shots away, recovery only when traffic fell. Cause: two shots a node at least are 16 a box of one core. Told from a bad zone by the boxes' times: the same boxes are well when traffic is low. Change: the least room is eight shots over all nodes, one to two for each.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,7 +36,7 @@
 
 	halveSpan   = 1000 * Millisecond // between halvings of what is measured: a few seconds' memory
 	roomPart    = 0.25               // share of a target time that shots in flight may fill: misses need more
-	roomLeast   = 2                  // shots that rate times time always allows: a slow start must not starve
+	roomLeast   = 8.0                // shots of all nodes that rate times time always allows: between one and two for each
 	calmPart    = 0.3                // share of its target time after which an answer counts as slow
 	calmLost    = 0.1                // share of a cache's calm room that a slow answer takes, and
 	calmWon     = 0.1                // shots a quick one adds: a third slow is too many at a room of two
@@ -73,6 +73,7 @@
 	terms    map[string]any
 	seed     uint64
 	nodes    float64
+	least    float64 // our part of roomLeast
 	drawn    uint64
 	now      Time
 	spaces   []namespace
@@ -104,6 +105,7 @@
 		nodes: float64(max(1, term(terms, "nodes", 1))), alpha: 1, halved: now, ease: 1,
 		klDue: now + klSpan, fetches: map[uint64][]int{}, askWait: askLeast,
 		weight: make([]float64, bins), before: make([]float64, bins)}
+	b.least = max(1, min(busyLeast, roomLeast/b.nodes))
 	for i := range b.weight {
 		b.weight[i], b.before[i] = 1.0/bins, 1.0/bins
 	}
@@ -333,7 +335,7 @@
 
 // room bounds what is in flight at a cache: by rate times time, as measured, and by what keeps it calm.
 func (b *Balancer) room(l *lookup, s *server) float64 {
-	return min(s.calm, max(roomLeast, b.rate(s)*roomPart*seconds(b.spaces[l.Namespace].target)))
+	return min(s.calm, max(b.least, b.rate(s)*roomPart*seconds(b.spaces[l.Namespace].target)))
 }
 
 // rate gives our answers a second from a server. Halving keeps twice a span's count in the long run.
@@ -405,12 +407,11 @@
 		b.wait(lkp, q)
 		return
 	}
-	i := b.pick(l)
-	if i < 0 {
+	if i := b.pick(l); i >= 0 {
+		b.shoot(lkp, i, l.giveUp-b.now)
+	} else {
 		b.finish(lkp)
-		return
 	}
-	b.shoot(lkp, i, l.giveUp-b.now)
 }
 
 // ---- The origin ----
@@ -466,8 +467,7 @@
 	q := b.fetches[l.key]
 	delete(b.fetches, l.key)
 	for _, w := range q {
-		b.lookups[w].waiting = false
-		b.lookups[w].missed = false // the value may be stored by now
+		b.lookups[w].waiting, b.lookups[w].missed = false, false // the value may be stored by now
 		b.advance(w)
 	}
 }
@@ -600,7 +600,7 @@
 		s := b.servers[x.Server]
 		if s == nil || s.Since != x.Since {
 			// A restart makes a server another one, cold and without a past; its old shots still settle.
-			fresh := &server{budgetAt: now, calm: roomLeast, credit: creditMost}
+			fresh := &server{budgetAt: now, calm: b.least, credit: creditMost}
 			if s != nil {
 				fresh.inFlight = s.inFlight
 			}
