--- a/logic/host.go
+++ b/logic/host.go
@@ -106,13 +106,10 @@
 	at         Time
 }
 
-// spans is a small histogram of shot times: bin i holds those under 4ms<<i. It is halved now and then.
-type spans [9]float64
-
 type server struct {
 	Box
 	inFlight      int
-	took          spans
+	answers       float64 // to us, halved now and then
 	strikes       int
 	rest, restEnd Time // how long a suspect rests, and until when; rest 0: not suspect
 	trial         bool // a suspect's one trial is out
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -340,11 +340,7 @@
 
 // rate gives our answers a second from a server. Halving keeps twice a span's count in the long run.
 func (b *Balancer) rate(s *server) float64 {
-	sum := 0.0
-	for _, n := range s.took {
-		sum += n
-	}
-	return sum / (seconds(halveSpan) + seconds(b.now-b.halved))
+	return s.answers / (seconds(halveSpan) + seconds(b.now-b.halved))
 }
 
 // coldShare is the least share of its capacity that a server has by now.
@@ -525,7 +521,7 @@
 	t.out = false
 	t.notRun = code == Full || code == Unconnected || code == Unsent || code == Missing
 	s := b.servers[t.server]
-	b.judge(s, code, now-t.sent)
+	b.judge(s, code)
 	// Crowded caches slow down, so the room shrinks until their answers are quick again.
 	switch {
 	case code == Full:
@@ -642,29 +638,22 @@
 	}
 	b.perCache = sum / float64(max(1, warm))
 	for _, s := range b.servers {
-		if s == nil {
-			continue
-		}
-		for i := range s.took {
-			s.took[i] /= 2
+		if s != nil {
+			s.answers /= 2
 		}
 	}
 	b.halved = now
 }
 
 // judge learns from an outcome, late ones too.
-func (b *Balancer) judge(s *server, code Code, took Time) {
+func (b *Balancer) judge(s *server, code Code) {
 	s.inFlight--
 	s.trial = false
 	switch code {
 	case Answered, Missing:
 		s.strikes, s.rest = 0, 0
 		s.credit = min(creditMost, s.credit+creditEarned)
-		i := 0
-		for i < len(s.took)-1 && took >= 4*Millisecond<<i {
-			i++
-		}
-		s.took[i]++
+		s.answers++
 	case Full:
 		s.strikes, s.rest = 0, 0
 		s.fullEnd = b.now + fullRest
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -224,10 +224,7 @@
 			f.settle(lkp, 0, Missing)
 		}
 	}
-	sent := 0
-	for _, n := range f.b.servers[0].took {
-		sent += int(2 * n)
-	}
+	sent := int(2 * f.b.servers[0].answers)
 	if sent == 0 || sent > 8 {
 		t.Errorf("about %d shots in a window, want a few", sent)
 	}
