--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,88 @@
+package wire
+
+import (
+	"bytes"
+	"log"
+	"strings"
+	"testing"
+)
+
+const (
+	create = `{"now-ms":1000,"batch":1,"parts":[{"node":"node_0","msgs":[{"what":"create","prng":5,"info":{"balancers":1,` +
+		`"domain":{"mode":"aside","origin-kind":1},"models":["box","origin"],"new-field":[1],"permissions":{"most-shots":3},` +
+		`"namespaces":[{"name":"read","repeat":"safe","target-time-ms":200,"time-limit-ms":750}]}},` +
+		`{"what":"peers-known","how":"Persisted","version":1,"entries":[{"state":"healthy","server":"10.0.0.1:1","machine":"box"},` +
+		`{"state":"healthy","server":"10.0.0.2:1","machine":"origin"}]}]}]}`
+	ingress = `{"now-ms":1001.27,"batch":2,"parts":[{"node":"node_0","msgs":[{"what":"ingress","ticket":"t1",` +
+		`"tier-class":"read","route-key":"k","expires-ms":1700.19,"unheard-of":{"a":[1]}}]}]}`
+)
+
+// serve plays lines and gives the replies, the messages and the error.
+func serve(lines ...string) ([]string, string, error) {
+	var out, told bytes.Buffer
+	log.SetOutput(&told)
+	err := Serve(strings.NewReader(strings.Join(lines, "\n")), &out)
+	return strings.Split(strings.TrimSpace(out.String()), "\n"), told.String(), err
+}
+
+func TestALookupGoesToItsCacheThenToTheOrigin(t *testing.T) {
+	replies, told, err := serve(create, ingress,
+		`{"now-ms":1010,"batch":3,"parts":[{"node":"node_0","msgs":[{"what":"settled","ticket":"t1","try":0,`+
+			`"server":"10.0.0.1:1","state-code":"M","time-taken-ms":9}]}]}`,
+		`{"now-ms":1020,"batch":4,"parts":[{"node":"node_0","msgs":[{"what":"settled","ticket":"t1","try":1,`+
+			`"server":"10.0.0.2:1","state-code":"S","time-taken-ms":9,"ended":true}]}]}`)
+	if err != nil || told != "" {
+		t.Fatal(err, told)
+	}
+	for i, want := range []string{`"what":"remind"`,
+		`"orders":[{"what":"transmit","ticket":"t1","server":"10.0.0.1:1","timeout-ms":200}]`,
+		`"server":"10.0.0.2:1"`, `{"batch":4,"parts":[]}`} {
+		if !strings.Contains(replies[i], want) {
+			t.Errorf("reply %d: %s, want %s", i+1, replies[i], want)
+		}
+	}
+}
+
+func TestBadInputIsToldAndTheRestGoesOn(t *testing.T) {
+	for _, c := range []struct{ msg, told string }{
+		{`{"what":"surprise"}`, "unknown"},
+		{`{"what":"settled","ticket":"t9","try":0,"state-code":"S"}`, `lookup "t9" is unknown`},
+		{`{"what":"settled","ticket":"t1","try":7,"state-code":"S"}`, "had no shot 7"},
+		{`{"what":"settled","ticket":"t1","try":0,"state-code":"Q"}`, `code "Q"`},
+		{`{"what":"ingress","ticket":"t2","tier-class":"none"}`, `namespace "none"`},
+		{`{"what":"peers-known","how":"Odd"}`, `list kind "Odd"`},
+		{`{"what":"create","info":7}`, "settings can't be read"},
+		{`null`, "unknown"},
+	} {
+		line := `{"now-ms":1002,"batch":3,"parts":[{"node":"node_0","msgs":[` + c.msg + `]}]}`
+		replies, told, err := serve(create, ingress, line,
+			strings.Replace(line, "node_0", "node_7", 1), `{"now-ms":1,"batch":5,"parts":[]}`)
+		if err != nil || !strings.Contains(told, c.told) {
+			t.Errorf("%s: told %q, error %v; want %q", c.msg, told, err, c.told)
+		}
+		if len(replies) != 5 || !strings.Contains(replies[4], `"batch":5`) {
+			t.Errorf("%s: the batches after it were not answered: %v", c.msg, replies)
+		}
+	}
+}
+
+func TestALineThatIsNoBatchEndsTheProgram(t *testing.T) {
+	for _, line := range []string{"hello", "[1]", `{"batch":1}`, `{"now-ms":1,"batch":1,"parts":[{"node":`} {
+		if _, _, err := serve(line); err == nil {
+			t.Errorf("%s: no error", line)
+		}
+	}
+}
+
+// A panic of one instance is told on the wire, with its text.
+func TestPanicIsTold(t *testing.T) {
+	broken := &node{index: map[string]int{"t": 0}}
+	h := &hub{nodes: map[string]*node{"node_0": broken}, msg: fields{what: "started", ticket: "t"}}
+	out := &orders{w: &h.out, node: "node_0"}
+	if err := h.play("node_0", out); err != nil {
+		t.Fatal(err)
+	}
+	if text, _ := h.out.BuildBytes(); !strings.Contains(string(text), `"what":"internal-error","text":"runtime error`) {
+		t.Errorf("told %s", text)
+	}
+}
