Keep the histogram sound when a lookup comes before any list; drop an unused Host call

A lookup before the first list met an alpha of one, which fades everything to nothing: alpha now starts at the cap for no cache, with a test. Host loses Retract, which the module never called.

--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -239,14 +239,6 @@
 	n.out.end()
 }
 
-// Retract calls off a shot.
-func (n *node) Retract(lkp, shot int) {
-	n.out.begin("retract")
-	n.out.text("ticket", n.tickets[lkp].id)
-	n.out.number("try", shot)
-	n.out.end()
-}
-
 // Defer turns a lookup away.
 func (n *node) Defer(lkp int, retryAfter logic.Time) {
 	n.out.begin("overload-reply")
--- a/logic/fake_test.go
+++ b/logic/fake_test.go
@@ -63,8 +63,6 @@
 	c.out++
 }
 
-func (f *fake) Retract(lkp, shot int) {}
-
 func (f *fake) Defer(lkp int, retryAfter Time) {
 	c := f.lkps[lkp]
 	for i := range c.shots {
--- a/logic/host.go
+++ b/logic/host.go
@@ -15,8 +15,6 @@
 type Host interface {
 	// Shoot sends the lookup to a server; no answer within timeout settles the shot as TimedOut.
 	Shoot(lkp, server int, timeout Time)
-	// Retract stops waiting for one shot; it settles as CalledOff unless it already has settled.
-	Retract(lkp, shot int)
 	// Defer ends the lookup: a retry is harmless, and welcome after the time given (0: no advice).
 	Defer(lkp int, retryAfter Time)
 	// Abandon ends the lookup with no promise about its effect.
@@ -47,7 +45,7 @@
 	TimedOut         // no answer in time
 	Unconnected      // no connection could be made
 	Broken           // the connection broke while the shot was out
-	CalledOff        // retracted
+	CalledOff        // called off by the host
 	Unsent           // the host had no business sending it
 	Missing          // the server has nothing under this key
 )
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -102,10 +102,10 @@
 // New starts a node. The terms it reads are listed in docs/design.md.
 func New(host Host, seed uint64, now Time, terms map[string]any) *Balancer {
 	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1,
-		nodes: float64(max(1, term(terms, "nodes", 1))), alpha: 1, halved: now, ease: 1,
+		nodes: float64(max(1, term(terms, "nodes", 1))), halved: now, ease: 1,
 		klDue: now + klSpan, fetches: map[uint64][]int{}, askWait: askLeast,
 		weight: make([]float64, bins), before: make([]float64, bins)}
-	b.least = max(1, min(busyLeast, roomLeast/b.nodes))
+	b.alpha, b.least = b.bounded(1), max(1, min(busyLeast, roomLeast/b.nodes))
 	for i := range b.weight {
 		b.weight[i], b.before[i] = 1.0/bins, 1.0/bins
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -130,6 +130,15 @@
 	}
 }
 
+// A lookup that comes before any list is deferred, and spoils nothing.
+func TestLookupBeforeTheList(t *testing.T) {
+	f := newFake(1, 2)
+	f.b = New(f, 1, f.now, f.b.terms)
+	if _, c := f.ask(0, "a", false, f.now+5000); !c.ended || math.IsInf(f.b.weight[0], 0) || f.b.fade == 0 {
+		t.Error("want a deferral and a sound histogram")
+	}
+}
+
 func TestPassOver(t *testing.T) {
 	f := newFake(1, 4)
 	_, c := f.ask(0, "a", false, f.now+5000)
