--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,7 +46,7 @@
 	originPart  = 0.6                // share of a target time that fetches in flight may fill at the origin
 	originLeast = 12.0               // fetches that all nodes together may always have in flight, to measure the origin by
 	writeRoom   = 2                  // writes may fill the origin this many times as far as fetches
-	returnPart  = 0.15               // share of the target time, and up to as much by chance, to stay away
+	returnPart  = 0.1                // share of the target time, and up to as much by chance, to stay away
 	easeLost    = 0.1                // ease lost with a lookup inside its share that we failed, and
 	easeWon     = 0.005              // won with one answered in time: past 5% failed it goes to nothing
 
