Ask back soon all that are deferred in the first 0.4 of their target time

Cause: lookups turned away after a first shot were told to stay away for long though a second try could still be in time.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,6 +46,7 @@
 	originPart  = 0.6                // share of a target time that fetches in flight may fill at the origin
 	originLeast = 12.0               // fetches that all nodes together may always have in flight, to measure the origin by
 	writeRoom   = 2                  // writes may fill the origin this many times as far as fetches
+	earlyPart   = 0.4                // share of the target time up to which a second try can still be in time
 	returnPart  = 0.1                // share of the target time, and up to as much by chance, to stay away
 	easeLost    = 0.1                // ease lost with a lookup inside its share that we failed, and
 	easeWon     = 0.005              // won with one answered in time: past 5% failed it goes to nothing
@@ -176,7 +177,7 @@
 func (b *Balancer) retryAfter(l *lookup) Time {
 	most := term(b.terms, "longest retry-after", Time(0))
 	target := float64(b.spaces[l.Namespace].target)
-	if float64(b.now-l.arrived) < returnPart*target {
+	if float64(b.now-l.arrived) < earlyPart*target {
 		return min(most, Time(returnPart*target*(1+b.draw())))
 	}
 	return most
