Share a cold cache's least budget among the nodes; keep re-asking inside the ask-within limit

Cause: two shots a node and window are 34 with 17 nodes, more than a cold box may bear; and the longest wait for the list did not read the ask-within limit. Change: six shots over all nodes, a budget that can save up for one shot; re-asking waits for half the ask-within limit at most.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,15 +36,15 @@
 
 	halveSpan   = 1000 * Millisecond // between halvings of what is measured: a few seconds' memory
 	roomPart    = 0.25               // share of a target time that shots in flight may fill: misses need more
-	roomLeast   = 8.0                // shots of all nodes that rate times time always allows: between one and two for each
+	roomLeast   = 8.0                // shots of all nodes that are always allowed, from one to two for each
 	calmPart    = 0.3                // share of its target time after which an answer counts as slow
 	calmLost    = 0.1                // share of a cache's calm room that a slow answer takes, and
 	calmWon     = 0.1                // shots a quick one adds: a third slow is too many at a room of two
-	calmFull    = 0.25               // share of it that being turned away takes: a box that is full has had too much
-	calmLeast   = 0.1                // least calm room: one in ten lookups shows whether a crowded box is well again
+	calmFull    = 0.25               // share of it that being turned away takes: that box has had too much
+	calmLeast   = 0.1                // least calm room: one lookup in ten shows whether a box is well again
 	calmMost    = 16.0               // most calm room: where rate times time bounds, it need not grow on
 	originPart  = 0.6                // share of a target time that fetches in flight may fill at the origin
-	originLeast = 12.0               // fetches that all nodes together may always have in flight, to measure the origin by
+	originLeast = 12.0               // fetches of all nodes that are always allowed, to measure the origin by
 	writeRoom   = 2                  // writes may fill the origin this many times as far as fetches
 	earlyPart   = 0.4                // share of the target time up to which a second try can still be in time
 	returnPart  = 0.1                // share of the target time, and up to as much by chance, to stay away
@@ -57,14 +57,14 @@
 	fullRest     = 20 * Millisecond   // rest after a server turned us away: a few answers' time
 
 	coldMargin = 0.5 // share of the cold budget that is used: speeds differ, and estimates err
-	coldLeast  = 2.0 // shots in a fall window that a cold cache always gets, or it never warms
+	coldLeast  = 6.0 // shots of all nodes in a fall window that a cold cache always gets, or it never warms
 
 	creditEarned = 0.25 // credit for an answer: further shots stay near a quarter of all
 	creditMost   = 5.0  // most credit kept, and a server's first: no longer burst of further shots
 
 	askSpread  = 300 * Millisecond  // nodes that start together spread their first calls over this
 	askLeast   = 500 * Millisecond  // first wait after a failed call
-	askMost    = 4000 * Millisecond // longest wait: well inside the ask-within limit
+	askMost    = 4000 * Millisecond // longest wait, and never over half the ask-within limit
 	listHandle = 0                  // the list's alarm; a lookup's handle is its index and one
 )
 
@@ -358,9 +358,9 @@
 // window; what a warm cache answers to this node is this node's part of a capacity it can count on.
 func (b *Balancer) coldBudget(s *server) float64 {
 	window := term(b.terms, "fall window", 1000*Millisecond)
-	most := max(coldLeast, coldMargin*term(b.terms, "overload factor", 2.0)*b.coldShare(s)*
+	most := max(coldLeast/b.nodes, coldMargin*term(b.terms, "overload factor", 2.0)*b.coldShare(s)*
 		b.perCache*seconds(window))
-	s.budget = min(most/2, s.budget+most*float64(b.now-s.budgetAt)/float64(max(1, window)))
+	s.budget = min(max(1, most/2), s.budget+most*float64(b.now-s.budgetAt)/float64(max(1, window)))
 	s.budgetAt = b.now
 	return s.budget
 }
@@ -422,7 +422,7 @@
 	}
 	best := -1
 	for _, i := range b.origins {
-		if s := b.servers[i]; s.State == Ready && (best < 0 || s.inFlight < b.servers[best].inFlight) {
+		if best < 0 || b.servers[i].inFlight < b.servers[best].inFlight {
 			best = i
 		}
 	}
@@ -577,7 +577,8 @@
 	b.clock(now)
 	if how == Failed {
 		b.subscribed = false
-		b.host.Wake(now+b.askWait/2+Time(b.draw()*float64(b.askWait)/2), listHandle)
+		wait := min(b.askWait, term(b.terms, "ask within", askMost)/2) / 2
+		b.host.Wake(now+wait+Time(b.draw()*float64(wait)), listHandle)
 		return
 	}
 	if how != Persisted {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -220,7 +220,7 @@
 
 // A restart under the old id makes a cache cold: whatever comes, it gets its budget and no more.
 func TestColdCacheGetsItsBudget(t *testing.T) {
-	f := newFake(1, 1)
+	f := newFake(1, 1) // one of two nodes
 	f.boxes[0].Since = f.now
 	f.b.List(f.now, Changes, f.boxes[:1])
 	for range 1500 {
