Let only answers grow a calm room: a failure may be quick as well

Cause: a quick error, reset or failed connect counted as a quick answer and made the room of a failing box grow.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -529,7 +529,7 @@
 		s.calm = max(calmLeast, s.calm*(1-calmFull))
 	case now-t.sent > Time(calmPart*float64(b.spaces[l.Namespace].target)):
 		s.calm = max(calmLeast, s.calm*(1-calmLost))
-	default:
+	case code == Answered || code == Missing: // a failure may be quick as well
 		s.calm = min(calmMost, s.calm+calmWon)
 	}
 	if code == Missing {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -189,6 +189,11 @@
 			f.now += fullRest
 		}
 	}
+	was := s.calm
+	if answer(Millisecond, Errored); s.calm > was {
+		t.Errorf("room %g after quick failures, want no growth from %g", s.calm, was)
+	}
+	s.rest, s.credit = 0, creditMost
 	if answer(150*Millisecond, Answered); s.calm > 1 || s.calm < calmLeast {
 		t.Errorf("room %g after slow answers, want it below one shot", s.calm)
 	}
