--- a/logic/host.go
+++ b/logic/host.go
@@ -137,6 +137,7 @@
 	fetching bool // its fetch stands for all lookups of its key
 	waiting  bool // for another's fetch
 	work     float64
+	turned   int // times it was turned away
 	shots    []shot
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -293,7 +293,10 @@
 	for _, i := range b.ready {
 		mean += float64(b.servers[i].inFlight) / float64(n)
 	}
-	at, busy, passed := b.rangeOf(l.point), -1, 0
+	// A hot key's next ranges are soon as full as its own where hundreds of nodes walk in step: each further
+	// shot skips ahead by chance, the last ones as far as most of the fleet.
+	reach := math.Pow(float64(n), float64(l.turned)/float64(term(b.terms, "most shots", 1)))
+	at, busy, passed := b.rangeOf(l.point)+int(b.draw()*reach), -1, 0
 	for step := 0; step < n && passed <= walkMost; step++ {
 		i := b.ready[(at+step)%n]
 		s := b.servers[i]
@@ -526,6 +529,7 @@
 	// Crowded caches slow down, so the room shrinks until their answers are quick again.
 	switch {
 	case code == Full:
+		l.turned++
 		s.calm = max(calmLeast, s.calm*(1-calmFull))
 	case now-t.sent > Time(calmPart*float64(b.spaces[l.Namespace].target)):
 		s.calm = max(calmLeast, s.calm*(1-calmLost))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -149,6 +149,21 @@
 	}
 }
 
+// big-2 of the grown schools: turned away by a hot cache, hundreds of nodes must not march on in step.
+func TestTurnedAwaySkipsAhead(t *testing.T) {
+	seen := map[int]bool{}
+	for seed := range int64(40) {
+		f := newFake(seed, 64)
+		lkp, c := f.ask(0, "a", false, f.now+5000)
+		f.settle(lkp, 0, Full)
+		f.settle(lkp, 1, Full)
+		seen[c.shots[2].server] = true
+	}
+	if len(seen) < 6 {
+		t.Errorf("third shots went to %d caches, want them spread", len(seen))
+	}
+}
+
 // key finds a key whose range is the cache's.
 func key(b *Balancer, server int) string {
 	for i := 0; ; i++ {
