--- a/logic/logic.go
+++ b/logic/logic.go
@@ -399,7 +399,9 @@
 		b.finish(lkp)
 		return
 	}
-	if l.Write || l.missed {
+	// A cache that misses on the last shot leaves none for the fetch: where all were full, ask the origin.
+	last := len(l.shots) > 0 && len(l.shots) == term(b.terms, "most shots", 1)-1 && len(b.origins) > 0
+	if l.Write || l.missed || last {
 		b.fetch(lkp)
 		return
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -164,6 +164,18 @@
 	}
 }
 
+// big-1 of the grown schools: the last shot of one turned away goes to the origin, not to a cache that may miss.
+func TestLastShotAsksTheOrigin(t *testing.T) {
+	f := newFake(1, 8)
+	lkp, c := f.ask(0, "a", false, f.now+5000)
+	for n := range 3 {
+		f.settle(lkp, n, Full)
+	}
+	if len(c.shots) != 4 || c.shots[2].server == 8 || c.shots[3].server != 8 {
+		t.Errorf("shots %v, want three at caches and the last at the origin", c.shots)
+	}
+}
+
 // key finds a key whose range is the cache's.
 func key(b *Balancer, server int) string {
 	for i := 0; ; i++ {
