Let the origin's least room follow its calm: up to 4 fetches a node, below 1 when slow

As a sum of floors it guarded nothing: 671 fetches could still be out. The least room is now the lesser of four and the origin's calm room, which slow answers shrink below one; chance decides between whole fetches.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,6 +45,7 @@
 	calmMost    = 16.0               // most calm room: where rate times time bounds, it need not grow on
 	originPart  = 0.6                // share of a target time that fetches in flight may fill at the origin
 	originLeast = 12.0               // fetches of all nodes that are always allowed, to measure the origin by
+	originOwn   = 4.0                // fetches a node is allowed while the origin is calm: chance brings some at once
 	writeRoom   = 2                  // writes may fill the origin this many times as far as fetches
 	earlyPart   = 0.4                // share of the target time up to which a second try can still be in time
 	returnPart  = 0.1                // share of the target time, and up to as much by chance, to stay away
@@ -436,11 +437,12 @@
 		return
 	}
 	s := b.servers[best]
-	room := max(1, originLeast/b.nodes, b.rate(s)*originPart*seconds(b.spaces[l.Namespace].target))
+	room := max(min(s.calm, max(originOwn, originLeast/b.nodes)),
+		b.rate(s)*originPart*seconds(b.spaces[l.Namespace].target))
 	if l.Write {
-		room *= writeRoom
+		room = writeRoom * max(1, room)
 	}
-	if float64(s.inFlight) >= room {
+	if s.inFlight >= int(room+b.draw()) {
 		b.finish(lkp)
 		return
 	}
