--- a/logic/logic.go
+++ b/logic/logic.go
@@ -437,7 +437,7 @@
 		return
 	}
 	s := b.servers[best]
-	room := max(min(s.calm, max(originOwn, originLeast/b.nodes)),
+	room := max(originLeast/b.nodes, min(s.calm, originOwn),
 		b.rate(s)*originPart*seconds(b.spaces[l.Namespace].target))
 	if l.Write {
 		room = writeRoom * max(1, room)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -333,7 +333,7 @@
 // The origin's room is bounded for fetches; writes go first.
 func TestOriginHasRoomForWritesFirst(t *testing.T) {
 	f := newFake(1, 1)
-	f.b.servers[1].inFlight = 2 // its first room
+	f.b.servers[1].inFlight = originLeast / 2
 	lkp, c := f.ask(0, "a", false, f.now+5000)
 	if f.settle(lkp, 0, Missing); !c.ended || len(c.shots) != 1 {
 		t.Error("a fetch beyond the room must be deferred")
