Ask the cache that held a key before the list changed where the origin has no room

Ranges lie in id order: each batch of a deploy moves the cuts of 109 caches by one or two whole ranges, so nearly every key changes its cache, while the old one still holds it.

--- a/logic/host.go
+++ b/logic/host.go
@@ -85,11 +85,13 @@
 type kind int // what a repeat of a lookup would do
 
 const (
-	replayable kind = iota
+	singleUse kind = iota // also what is unknown
 	tagged
-	singleUse
+	replayable
 )
 
+var kindOf = map[string]kind{"tagged": tagged, "replayable": replayable}
+
 type namespace struct {
 	kind        kind
 	target      Time
@@ -111,13 +113,19 @@
 	strikes       int
 	rest, restEnd Time // how long a suspect rests, and until when; rest 0: not suspect
 	trial         bool // a suspect's one trial is out
-	fullEnd       Time // until when one that turned us away rests
 	credit        float64
 	calm          float64 // shots in flight with which its answers are quick
 	budget        float64 // shots left of a cold cache's budget
 	budgetAt      Time
 }
 
+// former holds ranges as they were before the list changed.
+type former struct {
+	ready []int
+	cuts  []float64
+	at    Time
+}
+
 type shot struct {
 	server int
 	sent   Time
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,6 +34,7 @@
 	busyFactor = 2.0 // well over our mean: twice it, and one more for chance
 	jamFactor  = 1.5 // a full cache with no more than this many times our mean tells of a jam
 
+	formerSpan  = 4000 * Millisecond // least age of the ranges kept from before: changes come in batches
 	halveSpan   = 1000 * Millisecond // between halvings of what is measured: a few seconds' memory
 	roomPart    = 0.25               // share of a target time that shots in flight may fill: misses need more
 	roomLeast   = 8.0                // shots of all nodes that are always allowed, from one to two for each
@@ -45,7 +46,7 @@
 	calmMost    = 16.0               // most calm room: where rate times time bounds, it need not grow on
 	originPart  = 0.6                // share of a target time that fetches in flight may fill at the origin
 	originLeast = 12.0               // fetches of all nodes that are always allowed, to measure the origin by
-	originOwn   = 4.0                // fetches a node is allowed while the origin is calm: chance brings some at once
+	originOwn   = 4.0                // fetches a node may have out while the origin is calm: some come at once
 	writeRoom   = 2                  // writes may fill the origin this many times as far as fetches
 	earlyPart   = 0.4                // share of the target time up to which a second try can still be in time
 	returnPart  = 0.1                // share of the target time, and up to as much by chance, to stay away
@@ -55,7 +56,6 @@
 	strikesOut   = 2                  // strikes that make a suspect: one broken connection, two silences
 	suspectLeast = 250 * Millisecond  // first rest of a suspect: a few connect time-outs
 	suspectMost  = 4000 * Millisecond // longest rest: the list takes about that long to tell
-	fullRest     = 20 * Millisecond   // rest after a server turned us away: a few answers' time
 
 	coldMargin = 0.5 // share of the cold budget that is used: speeds differ, and estimates err
 	coldLeast  = 6.0 // shots of all nodes in a fall window that a cold cache always gets, or it never warms
@@ -91,7 +91,8 @@
 	fade          float64
 	alpha         float64
 	level         int       // whole klSteps passed
-	before        []float64 // the bins a klSpan ago
+	past          []float64 // the bins a klSpan ago
+	before        former    // the ranges before the latest changes of the list
 	cuts          []float64 // upper ends of the ranges, in bins
 	klDue, cutDue Time
 	halved        Time
@@ -106,21 +107,15 @@
 	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1,
 		nodes: float64(max(1, term(terms, "nodes", 1))), halved: now, ease: 1,
 		klDue: now + klSpan, fetches: map[uint64][]int{}, askWait: askLeast,
-		weight: make([]float64, bins), before: make([]float64, bins)}
+		weight: make([]float64, bins), past: make([]float64, bins)}
 	b.alpha, b.least = b.bounded(1), max(1, min(busyLeast, roomLeast/b.nodes))
 	for i := range b.weight {
-		b.weight[i], b.before[i] = 1.0/bins, 1.0/bins
+		b.weight[i], b.past[i] = 1.0/bins, 1.0/bins
 	}
 	for _, t := range term(terms, "namespaces", []map[string]any(nil)) {
-		ns := namespace{kind: singleUse, target: term(t, "target time", 1000*Millisecond),
+		ns := namespace{kind: kindOf[term(t, "repeat", "")], target: term(t, "target time", 1000*Millisecond),
 			memory: term(t, "memory span", Time(0)), groupAll: term(t, "group", "") == "all",
 			late: term(t, "late utility", 0.0)}
-		switch term(t, "repeat", "") {
-		case "replayable":
-			ns.kind = replayable
-		case "tagged":
-			ns.kind = tagged
-		}
 		b.spaces = append(b.spaces, ns)
 	}
 	for _, t := range term(terms, "partners", []map[string]any(nil)) {
@@ -186,12 +181,11 @@
 
 // feel notes how we fare with what is inside its share: where it suffers, what is beyond yields first.
 func (b *Balancer) feel(l *lookup, inTime bool) {
-	if l.over {
-		return
-	}
-	if inTime {
+	switch {
+	case l.over: // worth little whatever becomes of it
+	case inTime:
 		b.ease = min(1, b.ease+easeWon)
-	} else {
+	default:
 		b.ease = max(0, b.ease-easeLost)
 	}
 }
@@ -232,11 +226,11 @@
 func (b *Balancer) adapt() {
 	kl := 0.0
 	for i, w := range b.weight {
-		p, q := w*b.fade, b.before[i]
+		p, q := w*b.fade, b.past[i]
 		if p > 0 && q > 0 {
 			kl += p * math.Log(p/q)
 		}
-		b.before[i] = p
+		b.past[i] = p
 	}
 	level := int(max(0, kl) / klStep)
 	b.alpha = b.bounded(math.Ldexp(b.alpha, level-b.level))
@@ -324,7 +318,7 @@
 			return true // it had its try
 		}
 	}
-	if !b.trusted(l, s) || b.now < s.fullEnd {
+	if !b.trusted(l, s) {
 		return true
 	}
 	if len(l.shots) > 0 && !l.missed && s.credit < 1 {
@@ -400,16 +394,16 @@
 		b.finish(lkp)
 		return
 	}
+	if q, out := b.fetches[l.key]; out && !l.Write && l.key != 0 {
+		b.wait(lkp, q)
+		return
+	}
 	// A cache that misses on the last shot leaves none for the fetch: where all were full, ask the origin.
 	last := len(l.shots) > 0 && len(l.shots) == term(b.terms, "most shots", 1)-1 && len(b.origins) > 0
 	if l.Write || l.missed || last {
 		b.fetch(lkp)
 		return
 	}
-	if q, out := b.fetches[l.key]; out && l.key != 0 {
-		b.wait(lkp, q)
-		return
-	}
 	if i := b.pick(l); i >= 0 {
 		b.shoot(lkp, i, l.giveUp-b.now)
 	} else {
@@ -422,20 +416,13 @@
 // fetch sends a miss or a write to the origin: one fetch a key, bounded by rate times time, writes first.
 func (b *Balancer) fetch(lkp int) {
 	l := &b.lookups[lkp]
-	if q, out := b.fetches[l.key]; out && !l.Write && l.key != 0 {
-		b.wait(lkp, q)
-		return
-	}
-	best := -1
-	for _, i := range b.origins {
-		if best < 0 || b.servers[i].inFlight < b.servers[best].inFlight {
-			best = i
-		}
-	}
-	if best < 0 {
+	if len(b.origins) == 0 {
 		b.finish(lkp)
 		return
 	}
+	best := slices.MinFunc(b.origins, func(x, y int) int {
+		return b.servers[x].inFlight - b.servers[y].inFlight
+	})
 	s := b.servers[best]
 	room := max(originLeast/b.nodes, min(s.calm, originOwn),
 		b.rate(s)*originPart*seconds(b.spaces[l.Namespace].target))
@@ -443,16 +430,29 @@
 		room = writeRoom * max(1, room)
 	}
 	if s.inFlight >= int(room+b.draw()) {
-		b.finish(lkp)
-		return
-	}
-	if !l.Write && l.key != 0 {
+		if best = b.former(l); best < 0 {
+			b.finish(lkp)
+			return
+		}
+	} else if !l.Write && l.key != 0 {
 		l.fetching = true
 		b.fetches[l.key] = nil
 	}
 	b.shoot(lkp, best, l.giveUp-b.now)
 }
 
+// former gives the cache whose range held a read's point before the list last changed: each change shifts
+// most ranges of a large fleet, and what they held is still there when the origin can't give it.
+func (b *Balancer) former(l *lookup) int {
+	if n := len(b.before.ready); n > 0 && !l.Write {
+		i := b.before.ready[min(sort.SearchFloat64s(b.before.cuts, l.point), n-1)]
+		if s := b.servers[i]; s.State == Ready && !b.passOver(l, i, s) {
+			return i
+		}
+	}
+	return -1
+}
+
 // wait holds a lookup while another of its key is at the origin.
 func (b *Balancer) wait(lkp int, q []int) {
 	l := &b.lookups[lkp]
@@ -615,6 +615,9 @@
 		}
 		s.Box = x
 	}
+	if now >= b.before.at+formerSpan {
+		b.before = former{slices.Clone(b.ready), slices.Clone(b.cuts), now}
+	}
 	b.ready, b.origins = b.ready[:0], b.origins[:0]
 	for i, s := range b.servers {
 		if s != nil && s.State == Ready {
@@ -666,7 +669,6 @@
 		s.answers++
 	case Full:
 		s.strikes, s.rest = 0, 0
-		s.fullEnd = b.now + fullRest
 	case Unconnected, Broken:
 		b.strike(s, strikesOut)
 	case TimedOut, Errored:
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -164,7 +164,7 @@
 	}
 }
 
-// big-1 of the grown schools: the last shot of one turned away goes to the origin, not to a cache that may miss.
+// big-1 of the grown schools: the last shot of one turned away goes to the origin, not to one that may miss.
 func TestLastShotAsksTheOrigin(t *testing.T) {
 	f := newFake(1, 8)
 	lkp, c := f.ask(0, "a", false, f.now+5000)
@@ -213,7 +213,7 @@
 				f.now += after
 				f.settle(lkp, 0, code)
 			}
-			f.now += fullRest
+			f.now += 20 * Millisecond
 		}
 	}
 	was := s.calm
@@ -360,6 +360,21 @@
 	}
 }
 
+// big-2 of the grown clubs: a deploy shifts the ranges, and a slow origin can't fill them anew.
+func TestFormerCacheIsAskedWhereTheOriginHasNoRoom(t *testing.T) {
+	f := newFake(1, 8)
+	k := key(f.b, 6)
+	f.now += 2 * formerSpan
+	f.boxes[0].State = Gone
+	f.b.List(f.now, Changes, f.boxes[:1])
+	f.b.servers[8].inFlight = originLeast
+	lkp, c := f.ask(0, k, false, f.now+5000)
+	f.settle(lkp, 0, Missing)
+	if len(c.shots) != 2 || c.shots[0].server == 6 || c.shots[1].server != 6 {
+		t.Errorf("shots %v, want the second one at the former cache", c.shots)
+	}
+}
+
 // overload: told to stay away for long, a client deferred early came back too late to be answered in time.
 func TestRetryAfter(t *testing.T) {
 	f := newFake(1, 0)
