Keep four former ranges, three seconds apart, and ask the latest first

Cause: a deploy goes in batches for 20 to 35 s, and the ranges before the last one know only of keys asked for since.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -6,9 +6,8 @@
 // one method: Lookup, Started, Settled, Left, List or Alarm, each with the clock. Methods act
 // by calling the Host before they return; nothing happens between calls.
 //
-// Read it in this order: the rules (mayShoot, mayDefer, finish), the line and its ranges (learn, recut,
-// rangeOf), the walk along the ranges (pick, passOver), the origin (fetch), then the bounds and the
-// box list. docs/design.md says where all this comes from.
+// It is laid out to be read in order: the rules, the line and its ranges, the walk along them with its
+// bounds, the origin, what happens. docs/design.md says where all this comes from.
 
 import (
 	"encoding/binary"
@@ -34,7 +33,8 @@
 	busyFactor = 2.0 // well over our mean: twice it, and one more for chance
 	jamFactor  = 1.5 // a full cache with no more than this many times our mean tells of a jam
 
-	formerSpan  = 4000 * Millisecond // least age of the ranges kept from before: changes come in batches
+	formerSpan  = 3000 * Millisecond // between ranges kept from before changes, which come in batches, and
+	formerMost  = 4                  // how many are kept: what lies longer unasked is dropped by its cache
 	halveSpan   = 1000 * Millisecond // between halvings of what is measured: a few seconds' memory
 	roomPart    = 0.25               // share of a target time that shots in flight may fill: misses need more
 	roomLeast   = 8.0                // shots of all nodes that are always allowed, from one to two for each
@@ -92,7 +92,7 @@
 	alpha         float64
 	level         int       // whole klSteps passed
 	past          []float64 // the bins a klSpan ago
-	before        former    // the ranges before the latest changes of the list
+	before        []former  // the ranges before the latest changes of the list, the latest first
 	cuts          []float64 // upper ends of the ranges, in bins
 	klDue, cutDue Time
 	halved        Time
@@ -288,8 +288,7 @@
 	for _, i := range b.ready {
 		mean += float64(b.servers[i].inFlight) / float64(n)
 	}
-	// A hot key's next ranges are soon as full as its own where hundreds of nodes walk in step: each further
-	// shot skips ahead by chance, the last ones as far as most of the fleet.
+	// Where hundreds of nodes walk in step a hot key's next ranges are as full: each shot skips further ahead.
 	reach := math.Pow(float64(n), float64(l.turned)/float64(term(b.terms, "most shots", 1)))
 	at, busy, passed := b.rangeOf(l.point)+int(b.draw()*reach), -1, 0
 	for step := 0; step < n && passed <= walkMost; step++ {
@@ -441,12 +440,12 @@
 	b.shoot(lkp, best, l.giveUp-b.now)
 }
 
-// former gives the cache whose range held a read's point before the list last changed: each change shifts
-// most ranges of a large fleet, and what they held is still there when the origin can't give it.
+// former gives a cache whose range held a read's point before the list changed, the latest first: changes
+// shift most ranges of a large fleet, and what they held is still there when the origin can't give it.
 func (b *Balancer) former(l *lookup) int {
-	if n := len(b.before.ready); n > 0 && !l.Write {
-		i := b.before.ready[min(sort.SearchFloat64s(b.before.cuts, l.point), n-1)]
-		if s := b.servers[i]; s.State == Ready && !b.passOver(l, i, s) {
+	for _, was := range b.before {
+		i := was.ready[min(sort.SearchFloat64s(was.cuts, l.point), len(was.ready)-1)]
+		if s := b.servers[i]; s.State == Ready && !l.Write && !b.passOver(l, i, s) {
 			return i
 		}
 	}
@@ -573,10 +572,9 @@
 		}
 		return
 	}
-	if lkp := handle - 1; lkp >= 0 && lkp < len(b.lookups) {
-		if l := &b.lookups[lkp]; l.live && l.waiting && now >= l.giveUp {
-			b.finish(lkp)
-		}
+	lkp := handle - 1
+	if lkp >= 0 && lkp < len(b.lookups) && b.lookups[lkp].waiting && now >= b.lookups[lkp].giveUp {
+		b.finish(lkp)
 	}
 }
 
@@ -615,8 +613,9 @@
 		}
 		s.Box = x
 	}
-	if now >= b.before.at+formerSpan {
-		b.before = former{slices.Clone(b.ready), slices.Clone(b.cuts), now}
+	if len(b.ready) > 0 && (len(b.before) == 0 || now >= b.before[0].at+formerSpan) {
+		was := former{slices.Clone(b.ready), slices.Clone(b.cuts), now}
+		b.before = slices.Insert(b.before[:min(len(b.before), formerMost-1)], 0, was)
 	}
 	b.ready, b.origins = b.ready[:0], b.origins[:0]
 	for i, s := range b.servers {
