--- a/logic/fake_test.go
+++ b/logic/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 )
 
 // fake is a Host that checks the rules at every call and remembers what is out.
@@ -21,7 +22,6 @@
 // client is one lookup as its client and the servers see it.
 type client struct {
 	kind     string
-	memory   Time
 	limit    Time
 	ended    bool
 	deferred Time // the retry-after, if it was deferred
@@ -36,7 +36,7 @@
 	code      Code
 }
 
-func (s *fakeShot) mayHaveRun() bool {
+func (s fakeShot) mayHaveRun() bool {
 	return !s.settled || s.code != Full && s.code != Unconnected && s.code != Unsent && s.code != Missing
 }
 
@@ -54,7 +54,7 @@
 	}
 	for i := range c.shots {
 		s := &c.shots[i]
-		late := c.kind == "tagged" && f.now-s.sent >= c.memory
+		late := c.kind == "tagged" && f.now-s.sent >= memorySpan
 		if s.mayHaveRun() && (c.kind == "single-use" || late) {
 			f.fault("a %s lookup may run twice", c.kind)
 		}
@@ -65,10 +65,8 @@
 
 func (f *fake) Defer(lkp int, retryAfter Time) {
 	c := f.lkps[lkp]
-	for i := range c.shots {
-		if c.kind == "single-use" && c.shots[i].mayHaveRun() {
-			f.fault("a single-use lookup was deferred though it may have run")
-		}
+	if c.kind == "single-use" && slices.ContainsFunc(c.shots, fakeShot.mayHaveRun) {
+		f.fault("a single-use lookup was deferred though it may have run")
 	}
 	c.deferred = retryAfter
 	f.end(lkp)
@@ -97,6 +95,8 @@
 	}
 }
 
+const memorySpan = 400 * Millisecond
+
 var kinds = []string{"replayable", "tagged", "single-use"}
 
 // newFake starts a node with three namespaces, two partners, n warm caches and an origin.
@@ -105,7 +105,7 @@
 	var spaces []map[string]any
 	for _, k := range kinds {
 		spaces = append(spaces, map[string]any{"repeat": k, "group": "all", "target time": 200 * Millisecond,
-			"memory span": 400 * Millisecond, "time limit": 800 * Millisecond})
+			"memory span": memorySpan, "time limit": 800 * Millisecond})
 	}
 	f.b = New(f, uint64(seed), f.now, map[string]any{"nodes": 2, "mode": "aside", "origin kind": 1,
 		"most shots": 4, "longest retry-after": 400 * Millisecond, "cold share": 0.2, "tick": 2 * Millisecond,
@@ -127,7 +127,7 @@
 	} else {
 		f.lkps = append(f.lkps, nil)
 	}
-	c := &client{kind: kinds[space], memory: 400 * Millisecond, limit: limit}
+	c := &client{kind: kinds[space], limit: limit}
 	f.lkps[lkp] = c
 	f.b.Lookup(f.now, lkp, Lookup{Namespace: space, Partner: space % 2, Key: key, Write: write, Limit: limit})
 	return lkp, c
@@ -155,12 +155,10 @@
 	}
 	for handle := 0; handle <= len(f.lkps); handle++ {
 		due := f.wakes[handle]
-		f.wakes[handle] = nil
+		f.wakes[handle] = slices.DeleteFunc(slices.Clone(due), func(at Time) bool { return at <= f.now })
 		for _, at := range due {
 			if at <= f.now {
 				f.b.Alarm(f.now, handle)
-			} else {
-				f.wakes[handle] = append(f.wakes[handle], at)
 			}
 		}
 	}
@@ -176,10 +174,7 @@
 	switch r := f.rnd.Intn(100); {
 	case r < 45:
 		limit := f.now + Time(f.rnd.Intn(8000)-100) // some are already past
-		key := fmt.Sprint("k", f.rnd.Intn(1+f.rnd.Intn(40)))
-		if f.rnd.Intn(20) == 0 {
-			key = ""
-		}
+		key := []string{"", fmt.Sprint("k", f.rnd.Intn(1+f.rnd.Intn(40)))}[min(1, f.rnd.Intn(20))]
 		space := f.rnd.Intn(3)
 		f.ask(space, key, space > 0 && f.rnd.Intn(2) == 0, limit)
 	case r < 80:
@@ -201,6 +196,10 @@
 		f.b.List(f.now, Changes, []Box{*x})
 	case r < 89:
 		f.b.List(f.now, Failed, nil)
+		for n := len(f.boxes); n < 60 && f.rnd.Intn(4) == 0 && len(f.boxes) < 2*n; { // the fleet doubles, cold
+			f.boxes = append(f.boxes, Box{Server: len(f.boxes), ID: fmt.Sprint("11.", f.rnd.Int()), Since: f.now})
+		}
+		f.b.List(f.now, Changes, f.boxes)
 	case r < 90:
 		var some []Box
 		for i := range f.boxes {
@@ -218,10 +217,7 @@
 
 // settleAny settles a random shot that is out.
 func (f *fake) settleAny(code Code) {
-	for range 20 {
-		if len(f.lkps) == 0 {
-			return
-		}
+	for try := 0; try < 20 && len(f.lkps) > 0; try++ {
 		lkp := f.rnd.Intn(len(f.lkps))
 		for i, s := range f.lkps[lkp].shots {
 			if !s.settled {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,7 +46,7 @@
 	calmMost    = 16.0               // most calm room: where rate times time bounds, it need not grow on
 	originPart  = 0.6                // share of a target time that fetches in flight may fill at the origin
 	originLeast = 12.0               // fetches of all nodes that are always allowed, to measure the origin by
-	originOwn   = 4.0                // fetches a node may have out while the origin is calm: some come at once
+	originOwn   = 3.0                // fetches a node may have out while the origin is calm: some come at once
 	writeRoom   = 2                  // writes may fill the origin this many times as far as fetches
 	earlyPart   = 0.4                // share of the target time up to which a second try can still be in time
 	returnPart  = 0.1                // share of the target time, and up to as much by chance, to stay away
