Let time-outs halve the origin's calm room; send no fetch with less time left than it takes

Each node's room for chance (three fetches) shrank by a tenth a time-out, at one fetch a second: a sum of 1900 fetches. Change: a time-out at the origin after 0.3 of the target time halves its calm room; a fetch waits for at least the mean time of the origin's latest shots, else the lookup is given up at once.

--- a/logic/host.go
+++ b/logic/host.go
@@ -108,9 +108,11 @@
 
 type server struct {
 	Box
+	origin        bool
 	inFlight      int
 	answers       float64 // to us, halved now and then
 	strikes       int
+	took          Time // mean time of the latest shots
 	rest, restEnd Time // how long a suspect rests, and until when; rest 0: not suspect
 	trial         bool // a suspect's one trial is out
 	credit        float64
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,6 +42,7 @@
 	calmLost    = 0.1                // share of a cache's calm room that a slow answer takes, and
 	calmWon     = 0.1                // shots a quick one adds: a third slow is too many at a room of two
 	calmFull    = 0.25               // share of it that being turned away takes: that box has had too much
+	calmStop    = 0.5                // share that a time-out at the origin takes: its queue grows for all nodes
 	calmLeast   = 0.1                // least calm room: one lookup in ten shows whether a box is well again
 	calmMost    = 16.0               // most calm room: where rate times time bounds, it need not grow on
 	originPart  = 0.6                // share of a target time that fetches in flight may fill at the origin
@@ -317,7 +318,8 @@
 			return true // it had its try
 		}
 	}
-	if !b.trusted(l, s) {
+	// After a suspect's rest one replayable lookup tries it out.
+	if s.rest > 0 && (b.now < s.restEnd || s.trial || b.spaces[l.Namespace].kind != replayable) {
 		return true
 	}
 	if len(l.shots) > 0 && !l.missed && s.credit < 1 {
@@ -326,11 +328,6 @@
 	return b.coldShare(s) < 1 && b.coldBudget(s) < l.work
 }
 
-// trusted is false for a suspect at rest. After its rest one replayable lookup tries it out.
-func (b *Balancer) trusted(l *lookup, s *server) bool {
-	return s.rest == 0 || b.now >= s.restEnd && !s.trial && b.spaces[l.Namespace].kind == replayable
-}
-
 // room bounds what is in flight at a cache: by rate times time, as measured, and by what keeps it calm.
 func (b *Balancer) room(l *lookup, s *server) float64 {
 	return min(s.calm, max(b.least, b.rate(s)*roomPart*seconds(b.spaces[l.Namespace].target)))
@@ -368,7 +365,7 @@
 	if s.rest > 0 {
 		s.trial = true
 	}
-	if !b.isOrigin(s) {
+	if !s.origin {
 		if len(l.shots) > 0 && !l.missed {
 			s.credit--
 		}
@@ -428,7 +425,7 @@
 	if l.Write {
 		room = writeRoom * max(1, room)
 	}
-	if s.inFlight >= int(room+b.draw()) {
+	if s.inFlight >= int(room+b.draw()) || l.giveUp-b.now < s.took { // no fetch that would come too late
 		if best = b.former(l); best < 0 {
 			b.finish(lkp)
 			return
@@ -475,10 +472,6 @@
 	}
 }
 
-func (b *Balancer) isOrigin(s *server) bool {
-	return term(b.terms, "mode", "") == "aside" && s.Kind == term(b.terms, "origin kind", -1)
-}
-
 // ---- What happens ----
 
 // Lookup takes a client's lookup, which is owed one final answer from now on.
@@ -526,15 +519,19 @@
 	l := &b.lookups[lkp]
 	t := &l.shots[number]
 	t.out = false
+	b.servers[t.server].took += (now - t.sent - b.servers[t.server].took) / 8
 	t.notRun = code == Full || code == Unconnected || code == Unsent || code == Missing
 	s := b.servers[t.server]
 	b.judge(s, code)
 	// Crowded caches slow down, so the room shrinks until their answers are quick again.
+	slow := now-t.sent > Time(calmPart*float64(b.spaces[l.Namespace].target))
 	switch {
 	case code == Full:
 		l.turned++
 		s.calm = max(calmLeast, s.calm*(1-calmFull))
-	case now-t.sent > Time(calmPart*float64(b.spaces[l.Namespace].target)):
+	case slow && code == TimedOut && s.origin: // all nodes must let go of it before it works for nobody
+		s.calm = max(calmLeast, s.calm*(1-calmStop))
+	case slow:
 		s.calm = max(calmLeast, s.calm*(1-calmLost))
 	case code == Answered || code == Missing: // a failure may be quick as well
 		s.calm = min(calmMost, s.calm+calmWon)
@@ -612,6 +609,7 @@
 			b.servers[x.Server] = s
 		}
 		s.Box = x
+		s.origin = term(b.terms, "mode", "") == "aside" && x.Kind == term(b.terms, "origin kind", -1)
 	}
 	if len(b.ready) > 0 && (len(b.before) == 0 || now >= b.before[0].at+formerSpan) {
 		was := former{slices.Clone(b.ready), slices.Clone(b.cuts), now}
@@ -620,7 +618,7 @@
 	b.ready, b.origins = b.ready[:0], b.origins[:0]
 	for i, s := range b.servers {
 		if s != nil && s.State == Ready {
-			if b.isOrigin(s) {
+			if s.origin {
 				b.origins = append(b.origins, i)
 			} else {
 				b.ready = append(b.ready, i)
