--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,9 +39,8 @@
 	roomPart    = 0.25               // share of a target time that shots in flight may fill: misses need more
 	roomLeast   = 8.0                // shots of all nodes that are always allowed, from one to two for each
 	calmPart    = 0.3                // share of its target time after which an answer counts as slow
-	calmLost    = 0.1                // share of a cache's calm room that a slow answer takes, and
+	calmLost    = 0.1                // share of a calm room that a slow or a full answer takes, and
 	calmWon     = 0.1                // shots a quick one adds: a third slow is too many at a room of two
-	calmFull    = 0.25               // share of it that being turned away takes: that box has had too much
 	calmStop    = 0.5                // share that a time-out at the origin takes: its queue grows for all nodes
 	calmLeast   = 0.1                // least calm room: one lookup in ten shows whether a box is well again
 	calmMost    = 16.0               // most calm room: where rate times time bounds, it need not grow on
@@ -525,13 +524,13 @@
 	b.judge(s, code)
 	// Crowded caches slow down, so the room shrinks until their answers are quick again.
 	slow := now-t.sent > Time(calmPart*float64(b.spaces[l.Namespace].target))
-	switch {
-	case code == Full:
+	if code == Full {
 		l.turned++
-		s.calm = max(calmLeast, s.calm*(1-calmFull))
+	}
+	switch {
 	case slow && code == TimedOut && s.origin: // all nodes must let go of it before it works for nobody
 		s.calm = max(calmLeast, s.calm*(1-calmStop))
-	case slow:
+	case slow || code == Full:
 		s.calm = max(calmLeast, s.calm*(1-calmLost))
 	case code == Answered || code == Missing: // a failure may be quick as well
 		s.calm = min(calmMost, s.calm+calmWon)
