Count only answered first shots as a warm cache's capacity: a cold box was pushed over

The cold budget takes what warm caches answer to a node for its part of a capacity; shots at former caches are mostly misses, cost a box little and trebled that figure. Now only answers to first shots count.

--- a/logic/fake_test.go
+++ b/logic/fake_test.go
@@ -133,7 +133,6 @@
 	return lkp, c
 }
 
-// settle ends one shot.
 func (f *fake) settle(lkp, shot int, code Code) {
 	c := f.lkps[lkp]
 	c.shots[shot].settled, c.shots[shot].code = true, code
@@ -169,7 +168,6 @@
 	}
 }
 
-// step plays one random event.
 func (f *fake) step() {
 	switch r := f.rnd.Intn(100); {
 	case r < 45:
--- a/logic/host.go
+++ b/logic/host.go
@@ -111,6 +111,7 @@
 	origin        bool
 	inFlight      int
 	answers       float64 // to us, halved now and then
+	firsts        float64 // those to first shots
 	strikes       int
 	took          Time // mean time of the latest shots
 	rest, restEnd Time // how long a suspect rests, and until when; rest 0: not suspect
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -329,12 +329,12 @@
 
 // room bounds what is in flight at a cache: by rate times time, as measured, and by what keeps it calm.
 func (b *Balancer) room(l *lookup, s *server) float64 {
-	return min(s.calm, max(b.least, b.rate(s)*roomPart*seconds(b.spaces[l.Namespace].target)))
+	return min(s.calm, max(b.least, b.rate(s.answers)*roomPart*seconds(b.spaces[l.Namespace].target)))
 }
 
-// rate gives our answers a second from a server. Halving keeps twice a span's count in the long run.
-func (b *Balancer) rate(s *server) float64 {
-	return s.answers / (seconds(halveSpan) + seconds(b.now-b.halved))
+// rate turns a count that is halved into one a second. Halving keeps twice a span's count in the long run.
+func (b *Balancer) rate(count float64) float64 {
+	return count / (seconds(halveSpan) + seconds(b.now-b.halved))
 }
 
 // coldShare is the least share of its capacity that a server has by now.
@@ -347,8 +347,8 @@
 	return cold + (1-cold)*max(0, float64(age)/float64(max(1, warmUp)))
 }
 
-// coldBudget fills with time. All nodes together must stay under factor x cold share x capacity x
-// window; what a warm cache answers to this node is this node's part of a capacity it can count on.
+// coldBudget fills with time. All nodes together must stay under factor x cold share x capacity x window: a
+// warm cache's answers to our first shots are our part of its capacity; further ones only look round.
 func (b *Balancer) coldBudget(s *server) float64 {
 	window := term(b.terms, "fall window", 1000*Millisecond)
 	most := max(coldLeast/b.nodes, coldMargin*term(b.terms, "overload factor", 2.0)*b.coldShare(s)*
@@ -420,7 +420,7 @@
 	})
 	s := b.servers[best]
 	room := max(originLeast/b.nodes, min(s.calm, originOwn),
-		b.rate(s)*originPart*seconds(b.spaces[l.Namespace].target))
+		b.rate(s.answers)*originPart*seconds(b.spaces[l.Namespace].target))
 	if l.Write {
 		room = writeRoom * max(1, room)
 	}
@@ -521,7 +521,7 @@
 	b.servers[t.server].took += (now - t.sent - b.servers[t.server].took) / 8
 	t.notRun = code == Full || code == Unconnected || code == Unsent || code == Missing
 	s := b.servers[t.server]
-	b.judge(s, code)
+	b.judge(s, number, code)
 	// Crowded caches slow down, so the room shrinks until their answers are quick again.
 	slow := now-t.sent > Time(calmPart*float64(b.spaces[l.Namespace].target))
 	if code == Full {
@@ -642,27 +642,29 @@
 	sum, warm := 0.0, 0
 	for _, i := range b.ready {
 		if s := b.servers[i]; b.coldShare(s) == 1 {
-			sum, warm = sum+b.rate(s), warm+1
+			sum, warm = sum+b.rate(s.firsts), warm+1
 		}
 	}
 	b.perCache = sum / float64(max(1, warm))
 	for _, s := range b.servers {
 		if s != nil {
-			s.answers /= 2
+			s.answers, s.firsts = s.answers/2, s.firsts/2
 		}
 	}
 	b.halved = now
 }
 
 // judge learns from an outcome, late ones too.
-func (b *Balancer) judge(s *server, code Code) {
+func (b *Balancer) judge(s *server, number int, code Code) {
 	s.inFlight--
 	s.trial = false
 	switch code {
 	case Answered, Missing:
 		s.strikes, s.rest = 0, 0
 		s.credit = min(creditMost, s.credit+creditEarned)
-		s.answers++
+		if s.answers++; number == 0 {
+			s.firsts++
+		}
 	case Full:
 		s.strikes, s.rest = 0, 0
 	case Unconnected, Broken:
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -239,6 +239,9 @@
 	if f.settle(lkp, 0, Missing); len(c.shots) != 2 || c.shots[0].server == 6 || c.shots[1].server != 6 {
 		t.Errorf("shots %v, want the second one at the former cache", c.shots)
 	}
+	if f.settle(lkp, 1, Missing); f.b.servers[6].answers != 1 || f.b.servers[6].firsts != 0 {
+		t.Error("counted as capacity, answers to further shots let all nodes push a cold cache over (h331f28)")
+	}
 	if _, w := f.ask(2, k, true, f.now+5000); len(w.shots) != 1 || w.shots[0].server != 8 {
 		t.Error("writes go first: the origin has room for them")
 	}
