--- a/logic/logic.go
+++ b/logic/logic.go
@@ -57,7 +57,7 @@
 	suspectLeast = 250 * Millisecond  // first rest of a suspect: a few connect time-outs
 	suspectMost  = 4000 * Millisecond // longest rest: the list takes about that long to tell
 
-	coldMargin = 0.5 // share of the cold budget that is used: speeds differ, and estimates err
+	coldMargin = 0.3 // share of the cold budget that is used: misses flatter warm caches, and hints of work err
 	coldLeast  = 6.0 // shots of all nodes in a fall window that a cold cache always gets, or it never warms
 
 	creditEarned = 0.25 // credit for an answer: further shots stay near a quarter of all
