--- /dev/null
+++ b/internal/net/clients/clients.go
@@ -0,0 +1,143 @@
+// Package clients is the side of a node that clients talk to, on net/http's server.
+package clients
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
+)
+
+// Bounds is what the clients' side may take.
+type Bounds struct {
+	Descriptors  int           // connections; those beyond get one answer each, a deferral
+	Beyond       int           // how many of those are answered at once; the next wait for a free place
+	LongestLimit time.Duration // the longest time limit of a lookup
+	Body         int64         // of a lookup, in bytes
+}
+
+const (
+	headersMost  = 8 << 10                // bytes of a lookup's headers; real ones take some hundred
+	headersIn    = 5 * time.Second        // for a lookup's headers: who is slower than this holds a descriptor for nothing
+	readSlack    = 10 * time.Second       // beyond the longest limit: a whole lookup has long come by then
+	idleFor      = 60 * time.Second       // a connection between lookups
+	comingFor    = 500 * time.Millisecond // new connections go on coming for up to 0.4 s after SIGTERM
+	endSlack     = 100 * time.Millisecond // beyond the longest limit, for the last answers to be written
+	beyondAdvice = 250 * time.Millisecond // retry-after of a deferral for want of room here
+)
+
+// Clients is the client side of a node.
+type Clients struct {
+	log      *zap.Logger
+	exchange *exchange.Exchange
+	server   *http.Server
+	bounds   Bounds
+	open     atomic.Int64
+	leaving  atomic.Bool
+}
+
+// New makes the client side.
+func New(x *exchange.Exchange, b Bounds, log *zap.Logger) *Clients {
+	c := &Clients{log: log, exchange: x, bounds: b}
+	c.server = &http.Server{Handler: c, MaxHeaderBytes: headersMost, ReadHeaderTimeout: headersIn,
+		ReadTimeout: b.LongestLimit + readSlack, IdleTimeout: idleFor, ErrorLog: zap.NewStdLog(log),
+		ConnState: func(_ net.Conn, s http.ConnState) {
+			switch s {
+			case http.StateNew:
+				c.open.Add(1)
+			case http.StateClosed, http.StateHijacked:
+				c.open.Add(-1)
+			}
+		}}
+	return c
+}
+
+// Serve answers clients until Leave has ended, or the listener fails.
+func (c *Clients) Serve(l net.Listener) error {
+	if err := c.server.Serve(netutil.LimitListener(l, c.bounds.Descriptors+c.bounds.Beyond)); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Leave ends the service without losing a lookup: connections go on coming for a while, so it goes on
+// accepting them, ends each with its next answer, and only then closes the listener and waits for what is out.
+func (c *Clients) Leave() error {
+	c.leaving.Store(true)
+	c.server.SetKeepAlivesEnabled(false)
+	time.Sleep(comingFor)
+	ctx, cancel := context.WithTimeout(context.Background(), c.bounds.LongestLimit+endSlack)
+	defer cancel()
+	return c.server.Shutdown(ctx)
+}
+
+// Open gives how many connections clients have.
+func (c *Clients) Open() int { return int(c.open.Load()) }
+
+// ServeHTTP answers one lookup. A panic would end the connection without an answer, so it is answered too.
+func (c *Clients) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	answered := false
+	defer func() {
+		if p := recover(); p != nil {
+			c.log.Error("a lookup's handler panicked", zap.Any("panic", p), zap.Stack("stack"))
+			if !answered {
+				plain(w, http.StatusInternalServerError, "internal error")
+			}
+		}
+	}()
+	crowded := c.Open() > c.bounds.Descriptors
+	if crowded || c.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == "/up" {
+		if c.exchange.Ready() && !c.leaving.Load() {
+			plain(w, http.StatusOK, "up")
+		} else {
+			plain(w, http.StatusServiceUnavailable, "not up")
+		}
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.bounds.Body))
+	read := time.Now()
+	if err != nil {
+		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
+			plain(w, http.StatusRequestEntityTooLarge, "the body is over "+strconv.FormatInt(tooLong.Limit, 10)+" bytes")
+		} else {
+			plain(w, http.StatusBadRequest, "the body can't be read")
+		}
+		return
+	}
+	if crowded {
+		answer(w, exchange.Answer{Outcome: exchange.Deferred, RetryAfter: beyondAdvice})
+		return
+	}
+	in, within, err := decode(r, body)
+	if err != nil {
+		plain(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	t, err := c.exchange.Take(in, read, within)
+	if err != nil {
+		plain(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	select {
+	case a := <-t.Answers():
+		answered = true
+		answer(w, a)
+	case <-r.Context().Done():
+		t.Leave()
+		answered = true
+		// Nobody should hear this; but an empty 200 would be an answer that no server made.
+		plain(w, http.StatusBadGateway, "the client has left")
+	}
+}
--- /dev/null
+++ b/internal/net/exchange/clock.go
@@ -0,0 +1,24 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+// tick is the unit of the module's clock: a tenth of a millisecond.
+const tick = time.Millisecond / time.Duration(logic.Millisecond)
+
+// clock is the one clock of a node. It starts at the Unix time and goes on monotonically, so that the start
+// times on the box list, which are Unix times, can be set beside it.
+type clock struct{ start time.Time }
+
+func (c clock) now() logic.Time { return c.at(time.Now()) }
+
+func (c clock) at(t time.Time) logic.Time {
+	unix := c.start.UnixNano() + int64(t.Sub(c.start))
+	return logic.Time(unix / int64(tick))
+}
+
+// fromUnix converts a start time of the list; 0 stays 0, which means long ago.
+func fromUnix(ms float64) logic.Time { return logic.Time(ms) * logic.Millisecond }
--- /dev/null
+++ b/internal/net/exchange/ends.go
@@ -0,0 +1,52 @@
+package exchange
+
+import "github.com/thistlerudder/thistlerudder/logic"
+
+// End is the way in which a shot ended, or in which its connection did.
+type End int
+
+// Every way there is.
+const (
+	Whole      End = iota // 200, and its body read to the end
+	Lacking               // 404: the server has nothing under the key
+	Failing               // 500
+	TurnedAway            // 503 or 504 with the mark that it never ran
+	Unclear               // any other status, or such a one without the mark: it may have run
+	Unreached             // refused, or not up within the connect time-out
+	Unwritten             // the connection broke before the last byte was written
+	Lost                  // it broke after that, before the answer
+	CutShort              // the answer broke off, is over its bound or makes no sense
+	Silent                // no answer when the node stopped waiting
+	NoRoom                // no descriptor, dial or goroutine was left: nothing was sent
+	Withdrawn             // the node itself took it back, at its own end
+	endCount
+)
+
+// Code is what the module is told of it; this is the only place that says so.
+func (e End) Code() logic.Code {
+	switch e {
+	case Whole:
+		return logic.Answered
+	case Lacking:
+		return logic.Missing
+	case Failing, Unclear:
+		return logic.Errored
+	case TurnedAway:
+		return logic.Full
+	case Unreached, Unwritten:
+		return logic.Unconnected
+	case Lost, CutShort:
+		return logic.Broken
+	case Silent:
+		return logic.TimedOut
+	case NoRoom:
+		return logic.Unsent
+	default:
+		return logic.CalledOff
+	}
+}
+
+var endNames = [endCount]string{"whole", "lacking", "failing", "turned away", "unclear", "unreached", "unwritten",
+	"lost", "cut short", "silent", "no room", "withdrawn"}
+
+func (e End) String() string { return endNames[e] }
--- /dev/null
+++ b/internal/net/exchange/exchange.go
@@ -0,0 +1,196 @@
+// Package exchange is where the client side and the server side of a node meet. An Exchange owns the
+// decision module: under one lock it reports each thing that happens, keeps the alarms and the indices, and
+// carries out what the module orders, without ever blocking.
+package exchange
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+// Carrier brings shots to the servers. Carry must not block; each shot is settled once, by Settle.
+type Carrier interface{ Carry(*Shot) }
+
+// Lister follows the box list once it is told to, and reports by List. Subscribe must not block.
+type Lister interface{ Subscribe() }
+
+// Box is an entry of the box list.
+type Box struct {
+	ID, Address, Machine string
+	State                logic.State
+	StartedMs            float64 // Unix time, 0: long ago
+}
+
+// Exchange is one node's owner of decisions.
+type Exchange struct {
+	log     *zap.Logger
+	terms   *terms.Terms
+	clock   clock
+	carrier Carrier
+	lister  Lister
+
+	mu        sync.Mutex
+	balancer  *logic.Balancer
+	tickets   []*Ticket // by the module's index
+	free      []int
+	places    map[string]int // box ids to indices
+	addresses []string       // by index; it may change, the index stays
+	listed    bool
+	alarms    alarms
+	timer     *time.Timer
+	tally     Tally
+}
+
+// New makes the owner; nothing happens before Start.
+func New(t *terms.Terms, log *zap.Logger) *Exchange {
+	x := &Exchange{log: log, terms: t, clock: clock{time.Now()}, places: map[string]int{}}
+	x.timer = time.AfterFunc(time.Hour, x.ring)
+	x.timer.Stop()
+	return x
+}
+
+// Start hands over those who act, and makes the module.
+func (x *Exchange) Start(seed uint64, carrier Carrier, lister Lister) {
+	x.carrier, x.lister = carrier, lister
+	x.do("start", nil, func(now logic.Time) {
+		x.balancer = logic.New(host{x}, seed, now, x.terms.Module)
+	})
+}
+
+// do runs f as the only owner. A panic in it must not take the node down with all its lookups: it is
+// logged, and the lookup at hand is answered with no promise.
+func (x *Exchange) do(what string, t *Ticket, f func(now logic.Time)) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	defer func() {
+		if r := recover(); r != nil {
+			x.tally.Panics++
+			x.log.Error("the module panicked", zap.String("during", what), zap.Any("panic", r), zap.Stack("stack"))
+			if t != nil {
+				t.spoiled = true
+				x.finish(t, Answer{Outcome: Abandoned})
+			}
+		}
+	}()
+	f(x.clock.now())
+}
+
+// ErrNamespace says that a lookup names no namespace of the terms.
+var ErrNamespace = errors.New("unknown namespace")
+
+// Take hands a client's lookup to the module. read is when its last byte had come; within is what the
+// client then still gave it.
+func (x *Exchange) Take(in Lookup, read time.Time, within time.Duration) (*Ticket, error) {
+	ns, known := x.terms.Namespaces[in.Namespace]
+	if !known {
+		return nil, ErrNamespace
+	}
+	partner, known := x.terms.Partners[in.Partner]
+	if !known {
+		partner = -1
+	}
+	t := &Ticket{Lookup: in, x: x, read: read, answers: make(chan Answer, 1)}
+	x.do("lookup", t, func(now logic.Time) {
+		t.index = len(x.tickets)
+		if last := len(x.free) - 1; last >= 0 {
+			t.index, x.free = x.free[last], x.free[:last]
+			x.tickets[t.index] = t
+		} else {
+			x.tickets = append(x.tickets, t)
+		}
+		x.tally.Lookups++
+		x.balancer.Lookup(now, t.index, logic.Lookup{Namespace: ns, Partner: partner, Key: in.Key,
+			Limit: x.clock.at(read.Add(within)), Work: in.Work, Write: in.Write})
+	})
+	return t, nil
+}
+
+// List tells the module what the box list says. The address of a box may change, its index does not.
+func (x *Exchange) List(how logic.ListKind, boxes []Box) {
+	x.do("list", nil, func(now logic.Time) {
+		list := make([]logic.Box, 0, len(boxes))
+		for _, b := range boxes {
+			i, known := x.places[b.ID]
+			if !known {
+				i = len(x.addresses)
+				x.places[b.ID] = i
+				x.addresses = append(x.addresses, "")
+			}
+			x.addresses[i] = b.Address
+			kind, known := x.terms.Machines[b.Machine]
+			if !known {
+				kind = -1
+			}
+			list = append(list, logic.Box{Server: i, ID: b.ID, Kind: kind, State: b.State, Since: fromUnix(b.StartedMs)})
+		}
+		x.balancer.List(now, how, list)
+		if how != logic.Failed && len(boxes) > 0 {
+			x.listed = true
+		}
+	})
+}
+
+// Ready says whether lookups can be decided: the module has been told of a list.
+func (x *Exchange) Ready() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.listed
+}
+
+// host is what the module acts through. Its methods run with the lock held.
+type host struct{ *Exchange }
+
+func (h host) Shoot(lkp, server int, timeout logic.Time) {
+	t := h.tickets[lkp]
+	s := &Shot{Lookup: &t.Lookup, Address: h.addresses[server], Within: spanOf(timeout), ticket: t, number: t.shots}
+	t.shots++
+	t.out++
+	h.tally.Shots++
+	h.carrier.Carry(s)
+}
+
+func (h host) Defer(lkp int, retryAfter logic.Time) {
+	h.finish(h.tickets[lkp], Answer{Outcome: Deferred, RetryAfter: spanOf(retryAfter)})
+}
+
+func (h host) Abandon(lkp int) { h.finish(h.tickets[lkp], Answer{Outcome: Abandoned}) }
+
+func (h host) Subscribe() { h.lister.Subscribe() }
+
+func (h host) Wake(at logic.Time, handle int) { h.wake(at, handle) }
+
+func spanOf(t logic.Time) time.Duration { return terms.Duration(t) }
+
+// finish gives a lookup its one final answer. Called with the lock held.
+func (x *Exchange) finish(t *Ticket, a Answer) {
+	if t.over {
+		return
+	}
+	t.answers <- a // it has room for this one, and there is no other
+	x.tally.count(a, time.Since(t.read))
+	x.end(t)
+}
+
+func (x *Exchange) end(t *Ticket) {
+	t.over = true
+	x.forget(t)
+}
+
+// forget frees a lookup's index once it is over and all its shots have settled.
+func (x *Exchange) forget(t *Ticket) {
+	if t.over && t.out == 0 && !t.forgotten && !t.spoiled {
+		t.forgotten = true
+		x.tickets[t.index] = nil
+		x.free = append(x.free, t.index)
+	}
+}
+
+// String is for the log.
+func (b Box) String() string { return fmt.Sprintf("%s at %s", b.ID, b.Address) }
--- /dev/null
+++ b/internal/net/node/limits.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"math"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+)
+
+const (
+	bodyMost    = 64 << 10 // bytes; the protocol's bound
+	reservePart = 16       // a sixteenth of the descriptors is kept for the list, the log and what the runtime opens,
+	reserveMost = 64       // and more than this is never needed
+	beyondPart  = 8        // an eighth of the clients' may be connections that are turned away
+	memoryPart  = 0.7      // share of the memory limit for the Go heap; stacks and the kernel's part come on top
+	gcPercent   = 300      // with the memory limit as the real bound, fewer collections
+)
+
+// limits is how a node's limits are split.
+type limits struct {
+	clients, beyond, servers int
+	cores                    int
+	memory                   int64
+}
+
+func split(s *terms.Station) limits {
+	rest := s.Descriptors - min(reserveMost, max(s.Descriptors/reservePart, 16))
+	half := rest / 2
+	beyond := half / beyondPart
+	return limits{clients: half - beyond, beyond: beyond, servers: rest - half, cores: int(max(1, math.Ceil(s.Cores))),
+		memory: int64(float64(s.MemoryMB) * memoryPart * (1 << 20))}
+}
+
+func (l limits) apply() {
+	runtime.GOMAXPROCS(l.cores)
+	debug.SetMemoryLimit(l.memory)
+	debug.SetGCPercent(gcPercent)
+}
--- /dev/null
+++ b/internal/net/node/node.go
@@ -0,0 +1,58 @@
+// Package node puts the parts of a real node together, splits its limits among them, and ends it well.
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/boxlist"
+	"github.com/thistlerudder/thistlerudder/internal/net/clients"
+	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
+	"github.com/thistlerudder/thistlerudder/internal/net/servers"
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+)
+
+// Run serves until the context ends, then answers what it has taken, and returns.
+func Run(ctx context.Context, s *terms.Station, log *zap.Logger) error {
+	log = log.With(zap.String("node", s.Name))
+	l := split(s)
+	l.apply()
+	x := exchange.New(s.Terms, log.Named("exchange"))
+	carrier := servers.New(servers.Bounds{Descriptors: l.servers, Shots: l.servers + l.clients, ConnectWithin: s.ConnectWithin,
+		IdleFor: s.IdleFor, Body: bodyMost}, log.Named("servers"))
+	defer carrier.Close()
+	list := boxlist.New(x, s.Discovery, s.AskWithin, log.Named("boxlist"))
+	front := clients.New(x, clients.Bounds{Descriptors: l.clients, Beyond: l.beyond, LongestLimit: s.LongestLimit,
+		Body: bodyMost}, log.Named("clients"))
+
+	x.Start(s.Seed, carrier, list)
+	if err := list.Known(s.Known); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	following, stop := context.WithCancel(context.Background())
+	defer stop()
+	go list.Run(following)
+	go report(following, x, front, log.Named("report"))
+	served := make(chan error, 1)
+	go func() { served <- front.Serve(listener) }()
+	log.Info("serving", zap.String("listen", s.Listen), zap.Int("client descriptors", l.clients),
+		zap.Int("server descriptors", l.servers), zap.Int("memory MB", s.MemoryMB))
+	select {
+	case err := <-served:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+	}
+	log.Info("leaving: connections still come for a while, each ends with its next answer")
+	if err := front.Leave(); err != nil {
+		log.Warn("left with lookups unanswered", zap.Error(err), zap.Int("out", x.Out()))
+	}
+	log.Info("left")
+	return nil
+}
--- /dev/null
+++ b/internal/net/servers/send.go
@@ -0,0 +1,116 @@
+package servers
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
+)
+
+// onceOnly is a body that the transport can't rewind, and so won't send again when a kept connection
+// breaks: without it a GET, and anything with an Idempotency-Key, may reach a server twice. An empty one
+// counts too, since a request with no body at all could be sent again.
+type onceOnly struct{ io.Reader }
+
+func (onceOnly) Close() error { return nil }
+
+// request makes what goes on: the bytes that came, and the time that is left.
+func request(ctx context.Context, shot *exchange.Shot) *http.Request {
+	r := &http.Request{Method: shot.Method, Host: shot.Address,
+		URL:    &url.URL{Scheme: "http", Host: shot.Address, Opaque: shot.Target}, // as it came: not parsed, not escaped
+		Header: http.Header{"User-Agent": nil, "X-Trace-Id": {shot.Trace}, "X-Expires-In": {strconv.FormatInt(shot.Within.Microseconds(), 10) + "u"}},
+		Body:   onceOnly{bytes.NewReader(shot.Body)}, ContentLength: int64(len(shot.Body))}
+	if shot.Idempotency != "" {
+		r.Header["Idempotency-Key"] = []string{shot.Idempotency}
+	}
+	return r.WithContext(ctx)
+}
+
+// send does one exchange with a server and tells how it ended.
+func (s *Servers) send(shot *exchange.Shot) (exchange.End, exchange.Answer) {
+	ctx, cancel := context.WithTimeout(s.context, shot.Within)
+	defer cancel()
+	var connected, written atomic.Bool
+	sent := time.Now()
+	resp, err := s.transport.RoundTrip(request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(httptrace.GotConnInfo) { connected.Store(true) },
+		WroteRequest: func(i httptrace.WroteRequestInfo) { written.Store(i.Err == nil) },
+	}), shot))
+	var end exchange.End
+	var answer exchange.Answer
+	if err != nil {
+		end = s.broken(ctx, err, connected.Load(), written.Load())
+	} else {
+		defer resp.Body.Close()
+		if end, answer, err = s.read(resp); err != nil && ctx.Err() != nil {
+			end = s.gaveUp(ctx)
+		}
+	}
+	if err != nil {
+		s.log.Info("shot came to nothing", zap.Stringer("end", end), zap.String("server", shot.Address),
+			zap.String("trace", shot.Trace), zap.Duration("after", time.Since(sent)), zap.Error(err))
+	}
+	return end, answer
+}
+
+// broken tells how an exchange without an answer ended. The transport returns only after its writing
+// is over, unless the wait for it was given up: then what was written is in doubt, and it may have run.
+func (s *Servers) broken(ctx context.Context, err error, connected, written bool) exchange.End {
+	switch {
+	case errors.Is(err, errNoRoom):
+		return exchange.NoRoom
+	case !connected && s.context.Err() != nil:
+		return exchange.Withdrawn
+	case !connected:
+		return exchange.Unreached
+	case ctx.Err() != nil:
+		return s.gaveUp(ctx)
+	case !written:
+		return exchange.Unwritten
+	default:
+		return exchange.Lost
+	}
+}
+
+func (s *Servers) gaveUp(context.Context) exchange.End {
+	if s.context.Err() != nil {
+		return exchange.Withdrawn
+	}
+	return exchange.Silent
+}
+
+var errTooLong = errors.New("the answer's body is over its bound")
+
+// read takes an answer whole before it counts, which also lets its connection be used again.
+func (s *Servers) read(resp *http.Response) (exchange.End, exchange.Answer, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, s.bounds.Body+1))
+	if err == nil && int64(len(body)) > s.bounds.Body {
+		err = errTooLong
+	}
+	if err != nil {
+		return exchange.CutShort, exchange.Answer{}, err
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return exchange.Whole, exchange.Answer{Body: body, ContentType: resp.Header.Get("Content-Type")}, nil
+	case http.StatusNotFound:
+		return exchange.Lacking, exchange.Answer{}, nil
+	case http.StatusInternalServerError:
+		return exchange.Failing, exchange.Answer{}, nil
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		if resp.Header.Get("X-Never-Ran") == "1" {
+			return exchange.TurnedAway, exchange.Answer{}, nil
+		}
+	}
+	return exchange.Unclear, exchange.Answer{}, nil
+}
--- /dev/null
+++ b/internal/terms/station.go
@@ -0,0 +1,109 @@
+package terms
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+
+	koanfjson "github.com/knadh/koanf/parsers/json"
+	"github.com/knadh/koanf/providers/confmap"
+	"github.com/knadh/koanf/providers/env/v2"
+	"github.com/knadh/koanf/providers/file"
+	"github.com/knadh/koanf/v2"
+)
+
+// Station is what one real node is told about itself, beside the terms of its deployment.
+type Station struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Cores                   float64
+	MemoryMB, Descriptors   int
+	Known                   []byte // the box list as last had, in the discovery service's form
+	*Terms
+}
+
+// The smallest machine that operators name stands in where the limits are silent.
+const (
+	defaultCores       = 1.0
+	defaultMemoryMB    = 192
+	defaultDescriptors = 1024
+	leastMemoryMB      = 32 // less is no room for the program itself
+	leastDescriptors   = 64 // less leaves nothing between the reserve and the connections
+	prefix             = "BALANCER_"
+)
+
+// Read reads the file that a node is started with; BALANCER_NAME, BALANCER_LISTEN and BALANCER_DISCOVERY
+// come before what it says. The error names every key that is at fault, and what was expected there.
+func Read(path string) (*Station, error) {
+	k := koanf.New(".")
+	defaults := map[string]any{"name": "node", "limits.cores": defaultCores,
+		"limits.memory_mb": float64(defaultMemoryMB), "limits.sockets": float64(defaultDescriptors)}
+	if err := k.Load(confmap.Provider(defaults, "."), nil); err != nil {
+		return nil, err
+	}
+	if path != "" {
+		if err := k.Load(file.Provider(path), koanfjson.Parser()); err != nil {
+			return nil, fmt.Errorf("%s: expected a JSON object: %w", path, err)
+		}
+	}
+	own := map[string]bool{"name": true, "listen": true, "discovery": true}
+	if err := k.Load(env.Provider(".", env.Opt{Prefix: prefix, TransformFunc: func(key, value string) (string, any) {
+		if key = strings.ToLower(strings.TrimPrefix(key, prefix)); !own[key] {
+			return "", nil
+		}
+		return key, value
+	}}), nil); err != nil {
+		return nil, err
+	}
+	all := k.Raw()
+	var faults []error
+	fault := func(key, expected string) { faults = append(faults, fmt.Errorf("%s: expected %s", key, expected)) }
+	s := &Station{}
+	for key, into := range map[string]*string{"name": &s.Name, "listen": &s.Listen, "discovery": &s.Discovery} {
+		v, _ := find(all, key)
+		*into, _ = v.(string)
+		if *into == "" {
+			fault(key, "a text")
+		} else if _, _, err := net.SplitHostPort(*into); err != nil && key != "name" {
+			fault(key, "an address as 10.0.0.4:7070")
+		}
+	}
+	if v, found := find(all, "seed"); found {
+		seed, ok := v.(string)
+		var err error
+		if s.Seed, err = strconv.ParseUint(seed, 16, 64); !ok || err != nil {
+			fault("seed", "up to 16 hexadecimal digits")
+		}
+	}
+	s.Cores, _ = number.read(k.Get("limits.cores")).(float64)
+	s.MemoryMB, _ = whole.read(k.Get("limits.memory_mb")).(int)
+	s.Descriptors, _ = whole.read(k.Get("limits.sockets")).(int)
+	if s.Cores <= 0 {
+		fault("limits.cores", "a number above 0")
+	}
+	if s.MemoryMB < leastMemoryMB {
+		fault("limits.memory_mb", fmt.Sprintf("a whole number of megabytes, %d or more", leastMemoryMB))
+	}
+	if s.Descriptors < leastDescriptors {
+		fault("limits.sockets", fmt.Sprintf("a whole number of descriptors, %d or more", leastDescriptors))
+	}
+	if v, found := find(all, "known"); found {
+		var err error
+		if s.Known, err = json.Marshal(v); err != nil {
+			fault("known", "a box list")
+		}
+	}
+	settings, ok := all["settings"].(map[string]any)
+	if !ok {
+		fault("settings", "the deployment's settings, a JSON object")
+		return nil, errors.Join(faults...)
+	}
+	t, err := Of(settings)
+	if s.Terms = t; err != nil {
+		faults = append(faults, err)
+	}
+	return s, errors.Join(faults...)
+}
