--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -3,28 +3,26 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
+	"log"
 	"strings"
 
 	"github.com/mailru/easyjson/jwriter"
 
+	"github.com/thistlerudder/thistlerudder/internal/terms"
 	"github.com/thistlerudder/thistlerudder/logic"
 )
 
 // node is one instance: it maps the wire's ids to small indices, and is the module's Host.
 type node struct {
-	balancer   *logic.Balancer
-	terms      map[string]any
-	out        *orders
-	namespaces map[string]int
-	partners   map[string]int
-	machines   map[string]int
-	servers    map[string]int
-	names      []string
-	boxes      []logic.Box
-	index      map[string]int // tickets of lookups that are not yet forgotten
-	tickets    []ticket
-	free       []int
+	balancer *logic.Balancer
+	terms    *terms.Terms
+	out      *orders
+	servers  map[string]int
+	names    []string
+	boxes    []logic.Box
+	index    map[string]int // tickets of lookups that are not yet forgotten
+	tickets  []ticket
+	free     []int
 }
 
 type ticket struct {
@@ -33,117 +31,29 @@
 	over, freed bool
 }
 
-// tenths turns the wire's milliseconds into whole tenths, rounded down.
-func tenths(ms float64) logic.Time { return logic.Time(math.Floor(ms * 10)) }
-
-// newNode reads the settings and gives them our names. What is missing or of another form is left out:
-// the module then falls back to its cautious default.
+// newNode reads the settings. What is missing or of another form is left out: the module then falls back
+// to its cautious default, and the complaint goes to the log.
 func newNode(info []byte) (*node, error) {
-	var wire map[string]any
-	if err := json.Unmarshal(info, &wire); err != nil {
+	var settings map[string]any
+	if err := json.Unmarshal(info, &settings); err != nil {
 		return nil, fmt.Errorf("its settings can't be read: %w", err)
 	}
-	n := &node{terms: map[string]any{}, namespaces: map[string]int{}, partners: map[string]int{},
-		machines: map[string]int{}, servers: map[string]int{}, index: map[string]int{}}
-	whole := func(v any) any {
-		if x, ok := v.(float64); ok {
-			return int(x)
-		}
-		return nil
-	}
-	span := func(v any) any {
-		if x, ok := v.(float64); ok {
-			return tenths(x)
-		}
-		return nil
-	}
-	same := func(v any) any { return v }
-	at := func(path string) any {
-		var v any = wire
-		for name := range strings.SplitSeq(path, "/") {
-			m, ok := v.(map[string]any)
-			if !ok {
-				return nil
-			}
-			v = m[name]
-		}
-		return v
-	}
-	put := func(terms map[string]any, name string, v any) {
-		if v != nil {
-			terms[name] = v
-		}
-	}
-	for _, t := range []struct {
-		name, path string
-		form       func(any) any
-	}{
-		{"nodes", "balancers", whole},
-		{"mode", "domain/mode", same},
-		{"origin kind", "domain/origin-kind", whole},
-		{"most shots", "permissions/most-shots", whole},
-		{"second copies", "permissions/parallel-tries", same},
-		{"longest retry-after", "permissions/max-retry-after-ms", span},
-		{"cold share", "invariants/cold-from", same},
-		{"warm-up", "invariants/warm-up-ms", span},
-		{"overload factor", "invariants/overload-factor", same},
-		{"fall window", "invariants/fall-ms", span},
-		{"ask within", "invariants/ask-within-ms", span},
-		{"tick", "tick-ms", span},
-	} {
-		put(n.terms, t.name, t.form(at(t.path)))
-	}
-	if advice, ok := at("permissions/retry-after").(bool); ok && !advice {
-		delete(n.terms, "longest retry-after")
-	}
-	kinds := map[any]string{"safe": "replayable", "keyed": "tagged", "unsafe": "single-use"}
-	var namespaces, partners []map[string]any
-	for i, m := range maps(wire["namespaces"]) {
-		ns := map[string]any{}
-		put(ns, "repeat", kinds[m["repeat"]])
-		put(ns, "group", m["group"])
-		put(ns, "target time", span(m["target-time-ms"]))
-		put(ns, "time limit", span(m["time-limit-ms"]))
-		put(ns, "memory span", span(m["memory-span-ms"]))
-		put(ns, "late utility", m["late-utility"])
-		put(ns, "utility", m["utility"])
-		namespaces = append(namespaces, ns)
-		n.namespaces[fmt.Sprint(m["name"])] = i
-	}
-	for i, m := range maps(wire["tenants"]) {
-		p := map[string]any{}
-		put(p, "lookups a second", m["quota-rps"])
-		partners = append(partners, p)
-		n.partners[fmt.Sprint(m["name"])] = i
-	}
-	n.terms["namespaces"], n.terms["partners"] = namespaces, partners
-	models, _ := wire["models"].([]any)
-	for i, m := range models {
-		n.machines[fmt.Sprint(m)] = i
-	}
-	return n, nil
-}
-
-// maps gives the objects of a JSON array.
-func maps(v any) []map[string]any {
-	list, _ := v.([]any)
-	out := make([]map[string]any, 0, len(list))
-	for _, x := range list {
-		m, _ := x.(map[string]any)
-		out = append(out, m)
+	t, err := terms.Of(settings)
+	if err != nil {
+		log.Printf("the settings are taken without what is at fault: %v", err)
 	}
-	return out
+	return &node{terms: t, servers: map[string]int{}, index: map[string]int{}}, nil
 }
 
 func (n *node) ingress(f *fields, now logic.Time) error {
 	if _, known := n.index[f.ticket]; known || f.ticket == "" {
 		return fmt.Errorf("ticket %q is missing or came before", f.ticket)
 	}
-	ns, ok := n.namespaces[f.namespace]
+	ns, ok := n.terms.Namespaces[f.namespace]
 	if !ok {
 		return fmt.Errorf("namespace %q is unknown", f.namespace)
 	}
-	partner, ok := n.partners[f.account]
+	partner, ok := n.terms.Partners[f.account]
 	if !ok {
 		partner = -1
 	}
@@ -157,7 +67,7 @@
 	n.tickets[lkp] = ticket{id: id}
 	n.index[id] = lkp
 	n.balancer.Lookup(now, lkp, logic.Lookup{Namespace: ns, Partner: partner, Key: f.key,
-		Limit: tenths(f.expires), Work: f.hint, Write: f.write})
+		Limit: terms.Tenths(f.expires), Work: f.hint, Write: f.write})
 	return nil
 }
 
@@ -200,12 +110,12 @@
 			n.servers[e.server] = i
 			n.names = append(n.names, e.server)
 		}
-		kind, ok := n.machines[e.machine]
+		kind, ok := n.terms.Machines[e.machine]
 		if !ok {
 			kind = -1
 		}
 		n.boxes = append(n.boxes, logic.Box{Server: i, ID: e.server, Kind: kind, State: state,
-			Since: tenths(e.since)})
+			Since: terms.Tenths(e.since)})
 	}
 	n.balancer.List(now, how, n.boxes)
 	return nil
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,6 +13,7 @@
 	"github.com/mailru/easyjson/jlexer"
 	"github.com/mailru/easyjson/jwriter"
 
+	"github.com/thistlerudder/thistlerudder/internal/terms"
 	"github.com/thistlerudder/thistlerudder/logic"
 )
 
@@ -275,7 +276,7 @@
 			out.end()
 		}
 	}()
-	f, now := &h.msg, tenths(h.now)
+	f, now := &h.msg, terms.Tenths(h.now)
 	if f.what == "create" {
 		n, err := newNode(f.info)
 		if err != nil {
@@ -283,7 +284,7 @@
 		}
 		h.nodes[name] = n
 		n.out = out
-		n.balancer = logic.New(n, f.seed, now, n.terms)
+		n.balancer = logic.New(n, f.seed, now, n.terms.Module)
 		return nil
 	}
 	n := h.nodes[name]
