--- /dev/null
+++ b/cmd/thistlerudder/commands_test.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// run plays a command line.
+func run(args ...string) (string, error) {
+	var out bytes.Buffer
+	c := root()
+	c.SetArgs(args)
+	c.SetOut(&out)
+	c.SetErr(&out)
+	err := c.Execute()
+	return out.String(), err
+}
+
+func TestCommands(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"namespaces":[
+		{"name":"read","repeat":"safe","target-time-ms":200,"time-limit-ms":750}]}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args   []string
+		fails  bool
+		expect string
+	}{
+		{[]string{"version"}, false, "thistlerudder "},
+		{[]string{"check", "--config", file}, false, "listens on 127.0.0.1:1"},
+		{[]string{"check", "--config", file + "x"}, true, "configuration: "},
+		{[]string{"serve", "--config", ""}, true, "discovery: expected"},
+		{[]string{"serve", "--config", file, "--log-level", "loud"}, true, "log-level: "},
+		{[]string{"surprise"}, true, "unknown command"},
+	} {
+		if out, err := run(c.args...); (err != nil) != c.fails || !strings.Contains(out, c.expect) {
+			t.Errorf("%v: %v, said %q", c.args, err, out)
+		}
+	}
+}
--- a/internal/net/boxlist/watch.go
+++ b/internal/net/boxlist/watch.go
@@ -93,10 +93,6 @@
 		if err != nil {
 			return err
 		}
-		select {
-		case <-f.orders: // it came while we were following already
-		default:
-		}
 		if !full && (whole || version < last) {
 			if whole {
 				return errors.New("expected the whole list")
--- /dev/null
+++ b/internal/net/boxlist/watch_test.go
@@ -0,0 +1,135 @@
+package boxlist
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+const box = `{"id":"a","addr":"127.0.0.1:1","kind":"box","state":"Ready","started_ms":0}`
+
+// service answers each call with the next of its pages; an empty one is a failure, and the last one waits.
+type service struct {
+	mu    sync.Mutex
+	pages []string
+	asked []string
+	at    []time.Time
+}
+
+func (s *service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.asked, s.at = append(s.asked, r.URL.RequestURI()), append(s.at, time.Now())
+	if len(s.pages) == 0 {
+		s.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
+	page := s.pages[0]
+	s.pages = s.pages[1:]
+	s.mu.Unlock()
+	if page == "" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	fmt.Fprint(w, page)
+}
+
+func (s *service) calls() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.asked...)
+}
+
+// follow runs a follower against the pages until so many calls were made.
+func follow(t *testing.T, calls int, pages ...string) (*service, *exchange.Exchange, *observer.ObservedLogs) {
+	t.Helper()
+	s := &service{pages: pages}
+	server := httptest.NewServer(s)
+	d, err := terms.Of(map[string]any{"namespaces": []any{map[string]any{"name": "read", "repeat": "safe", "target-time-ms": 1., "time-limit-ms": 2.}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, logs := observer.New(zap.InfoLevel)
+	x := exchange.New(d, zap.NewNop())
+	f := New(x, server.Listener.Addr().String(), 10*time.Second, zap.New(core))
+	x.Start(1, nil, f) // the module gives the first order by itself
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		f.Run(ctx)
+		close(done)
+	}()
+	for end := time.Now().Add(8 * time.Second); len(s.calls()) < calls && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	stop()
+	<-done
+	server.CloseClientConnections()
+	server.Close()
+	if got := s.calls(); len(got) != calls {
+		t.Fatalf("%d calls, want %d: %v", len(got), calls, got)
+	}
+	return s, x, logs
+}
+
+func TestTheWholeListThenWatchesWithoutAPause(t *testing.T) {
+	s, x, _ := follow(t, 4, `{"version":7,"full":true,"servers":[`+box+`]}`, `{"version":9,"full":false,"servers":[`+box+`]}`,
+		`{"version":9,"full":false,"servers":[]}`)
+	want := []string{path, path + "?from=7&hold_ms=10000", path + "?from=9&hold_ms=10000", path + "?from=9&hold_ms=10000"}
+	if got := strings.Join(s.calls(), " "); got != strings.Join(want, " ") || !x.Ready() {
+		t.Errorf("asked %s; ready %v", got, x.Ready())
+	}
+	for i := 1; i < len(s.at); i++ {
+		if s.at[i].Sub(s.at[i-1]) > 200*time.Millisecond {
+			t.Errorf("call %d came %v after the one before", i, s.at[i].Sub(s.at[i-1]))
+		}
+	}
+}
+
+func TestAGapAsksForTheWholeList(t *testing.T) {
+	s, _, _ := follow(t, 3, `{"version":7,"full":true,"servers":[`+box+`]}`, `{"version":3,"full":false,"servers":[`+box+`]}`)
+	if got := s.calls(); got[2] != path {
+		t.Errorf("asked %v", got)
+	}
+}
+
+// What can't be read, in part or in whole, changes nothing: one line, a failed call, and the module asks again.
+func TestABadListLeavesTheOldOne(t *testing.T) {
+	for _, page := range []string{"", "no list", `{"full":true,"servers":[]}`, `{"version":1,"full":true,"servers":[{"id":"a","addr":"x","state":"Odd"}]}`,
+		`{"version":1,"full":true,"servers":[{"addr":"x","state":"Ready"}]}`, `{"version":1,"full":true,"servers":[{"id":"a","state":"Ready"}]}`,
+		`{"version":1,"full":false,"servers":[` + box + `]}`} {
+		s, x, logs := follow(t, 2, page)
+		if x.Ready() || logs.FilterMessage("box list lost, the old one stands").Len() != 1 {
+			t.Errorf("%s: ready %v, log %v", page, x.Ready(), logs.All())
+		}
+		if s.at[1].Sub(s.at[0]) < 100*time.Millisecond {
+			t.Errorf("%s: asked again at once, not when the module said so", page)
+		}
+	}
+}
+
+func TestKnownIsToldAsPersisted(t *testing.T) {
+	_, full, boxes, err := parse([]byte(`{"version":41,"full":true,"new":1,"servers":[` + box + `,{"id":"b","state":"Gone","started_ms":1700000000123}]}`))
+	if err != nil || !full || len(boxes) != 2 || boxes[0].Address != "127.0.0.1:1" || boxes[1].State != logic.Gone || boxes[1].StartedMs != 1700000000123 {
+		t.Errorf("%v %v %v", full, boxes, err)
+	}
+	_, x, _ := follow(t, 1)
+	f := New(x, "127.0.0.1:1", time.Second, zap.NewNop())
+	if err := f.Known([]byte("no list")); err == nil || x.Ready() {
+		t.Errorf("no list: %v, ready %v", err, x.Ready())
+	}
+	if err := f.Known([]byte(`{"version":1,"full":true,"servers":[` + box + `]}`)); err != nil || !x.Ready() {
+		t.Errorf("a list: %v, ready %v", err, x.Ready())
+	}
+}
--- a/internal/net/clients/clients.go
+++ b/internal/net/clients/clients.go
@@ -12,15 +12,14 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
 	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
 )
 
 // Bounds is what the clients' side may take.
 type Bounds struct {
-	Descriptors  int           // connections; those beyond get one answer each, a deferral
-	Beyond       int           // how many of those are answered at once; the next wait for a free place
+	Descriptors  int           // connections, and lookups in hand; those beyond are deferred
+	Beyond       int           // connections for such deferrals; the next wait for a free place
 	LongestLimit time.Duration // the longest time limit of a lookup
 	Body         int64         // of a lookup, in bytes
 }
@@ -41,29 +40,22 @@
 	exchange *exchange.Exchange
 	server   *http.Server
 	bounds   Bounds
-	open     atomic.Int64
+	room     *room
+	inHand   atomic.Int64 // lookups
 	leaving  atomic.Bool
 }
 
 // New makes the client side.
 func New(x *exchange.Exchange, b Bounds, log *zap.Logger) *Clients {
-	c := &Clients{log: log, exchange: x, bounds: b}
+	c := &Clients{log: log, exchange: x, bounds: b, room: newRoom(b.Descriptors)}
 	c.server = &http.Server{Handler: c, MaxHeaderBytes: headersMost, ReadHeaderTimeout: headersIn,
-		ReadTimeout: b.LongestLimit + readSlack, IdleTimeout: idleFor, ErrorLog: zap.NewStdLog(log),
-		ConnState: func(_ net.Conn, s http.ConnState) {
-			switch s {
-			case http.StateNew:
-				c.open.Add(1)
-			case http.StateClosed, http.StateHijacked:
-				c.open.Add(-1)
-			}
-		}}
+		ReadTimeout: b.LongestLimit + readSlack, IdleTimeout: idleFor, ErrorLog: zap.NewStdLog(log), ConnState: c.room.state}
 	return c
 }
 
 // Serve answers clients until Leave has ended, or the listener fails.
 func (c *Clients) Serve(l net.Listener) error {
-	if err := c.server.Serve(netutil.LimitListener(l, c.bounds.Descriptors+c.bounds.Beyond)); !errors.Is(err, http.ErrServerClosed) {
+	if err := c.server.Serve(bound(l, c.bounds.Descriptors+c.bounds.Beyond)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -81,7 +73,7 @@
 }
 
 // Open gives how many connections clients have.
-func (c *Clients) Open() int { return int(c.open.Load()) }
+func (c *Clients) Open() int { return c.room.count() }
 
 // ServeHTTP answers one lookup. A panic would end the connection without an answer, so it is answered too.
 func (c *Clients) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -94,8 +86,9 @@
 			}
 		}
 	}()
-	crowded := c.Open() > c.bounds.Descriptors
-	if crowded || c.leaving.Load() {
+	full := c.inHand.Add(1) > int64(c.bounds.Descriptors)
+	defer c.inHand.Add(-1)
+	if c.room.crowded() || c.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/up" {
@@ -116,7 +109,7 @@
 		}
 		return
 	}
-	if crowded {
+	if full {
 		answer(w, exchange.Answer{Outcome: exchange.Deferred, RetryAfter: beyondAdvice})
 		return
 	}
--- /dev/null
+++ b/internal/net/clients/clients_test.go
@@ -0,0 +1,308 @@
+package clients
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+// fleet hands each shot to the test.
+type fleet chan *exchange.Shot
+
+func (f fleet) Carry(s *exchange.Shot) { f <- s }
+func (f fleet) Subscribe()             {}
+
+const limit = 300 * time.Millisecond
+
+// serve starts a client side on loopback, with its fleet.
+func serve(t *testing.T, descriptors int, told bool) (*Clients, fleet, string) {
+	t.Helper()
+	d, err := terms.Of(map[string]any{"models": []any{"box", "origin"}, "domain": map[string]any{"mode": "aside", "origin-kind": 1.},
+		"permissions": map[string]any{"most-shots": 3., "max-retry-after-ms": 400.}, "tenants": []any{map[string]any{"name": "acme"}},
+		"namespaces": []any{map[string]any{"name": "read", "repeat": "safe", "late-utility": 0.5, "target-time-ms": 200., "time-limit-ms": 300.},
+			map[string]any{"name": "once", "repeat": "unsafe", "target-time-ms": 200., "time-limit-ms": 300.}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ships := make(fleet, 99)
+	x := exchange.New(d, zap.NewNop())
+	x.Start(1, ships, ships)
+	if told {
+		x.List(logic.Whole, []exchange.Box{{ID: "a", Address: "a:1", Machine: "box"}, {ID: "z", Address: "z:1", Machine: "origin"}})
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := New(x, Bounds{Descriptors: descriptors, Beyond: 4, LongestLimit: limit, Body: 64}, zap.NewNop())
+	go func() { _ = c.Serve(l) }()
+	t.Cleanup(func() { c.server.Close() })
+	return c, ships, l.Addr().String()
+}
+
+// client is one connection.
+type client struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func dial(t *testing.T, address string) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &client{c, bufio.NewReader(c)}
+}
+
+func (c *client) send(first string, headers ...string) {
+	fmt.Fprintf(c, "%s HTTP/1.1\r\nHost: service.internal\r\n%s\r\n", first, strings.Join(append(headers, ""), "\r\n"))
+}
+
+// receive reads one answer.
+func (c *client) receive(t *testing.T) (*http.Response, string) {
+	t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	r, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, string(body)
+}
+
+const (
+	id     = "X-Trace-Id: 9b1f"
+	within = "X-Expires-In: 280m"
+)
+
+func TestALookupIsAnsweredWithTheServersBytes(t *testing.T) {
+	_, ships, address := serve(t, 8, true)
+	c := dial(t, address)
+	c.send("PUT /once/a%2Fb/k%20y?x=1&&y", id, within, "X-Customer: acme", "Idempotency-Key: Key 1", "Content-Length: 3\r\n\r\na\x00b")
+	s := <-ships
+	if s.Method != "PUT" || s.Target != "/once/a%2Fb/k%20y?x=1&&y" || string(s.Body) != "a\x00b" || s.Trace != "9b1f" ||
+		s.Idempotency != "Key 1" || s.Key != "k%20y" || s.Partner != "acme" || !s.Write || s.Address != "z:1" ||
+		s.Within > 280*time.Millisecond || s.Within < 150*time.Millisecond {
+		t.Errorf("%+v %+v", s, s.Lookup)
+	}
+	s.Settle(exchange.Whole, exchange.Answer{Body: []byte("v\x00w"), ContentType: "text/x"})
+	if r, body := c.receive(t); r.StatusCode != 200 || body != "v\x00w" || r.Header.Get("Content-Type") != "text/x" {
+		t.Errorf("%d %q", r.StatusCode, body)
+	}
+}
+
+func TestDeferralsAdviseAndAbandonmentsDoNot(t *testing.T) {
+	_, ships, address := serve(t, 8, true)
+	for _, c := range []struct {
+		first  string
+		status int
+		advice bool
+	}{{"GET /read/k", 503, true}, {"PUT /once/k", 502, false}} {
+		conn := dial(t, address)
+		conn.send(c.first, id, within)
+		for range 3 {
+			select {
+			case s := <-ships:
+				s.Settle(exchange.Failing, exchange.Answer{})
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+		if r, _ := conn.receive(t); r.StatusCode != c.status || (r.Header.Get("Retry-After") != "") != c.advice {
+			t.Errorf("%s: %d, %v", c.first, r.StatusCode, r.Header)
+		}
+	}
+}
+
+func TestBadInputIsAnsweredAndSentNowhere(t *testing.T) {
+	_, ships, address := serve(t, 30, true)
+	long := strings.Repeat("x", 2*headersMost)
+	for _, c := range []struct {
+		status  int
+		first   string
+		headers []string
+	}{
+		{400, "GET /none/k", []string{id, within}},
+		{400, "GET /", []string{id, within}},
+		{400, "GET //read/k", []string{id, within}},
+		{400, "POST /read/k", []string{id, within}},
+		{400, "DELETE /read/k", []string{id, within}},
+		{400, "GET /read/k", []string{within}},
+		{400, "GET /read/k", []string{id}},
+		{400, "GET /read/k", []string{id, "X-Expires-In: soon"}},
+		{400, "GET /read/k", []string{id, "X-Expires-In: 480"}},
+		{400, "GET /read/k", []string{id, "X-Expires-In: m"}},
+		{400, "GET /read/k", []string{id, "X-Expires-In: NaNm"}},
+		{400, "GET /read/k", []string{id, within, "a header without a colon"}},
+		{413, "PUT /once/k", []string{id, within, "Content-Length: 65\r\n\r\n" + strings.Repeat("x", 65)}},
+		{431, "GET /read/k", []string{id, within, "X-Long: " + long}},
+		{503, "GET /read/k", []string{id, "X-Expires-In: 0m"}},
+		{503, "PUT /once/k", []string{id, "X-Expires-In: -1e300u"}},
+	} {
+		conn := dial(t, address)
+		conn.send(c.first, c.headers...)
+		if r, body := conn.receive(t); r.StatusCode != c.status || len(ships) > 0 {
+			t.Errorf("%s %.60v: %d %q, %d shots; want %d", c.first, c.headers, r.StatusCode, body, len(ships), c.status)
+		}
+	}
+}
+
+func TestOneIdTwiceIsTwoLookups(t *testing.T) {
+	_, ships, address := serve(t, 8, true)
+	var conns []*client
+	for _, key := range []string{"k1", "k2"} {
+		c := dial(t, address)
+		c.send("GET /read/"+key, id, within)
+		conns = append(conns, c)
+	}
+	for range conns {
+		s := <-ships
+		s.Settle(exchange.Whole, exchange.Answer{Body: []byte(s.Key)})
+	}
+	for i, key := range []string{"k1", "k2"} {
+		if _, body := conns[i].receive(t); body != key {
+			t.Errorf("%s got %q", key, body)
+		}
+	}
+}
+
+// A client that leaves ends its lookup; its shot still settles, and nothing is kept.
+func TestAClientThatLeavesEndsItsLookup(t *testing.T) {
+	c, ships, address := serve(t, 8, true)
+	conn := dial(t, address)
+	conn.send("GET /read/k", id, within)
+	s := <-ships
+	conn.Close()
+	left := func() bool { return c.exchange.Tally().Left == 1 }
+	for end := time.Now().Add(2 * time.Second); !left(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("nobody noticed")
+		}
+	}
+	if c.exchange.Out() != 1 {
+		t.Error("forgotten with a shot out")
+	}
+	if s.Settle(exchange.Lacking, exchange.Answer{}); c.exchange.Out() != 0 || len(ships) != 0 {
+		t.Errorf("%d known, %d more shots", c.exchange.Out(), len(ships))
+	}
+}
+
+func TestAPanicIsAnswered(t *testing.T) {
+	c, _, address := serve(t, 8, true)
+	c.exchange = nil
+	conn := dial(t, address)
+	conn.send("GET /read/k", id, within)
+	if r, _ := conn.receive(t); r.StatusCode != http.StatusInternalServerError {
+		t.Error(r.Status)
+	}
+}
+
+func TestUpOnlyOnceTheListIsTold(t *testing.T) {
+	for told, status := range map[bool]int{false: 503, true: 200} {
+		_, _, address := serve(t, 8, told)
+		conn := dial(t, address)
+		conn.send("GET /up")
+		if r, _ := conn.receive(t); r.StatusCode != status {
+			t.Errorf("told %v: %d", told, r.StatusCode)
+		}
+	}
+}
+
+// Beyond the clients' descriptors each lookup is turned away with an answer; with room again it is taken.
+func TestBeyondTheDescriptorsLookupsAreDeferred(t *testing.T) {
+	_, ships, address := serve(t, 2, true)
+	var busy []*client
+	for i := range 2 {
+		busy = append(busy, dial(t, address))
+		busy[i].send(fmt.Sprint("GET /read/k", i), id, "X-Expires-In: 5000m")
+	}
+	shots := []*exchange.Shot{<-ships, <-ships}
+	for range 10 {
+		conn := dial(t, address)
+		conn.send("GET /read/k", id, within)
+		if r, _ := conn.receive(t); r.StatusCode != 503 || !r.Close || r.Header.Get("Retry-After") == "" || len(ships) > 0 {
+			t.Fatalf("%d, close %v, %d shots", r.StatusCode, r.Close, len(ships))
+		}
+	}
+	for _, s := range shots {
+		s.Settle(exchange.Whole, exchange.Answer{})
+	}
+	for _, c := range busy {
+		if r, _ := c.receive(t); r.StatusCode != 200 {
+			t.Errorf("a lookup in hand: %d", r.StatusCode)
+		}
+	}
+}
+
+// Connections that lie idle must not keep lookups out: the longest idle makes way.
+func TestIdleConnectionsMakeWay(t *testing.T) {
+	c, ships, address := serve(t, 2, true)
+	var conns []*client
+	for i := range 20 {
+		conn := dial(t, address)
+		conn.send(fmt.Sprint("GET /read/k", i), id, within)
+		(<-ships).Settle(exchange.Whole, exchange.Answer{})
+		if r, _ := conn.receive(t); r.StatusCode != 200 {
+			t.Fatalf("lookup %d: %d", i, r.StatusCode)
+		}
+		conns = append(conns, conn)
+	}
+	_ = conns[0].SetReadDeadline(time.Now().Add(time.Second))
+	if _, err := conns[0].in.ReadByte(); err != io.EOF || c.Open() > 3 {
+		t.Errorf("the first connection: %v; %d are open", err, c.Open())
+	}
+}
+
+// After SIGTERM connections go on coming: each lookup is answered and its connection closed, what is out is
+// waited for, and the end comes well before SIGKILL may.
+func TestLeavingLosesNothing(t *testing.T) {
+	c, ships, address := serve(t, 30, true)
+	idle, busy := dial(t, address), dial(t, address)
+	idle.send("GET /up")
+	idle.receive(t)
+	busy.send("GET /read/busy", id, "X-Expires-In: 900m")
+	out := <-ships
+	began, left := time.Now(), make(chan error)
+	go func() { left <- c.Leave() }()
+	var late sync.WaitGroup
+	for i := range 8 {
+		time.Sleep(50 * time.Millisecond)
+		late.Go(func() {
+			conn := dial(t, address)
+			conn.send(fmt.Sprint("GET /read/late", i), id, within)
+			s := <-ships
+			s.Settle(exchange.Whole, exchange.Answer{Body: []byte("v")})
+			if r, _ := conn.receive(t); r.StatusCode != 200 || !r.Close {
+				t.Errorf("late lookup %d: %d, close %v", i, r.StatusCode, r.Close)
+			}
+		})
+	}
+	late.Wait()
+	if _, err := idle.in.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection: %v", err)
+	}
+	time.Sleep(comingFor - time.Since(began) + 50*time.Millisecond)
+	out.Settle(exchange.Whole, exchange.Answer{Body: []byte("v")})
+	if r, _ := busy.receive(t); r.StatusCode != 200 || !r.Close {
+		t.Errorf("what was out: %d, close %v", r.StatusCode, r.Close)
+	}
+	if err := <-left; err != nil || time.Since(began) > limit+700*time.Millisecond {
+		t.Errorf("left after %v: %v", time.Since(began), err)
+	}
+}
--- /dev/null
+++ b/internal/net/clients/listener.go
@@ -0,0 +1,60 @@
+package clients
+
+import (
+	"net"
+	"sync"
+)
+
+// bounded accepts no more connections than it has places; the next wait in the kernel's queue. The library's
+// own (netutil.LimitListener) hides CloseWrite, without which net/http resets a connection whose headers are
+// over their bound before the client has read the answer.
+type bounded struct {
+	net.Listener
+	places chan struct{}
+	closed chan struct{}
+	close  func() error
+}
+
+func bound(l net.Listener, most int) *bounded {
+	b := &bounded{Listener: l, places: make(chan struct{}, most), closed: make(chan struct{})}
+	b.close = sync.OnceValue(func() error {
+		close(b.closed)
+		return l.Close()
+	})
+	return b
+}
+
+// Accept waits for a place, then for a connection.
+func (b *bounded) Accept() (net.Conn, error) {
+	select {
+	case b.places <- struct{}{}:
+	case <-b.closed:
+		return nil, net.ErrClosed
+	}
+	c, err := b.Listener.Accept()
+	leave := sync.OnceFunc(func() { <-b.places })
+	if err != nil {
+		leave()
+		return nil, err
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		return &placed{tcp, leave}, nil
+	}
+	leave()
+	return c, nil
+}
+
+// Close ends the wait for a place too.
+func (b *bounded) Close() error { return b.close() }
+
+// placed gives its place back once.
+type placed struct {
+	*net.TCPConn
+	leave func()
+}
+
+func (p *placed) Close() error {
+	err := p.TCPConn.Close()
+	p.leave()
+	return err
+}
--- /dev/null
+++ b/internal/net/exchange/exchange_test.go
@@ -0,0 +1,244 @@
+package exchange
+
+import (
+	"errors"
+	"math/rand"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/quick"
+	"time"
+
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+// followed is what a random run knows of one lookup.
+type followed struct {
+	*Ticket
+	mayHaveRun, answered, left bool
+	shots                      int
+}
+
+// check holds a lookup to the rules; it returns what is broken.
+func (f *followed) check() string {
+	a, came := got(f.Ticket)
+	switch {
+	case came && (f.answered || f.left):
+		return "an answer after the end"
+	case came && a.Outcome == Deferred && f.mayHaveRun && f.Namespace == "once":
+		return "a deferral though it may have run"
+	case f.Ticket.shots > f.shots && (f.answered || f.left):
+		return "a shot after the end"
+	case f.Ticket.shots > f.shots && f.mayHaveRun && f.Namespace == "once":
+		return "a second shot though the first may have run"
+	}
+	f.answered, f.shots = f.answered || came, f.Ticket.shots
+	return ""
+}
+
+// Lookups come, shots end in any way and some are told of twice, clients leave, all in any order.
+func TestRandomRunsKeepTheRules(t *testing.T) {
+	run := func(seed int64) bool {
+		r, ships := rand.New(rand.NewSource(seed)), &fleet{}
+		x := start(t, ships)
+		var all []*followed
+		of := map[*Ticket]*followed{}
+		settle := func() bool {
+			s := ships.take(r.Intn(1000))
+			if s == nil {
+				return false
+			}
+			if broken := of[s.ticket].check(); broken != "" { // up to here, before more becomes known
+				t.Error(broken)
+			}
+			end := End(r.Intn(int(endCount)))
+			switch end.Code() {
+			case logic.Full, logic.Unconnected, logic.Unsent, logic.Missing:
+			default:
+				of[s.ticket].mayHaveRun = true
+			}
+			s.Settle(end, Answer{Body: []byte("v")})
+			s.Settle(End(r.Intn(int(endCount))), Answer{})
+			return true
+		}
+		for step := 0; step < 300; step++ {
+			switch r.Intn(5) {
+			case 0, 1:
+				ns := []string{"read", "once"}[r.Intn(2)]
+				f := &followed{}
+				// The shot may be carried before Take returns, but nobody settles it before that.
+				f.Ticket = take(t, x, Lookup{Namespace: ns, Key: strconv.Itoa(r.Intn(20)), Write: r.Intn(4) == 0}, time.Minute)
+				f.shots = f.Ticket.shots
+				of[f.Ticket] = f
+				all = append(all, f)
+			case 2, 3:
+				settle()
+			case 4:
+				if len(all) > 0 {
+					f := all[r.Intn(len(all))]
+					if broken := f.check(); broken != "" {
+						t.Error(broken)
+						return false
+					}
+					f.Leave()
+					f.left = true
+				}
+			}
+			used := map[int]bool{}
+			for _, f := range all {
+				if broken := f.check(); broken != "" {
+					t.Errorf("seed %d, step %d: %s", seed, step, broken)
+					return false
+				}
+				if !f.forgotten && used[f.index] {
+					t.Errorf("seed %d, step %d: two lookups share index %d", seed, step, f.index)
+					return false
+				}
+				used[f.index] = used[f.index] || !f.forgotten
+			}
+		}
+		for settle() {
+		}
+		for _, f := range all {
+			if broken := f.check(); broken != "" || !f.answered && !f.left {
+				t.Errorf("seed %d: at the end: answered %v, left %v %s", seed, f.answered, f.left, broken)
+				return false
+			}
+		}
+		return x.Out() == 0
+	}
+	if err := quick.Check(run, &quick.Config{MaxCount: 60, Rand: rand.New(rand.NewSource(1))}); err != nil {
+		t.Error(err)
+	}
+}
+
+// hasty settles each shot twice at once, from two goroutines.
+type hasty struct{ wg sync.WaitGroup }
+
+func (h *hasty) Carry(s *Shot) {
+	for _, end := range []End{Whole, Silent} {
+		h.wg.Go(func() { s.Settle(end, Answer{}) })
+	}
+}
+
+// Answer, time-out and the client's leaving come at once: one end for each lookup, and nothing is kept.
+func TestWhatComesAtOnceEndsALookupOnce(t *testing.T) {
+	h := &hasty{}
+	x := start(t, h)
+	var clients sync.WaitGroup
+	for i := range 300 {
+		clients.Go(func() {
+			ticket := take(t, x, Lookup{Namespace: "read", Key: strconv.Itoa(i % 7)}, time.Second)
+			if i%3 == 0 {
+				ticket.Leave()
+				return
+			}
+			select {
+			case <-ticket.Answers():
+			case <-time.After(5 * time.Second):
+				t.Errorf("lookup %d had no answer", i)
+			}
+		})
+	}
+	clients.Wait()
+	h.wg.Wait()
+	y := x.Tally()
+	if ends := y.Resolved + y.Deferred + y.Abandoned + y.Left; ends != 300 || x.Out() != 0 || y.Panics != 0 {
+		t.Errorf("%d ends of 300, %d still known, %d panics", ends, x.Out(), y.Panics)
+	}
+}
+
+// A lookup that waits for another's fetch is answered by its alarm, not before its limit and not long after.
+func TestAlarmsComeInTimeAndNotEarly(t *testing.T) {
+	ships := &fleet{}
+	x := start(t, ships)
+	first := take(t, x, Lookup{Namespace: "late", Key: "k"}, time.Minute)
+	ships.take(0).Settle(Lacking, Answer{})
+	began := time.Now()
+	second := take(t, x, Lookup{Namespace: "late", Key: "k"}, 80*time.Millisecond)
+	if a := <-second.Answers(); a.Outcome != Deferred {
+		t.Errorf("got %+v", a)
+	}
+	if took := time.Since(began); took < 79*time.Millisecond || took > 130*time.Millisecond {
+		t.Errorf("answered after %v", took)
+	}
+	if ships.take(0).Settle(Whole, Answer{}); x.Out() != 0 {
+		t.Errorf("%d lookups are still known", x.Out())
+	}
+	<-first.Answers()
+}
+
+func TestALimitThatHasPassedIsAnsweredWithoutAShot(t *testing.T) {
+	ships := &fleet{}
+	x := start(t, ships)
+	for _, within := range []time.Duration{0, -time.Second} {
+		if a, came := got(take(t, x, Lookup{Namespace: "once", Write: true}, within)); !came || a.Outcome != Deferred {
+			t.Errorf("%v: %+v, %v", within, a, came)
+		}
+	}
+	if ships.take(0) != nil || x.Out() != 0 {
+		t.Error("a shot was sent, or a lookup is still known")
+	}
+}
+
+// A panic of the module answers the lookup at hand with no promise; its index is not used again.
+func TestAPanicAnswersTheLookup(t *testing.T) {
+	ships := &fleet{}
+	x := start(t, ships)
+	whole := x.balancer
+	x.balancer = nil
+	ticket := take(t, x, Lookup{Namespace: "read"}, time.Second)
+	if a, came := got(ticket); !came || a.Outcome != Abandoned {
+		t.Errorf("%+v, %v", a, came)
+	}
+	x.balancer = whole
+	if next := take(t, x, Lookup{Namespace: "read"}, time.Second); next.index == ticket.index || ships.take(0) == nil {
+		t.Errorf("the next lookup has index %d after %d", next.index, ticket.index)
+	}
+}
+
+func TestABoxKeepsItsIndexAtANewAddress(t *testing.T) {
+	ships := &fleet{}
+	x := start(t, ships)
+	moved := boxes[3]
+	moved.Address = "elsewhere:1"
+	x.List(logic.Changes, []Box{moved})
+	take(t, x, Lookup{Namespace: "read", Write: true}, time.Second)
+	if s := ships.take(0); s.Address != "elsewhere:1" || len(x.addresses) != len(boxes) {
+		t.Errorf("sent to %s; %d indices for %d boxes", s.Address, len(x.addresses), len(boxes))
+	}
+}
+
+func TestReadyOnceAListIsKnown(t *testing.T) {
+	x := New(start(t, &fleet{}).terms, nil)
+	x.Start(1, &fleet{}, nobody{})
+	x.List(logic.Persisted, nil)
+	before := x.Ready()
+	x.List(logic.Persisted, boxes)
+	if before || !x.Ready() {
+		t.Errorf("ready %v before, %v after", before, x.Ready())
+	}
+	if _, err := x.Take(Lookup{Namespace: "none"}, time.Now(), time.Second); !errors.Is(err, ErrNamespace) {
+		t.Error(err)
+	}
+}
+
+// The clock starts at Unix time, so that the list's start times can be set beside it, and rounds down.
+func TestTheClockAgreesWithTheList(t *testing.T) {
+	start := time.UnixMilli(1_700_000_000_000)
+	c := clock{start}
+	if at := c.at(start.Add(1999 * time.Microsecond)); at != fromUnix(1_700_000_000_001)+9 || fromUnix(0) != 0 {
+		t.Errorf("%d, %d", at, fromUnix(1_700_000_000_001))
+	}
+}
+
+func TestOnlyProofsCountAsNotRun(t *testing.T) {
+	proofs := map[End]bool{Lacking: true, TurnedAway: true, Unreached: true, Unwritten: true, NoRoom: true}
+	for end := range endCount {
+		code := end.Code()
+		notRun := code == logic.Full || code == logic.Unconnected || code == logic.Unsent || code == logic.Missing
+		if notRun != proofs[end] || end.String() == "" || (code == logic.Answered) != (end == Whole) {
+			t.Errorf("%v: code %v", end, code)
+		}
+	}
+}
--- /dev/null
+++ b/internal/net/exchange/helper_test.go
@@ -0,0 +1,83 @@
+package exchange
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+// fleet keeps the shots for the test to settle.
+type fleet struct {
+	mu    sync.Mutex
+	shots []*Shot
+}
+
+func (f *fleet) Carry(s *Shot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.shots = append(f.shots, s)
+}
+
+// take gives a shot that is out, by a number that may be any.
+func (f *fleet) take(n int) *Shot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.shots) == 0 {
+		return nil
+	}
+	i := n % len(f.shots)
+	s := f.shots[i]
+	f.shots = append(f.shots[:i], f.shots[i+1:]...)
+	return s
+}
+
+type nobody struct{}
+
+func (nobody) Subscribe() {}
+
+var boxes = []Box{{ID: "a", Address: "a:1", Machine: "box"}, {ID: "b", Address: "b:1", Machine: "box"},
+	{ID: "c", Address: "c:1", Machine: "box"}, {ID: "z", Address: "z:1", Machine: "origin"}}
+
+// start gives an exchange that knows three caches and the origin.
+func start(t *testing.T, carrier Carrier) *Exchange {
+	namespace := func(name, repeat string) map[string]any {
+		return map[string]any{"name": name, "repeat": repeat, "target-time-ms": 200., "time-limit-ms": 750.}
+	}
+	t.Helper()
+	d, err := terms.Of(map[string]any{"balancers": 1., "models": []any{"box", "origin"},
+		"domain":      map[string]any{"mode": "aside", "origin-kind": 1.},
+		"permissions": map[string]any{"most-shots": 3., "max-retry-after-ms": 400.},
+		"namespaces": []any{namespace("read", "safe"), namespace("once", "unsafe"),
+			map[string]any{"name": "late", "repeat": "safe", "late-utility": 0.5, "target-time-ms": 50., "time-limit-ms": 100.}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := New(d, zap.NewNop())
+	x.Start(7, carrier, nobody{})
+	x.List(logic.Whole, boxes)
+	return x
+}
+
+// got gives the answer that has come, if one has.
+func got(t *Ticket) (Answer, bool) {
+	select {
+	case a := <-t.answers:
+		return a, true
+	default:
+		return Answer{}, false
+	}
+}
+
+func take(t *testing.T, x *Exchange, in Lookup, within time.Duration) *Ticket {
+	t.Helper()
+	ticket, err := x.Take(in, time.Now(), within)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ticket
+}
--- a/internal/net/node/node.go
+++ b/internal/net/node/node.go
@@ -30,7 +30,7 @@
 
 	x.Start(s.Seed, carrier, list)
 	if err := list.Known(s.Known); err != nil {
-		return err
+		log.Warn("the list in the configuration can't be read, not up until the first one comes", zap.Error(err))
 	}
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
--- /dev/null
+++ b/internal/net/node/node_test.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+)
+
+// A whole node: a miss at a cache goes on to the origin, and the end comes with an order to leave.
+func TestANodeServesAndLeaves(t *testing.T) {
+	var seen []string
+	server := func(kind string, status int) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			seen = append(seen, kind+" "+r.RequestURI)
+			w.WriteHeader(status)
+			fmt.Fprint(w, "from the "+kind)
+		}))
+		t.Cleanup(s.Close)
+		return s.Listener.Addr().String()
+	}
+	list := fmt.Sprintf(`{"version":1,"full":true,"servers":[{"id":"a","addr":%q,"kind":"box","state":"Ready"},
+		{"id":"z","addr":%q,"kind":"origin","state":"Ready"}]}`, server("cache", 404), server("origin", 200))
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery != "" {
+			<-r.Context().Done()
+		}
+		fmt.Fprint(w, list)
+	}))
+	defer discovery.Close()
+	d, err := terms.Of(map[string]any{"models": []any{"box", "origin"}, "domain": map[string]any{"mode": "aside", "origin-kind": 1.},
+		"permissions": map[string]any{"most-shots": 3.},
+		"namespaces":  []any{map[string]any{"name": "read", "repeat": "safe", "target-time-ms": 400., "time-limit-ms": 600.}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := probe.Addr().String()
+	probe.Close()
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	core, logs := observer.New(zap.InfoLevel)
+	ended := make(chan error)
+	go func() {
+		// The list of the configuration can't be read: that is told, and the first one that comes is waited for.
+		ended <- Run(ctx, &terms.Station{Name: "n", Listen: address, Discovery: discovery.Listener.Addr().String(), Cores: 1, MemoryMB: 192,
+			Descriptors: 128, Known: []byte("no list"), Terms: d}, zap.New(core))
+	}()
+	client := &http.Client{Timeout: 2 * time.Second}
+	ask := func(path string) (int, string) {
+		r, _ := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+		r.Header = http.Header{"X-Trace-Id": {"t"}, "X-Expires-In": {"500m"}}
+		resp, err := client.Do(r)
+		if err != nil {
+			return 0, err.Error()
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(body)
+	}
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if status, text := ask("/up"); status == http.StatusOK {
+			break
+		} else if time.Now().After(end) {
+			t.Fatal(status, text)
+		}
+	}
+	if status, body := ask("/read/k?x=1"); status != 200 || body != "from the origin" {
+		t.Errorf("%d %q", status, body)
+	}
+	if got := strings.Join(seen, ", "); got != "cache /read/k?x=1, origin /read/k?x=1" {
+		t.Error(got)
+	}
+	began := time.Now()
+	leave()
+	if err := <-ended; err != nil || time.Since(began) > 1300*time.Millisecond {
+		t.Errorf("ended after %v: %v", time.Since(began), err)
+	}
+	for _, line := range []string{"the list in the configuration can't be read, not up until the first one comes", "serving", "box list", "left"} {
+		if logs.FilterMessage(line).Len() != 1 {
+			t.Errorf("no line %q", line)
+		}
+	}
+}
+
+func TestLimitsAreSplitWithAReserve(t *testing.T) {
+	for _, sockets := range []int{64, 128, 1024, 4096, 100000} {
+		l := split(&terms.Station{Cores: 0.5, MemoryMB: 192, Descriptors: sockets, Terms: &terms.Terms{}})
+		if reserve := sockets - l.clients - l.beyond - l.servers; reserve < 16 || l.clients < 16 || l.beyond < 2 || l.servers < 16 {
+			t.Errorf("%d: %+v leaves %d", sockets, l, reserve)
+		}
+		if l.cores != 1 || l.memory >= 192<<20 || l.memory < 100<<20 {
+			t.Errorf("%+v", l)
+		}
+	}
+}
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -53,7 +53,7 @@
 	} else {
 		defer resp.Body.Close()
 		if end, answer, err = s.read(resp); err != nil && ctx.Err() != nil {
-			end = s.gaveUp(ctx)
+			end = s.gaveUp()
 		}
 	}
 	if err != nil {
@@ -74,7 +74,7 @@
 	case !connected:
 		return exchange.Unreached
 	case ctx.Err() != nil:
-		return s.gaveUp(ctx)
+		return s.gaveUp()
 	case !written:
 		return exchange.Unwritten
 	default:
@@ -82,7 +82,8 @@
 	}
 }
 
-func (s *Servers) gaveUp(context.Context) exchange.End {
+// gaveUp tells why the node stopped waiting.
+func (s *Servers) gaveUp() exchange.End {
 	if s.context.Err() != nil {
 		return exchange.Withdrawn
 	}
--- /dev/null
+++ b/internal/net/servers/servers_test.go
@@ -0,0 +1,282 @@
+package servers
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
+)
+
+func side(t *testing.T) *Servers {
+	s := New(Bounds{Descriptors: 8, Shots: 8, ConnectWithin: 100 * time.Millisecond, IdleFor: 200 * time.Millisecond, Body: 1 << 10},
+		zap.NewNop())
+	t.Cleanup(s.Close)
+	return s
+}
+
+func shot(address, method string, body string) *exchange.Shot {
+	return &exchange.Shot{Lookup: &exchange.Lookup{Method: method, Target: "/read/k", Trace: "t", Body: []byte(body)},
+		Address: address, Within: 500 * time.Millisecond}
+}
+
+// raw serves connections by hand; f gets each request on each.
+func raw(t *testing.T, f func(c net.Conn, r *http.Request, nth int)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for in, nth := bufio.NewReader(c), 0; ; nth++ {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					f(c, r, nth)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestEachAnswerHasItsEnd(t *testing.T) {
+	answers := map[string]string{ // what the server writes before it closes
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv":                                  "whole",
+		"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n":                            "lacking",
+		"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n":                                 "failing",
+		"HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n":               "turned away",
+		"HTTP/1.1 504 Over\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n":               "turned away",
+		"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n":                                 "unclear",
+		"HTTP/1.1 504 Over\r\nX-Never-Ran: 0\r\nContent-Length: 0\r\n\r\n":               "unclear",
+		"HTTP/1.1 302 Found\r\nLocation: /else\r\nContent-Length: 0\r\n\r\n":             "unclear",
+		"HTTP/1.1 299 New\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n":                "unclear",
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort":                              "cut short",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n":                    "cut short",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + strings.Repeat("x", 2000):    "cut short",
+		"HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", headersMost+5000) + "\r\n\r": "lost",
+		"what is this\r\n\r\n":              "lost",
+		"HTTP/1.1 200 OK\r\nbroken\r\n\r\n": "lost",
+		"":                                  "lost",
+	}
+	for text, want := range answers {
+		address := raw(t, func(c net.Conn, _ *http.Request, _ int) {
+			_, _ = io.WriteString(c, text)
+			c.Close()
+		})
+		end, answer := side(t).send(shot(address, "GET", ""))
+		if end.String() != want || (string(answer.Body) == "v") != (want == "whole") {
+			t.Errorf("%.60q: %v %q, want %s", text, end, answer.Body, want)
+		}
+	}
+}
+
+// Guards against the transport's own retries: a server that closes a kept connection once it has read a
+// request must see that request once, whatever its method and headers.
+func TestNothingIsSentTwiceWhenAKeptConnectionBreaks(t *testing.T) {
+	for _, c := range []struct{ method, body, key string }{
+		{"GET", "", ""}, {"GET", "", "id"}, {"PUT", "v", "id"}, {"PUT", "", "id"}, {"PUT", "v", ""}} {
+		var seen atomic.Int64
+		address := raw(t, func(conn net.Conn, r *http.Request, nth int) {
+			if seen.Add(1); nth == 0 {
+				_, _ = io.WriteString(conn, "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n")
+				return
+			}
+			conn.Close()
+		})
+		s, sh := side(t), shot(address, c.method, c.body)
+		sh.Idempotency = c.key
+		first, _ := s.send(sh)
+		second, _ := s.send(sh)
+		if first != exchange.Lacking || second != exchange.Lost || seen.Load() != 2 {
+			t.Errorf("%v: %v, then %v; the server saw %d requests", c, first, second, seen.Load())
+		}
+	}
+}
+
+func TestBytesGoOnAsTheyCame(t *testing.T) {
+	var seen *http.Request
+	var body []byte
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		seen = r
+		body, _ = io.ReadAll(r.Body)
+	}))
+	defer server.Close()
+	t.Setenv("HTTP_PROXY", "http://127.0.0.1:1")
+	for _, c := range []struct{ method, body string }{{"PUT", "a\x00b"}, {"PUT", ""}, {"GET", ""}} {
+		sh := shot(server.Listener.Addr().String(), c.method, c.body)
+		sh.Target, sh.Trace, sh.Idempotency = "/read/a%2Fb;x//c%20?q=%41&&z", "tRaCe", "Key 1"
+		if end, _ := side(t).send(sh); end != exchange.Whole {
+			t.Fatal(end)
+		}
+		h := seen.Header
+		if seen.RequestURI != sh.Target || string(body) != c.body || h.Get("X-Trace-Id") != "tRaCe" || seen.Method != c.method ||
+			h.Get("Idempotency-Key") != "Key 1" || h.Get("X-Expires-In") != "500000u" || h.Get("Accept-Encoding") != "" {
+			t.Errorf("%s %s %q %v", seen.Method, seen.RequestURI, body, h)
+		}
+	}
+}
+
+func TestWhatNeverReachedAServerIsTold(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	if end, _ := side(t).send(shot(l.Addr().String(), "GET", "")); end != exchange.Unreached {
+		t.Errorf("refused: %v", end)
+	}
+	// The peer takes a few bytes and breaks: the last byte was never written.
+	s := side(t)
+	s.transport.DialContext = func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			_, _ = io.ReadFull(far, make([]byte, 10))
+			far.Close()
+		}()
+		return near, nil
+	}
+	if end, _ := s.send(shot("pipe:1", "PUT", "value")); end != exchange.Unwritten {
+		t.Errorf("broken while it was written: %v", end)
+	}
+}
+
+func TestASilentServerEndsByTheShotsOwnTime(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	address := raw(t, func(c net.Conn, r *http.Request, _ int) {
+		if r.Method == "PUT" {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nha") // silent in the middle
+		}
+		<-release
+	})
+	for _, method := range []string{"GET", "PUT"} {
+		s, sh, began := side(t), shot(address, method, ""), time.Now()
+		sh.Within = 60 * time.Millisecond
+		if end, _ := s.send(sh); end != exchange.Silent || time.Since(began) > time.Second {
+			t.Errorf("%s: %v after %v", method, end, time.Since(began))
+		}
+	}
+	s := side(t)
+	time.AfterFunc(20*time.Millisecond, s.Close)
+	if end, _ := s.send(shot(address, "GET", "")); end != exchange.Withdrawn {
+		t.Errorf("at the node's own end: %v", end)
+	}
+}
+
+// deaf gives an address whose connections never come up: its queue of new ones is full.
+func deaf(t *testing.T) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, _ := syscall.Getsockname(fd)
+	address := (&net.TCPAddr{IP: net.IP{127, 0, 0, 1}, Port: name.(*syscall.SockaddrInet4).Port}).String()
+	for { // fill the queue
+		c, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+}
+
+// Dials that shots gave up on live on: they are bounded in time and number, and give their descriptors back.
+func TestDialsAreBounded(t *testing.T) {
+	address, s := deaf(t), side(t)
+	var d dialer
+	d.dials, d.most, d.each, d.to = 2, 8, 1, map[string]int{}
+	d.Timeout = 100 * time.Millisecond
+	s.transport.DialContext = d.dial
+	began, first := time.Now(), make(chan exchange.End)
+	go func() {
+		end, _ := s.send(shot(address, "GET", ""))
+		first <- end
+	}()
+	time.Sleep(30 * time.Millisecond)
+	if end, _ := s.send(shot(address, "GET", "")); end != exchange.NoRoom {
+		t.Errorf("a second dial to one server: %v", end)
+	}
+	if end := <-first; end != exchange.Unreached || time.Since(began) > 400*time.Millisecond {
+		t.Errorf("%v after %v", end, time.Since(began))
+	}
+	if d.open != 0 || d.dialing != 0 || len(d.to) != 0 {
+		t.Errorf("still counted: %d open, %d dials", d.open, d.dialing)
+	}
+	for _, a := range []string{"1", "2"} {
+		if !d.begin(a) {
+			t.Errorf("no dial to %s", a)
+		}
+	}
+	if d.begin("3") {
+		t.Error("a third dial in all")
+	}
+}
+
+func TestDescriptorsAreBoundedAndComeBack(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(50 * time.Millisecond) }))
+	defer server.Close()
+	s := New(Bounds{Descriptors: 4, Shots: 99, ConnectWithin: time.Second, IdleFor: time.Minute, Body: 9}, zap.NewNop())
+	defer s.Close()
+	ends := make(chan exchange.End, 9)
+	for range 9 {
+		go func() {
+			end, _ := s.send(shot(server.Listener.Addr().String(), "GET", ""))
+			ends <- end
+		}()
+	}
+	count := map[exchange.End]int{}
+	for range 9 {
+		count[<-ends]++
+	}
+	if count[exchange.Whole] < 1 || count[exchange.Whole] > 4 || count[exchange.Whole]+count[exchange.NoRoom] != 9 {
+		t.Errorf("ends: %v", count)
+	}
+	if end, _ := s.send(shot(server.Listener.Addr().String(), "GET", "")); end != exchange.Whole {
+		t.Errorf("afterwards: %v", end)
+	}
+}
+
+// A shot must not cross the server's close of an idle connection, so the node closes it first.
+func TestIdleConnectionsAreClosedBeforeTheServersLimit(t *testing.T) {
+	closed := make(chan time.Time, 1)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateClosed {
+			closed <- time.Now()
+		}
+	}
+	server.Start()
+	defer server.Close()
+	if end, _ := side(t).send(shot(server.Listener.Addr().String(), "GET", "")); end != exchange.Whole {
+		t.Fatal(end)
+	}
+	began := time.Now()
+	if took := (<-closed).Sub(began); took > 190*time.Millisecond {
+		t.Errorf("closed after %v", took)
+	}
+}
--- /dev/null
+++ b/internal/terms/terms_test.go
@@ -0,0 +1,98 @@
+package terms
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+const paper = `{"name":"n3","listen":"127.0.0.1:7070","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964","newer":{"a":[1]},
+"limits":{"cores":1.5,"memory_mb":256,"sockets":512,"newer":1},"known":{"version":41,"full":true,"servers":[]},
+"settings":{"balancers":3,"newer":1,"tick-ms":2.0,"models":["box","origin"],"domain":{"mode":"aside","origin-kind":1},
+"permissions":{"most-shots":3,"connect-timeout-ms":75.0,"conn-idle-ms":15000.0,"retry-after":true,"max-retry-after-ms":400.0},
+"invariants":{"cold-from":0.17,"ask-within-ms":10000.0},"tenants":[{"name":"acme","quota-rps":218.0}],
+"namespaces":[{"name":"read","repeat":"safe","target-time-ms":200.19,"time-limit-ms":750.0},
+{"name":"log","repeat":"keyed","group":"all","memory-span-ms":2000.0,"target-time-ms":400.0,"time-limit-ms":800.0}]}}`
+
+// read reads the paper with one text in it replaced.
+func read(t *testing.T, old, new string) (*Station, error) {
+	t.Helper()
+	if !strings.Contains(paper, old) {
+		t.Fatalf("no %s in the paper", old)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(strings.Replace(paper, old, new, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Read(path)
+}
+
+func TestAWholePaperIsRead(t *testing.T) {
+	t.Setenv("BALANCER_NAME", "n4")
+	t.Setenv("BALANCER_LIMITS", "not ours")
+	s, err := read(t, "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Name != "n4" || s.Listen != "127.0.0.1:7070" || s.Discovery != "127.0.0.2:8500" || s.Seed != 0x8c1f30d27a5be964 ||
+		s.Cores != 1.5 || s.MemoryMB != 256 || s.Descriptors != 512 || !json.Valid(s.Known) {
+		t.Errorf("%+v", s)
+	}
+	if s.ConnectWithin != 75*time.Millisecond || s.IdleFor != 15*time.Second || s.LongestLimit != 800*time.Millisecond ||
+		s.Namespaces["log"] != 1 || s.Partners["acme"] != 0 || s.Machines["origin"] != 1 {
+		t.Errorf("%+v", s.Terms)
+	}
+	ns := s.Module["namespaces"].([]map[string]any)
+	if ns[0]["repeat"] != "replayable" || ns[0]["target time"] != logic.Time(2001) || ns[1]["repeat"] != "tagged" ||
+		s.Module["longest retry-after"] != 400*logic.Millisecond || s.Module["nodes"] != 3 || s.Module["mode"] != "aside" {
+		t.Errorf("%v", s.Module)
+	}
+}
+
+func TestAFaultNamesItsKey(t *testing.T) {
+	for _, c := range []struct{ old, new, key string }{
+		{`"127.0.0.1:7070"`, `7070`, "listen: "},
+		{`"127.0.0.2:8500"`, `"nowhere"`, "discovery: "},
+		{`,"discovery":"127.0.0.2:8500"`, ``, "discovery: "},
+		{`"8c1f30d27a5be964"`, `"xyz"`, "seed: "},
+		{`"cores":1.5`, `"cores":"all"`, "limits.cores: "},
+		{`"memory_mb":256`, `"memory_mb":1`, "limits.memory_mb: "},
+		{`"sockets":512`, `"sockets":5.5`, "limits.sockets: "},
+		{`"settings":{`, `"settings":7,"x":{`, "settings: "},
+		{`"namespaces":`, `"spaces":`, "settings.namespaces: "},
+		{`"name":"log"`, `"name":3`, "settings.namespaces[1].name: "},
+		{`"repeat":"keyed"`, `"repeat":"often"`, "settings.namespaces[1].repeat: expected safe, keyed or unsafe"},
+		{`"time-limit-ms":750.0`, `"x":1`, "settings.namespaces[0].time-limit-ms: expected a time in milliseconds"},
+		{`"target-time-ms":200.19`, `"target-time-ms":-1`, "settings.namespaces[0].target-time-ms: "},
+		{`"most-shots":3`, `"most-shots":"3"`, "settings.permissions.most-shots: expected a whole number"},
+		{`"connect-timeout-ms":75.0`, `"connect-timeout-ms":0`, "settings.permissions.connect-timeout-ms: "},
+		{`"quota-rps":218.0`, `"quota-rps":[]`, "settings.tenants[0].quota-rps: expected a number"},
+		{`{"name":"n3"`, `["name":"n3"`, "expected a JSON object"},
+	} {
+		if _, err := read(t, c.old, c.new); err == nil || !strings.Contains(err.Error(), c.key) {
+			t.Errorf("%s for %s: %v, want %q", c.new, c.old, err, c.key)
+		}
+	}
+	if _, err := Read(filepath.Join(t.TempDir(), "none")); err == nil || !strings.Contains(err.Error(), "none") {
+		t.Errorf("no file: %v", err)
+	}
+}
+
+func TestWhatIsSilentHasADefault(t *testing.T) {
+	s, err := read(t, `"limits":{"cores":1.5,"memory_mb":256,"sockets":512,"newer":1},`, "")
+	if err != nil || s.Cores != defaultCores || s.MemoryMB != defaultMemoryMB || s.Descriptors != defaultDescriptors {
+		t.Errorf("%+v, %v", s, err)
+	}
+	s, err = read(t, `"connect-timeout-ms":75.0,"conn-idle-ms":15000.0,"retry-after":true`, `"retry-after":false`)
+	if err != nil || s.ConnectWithin != defaultConnect || s.IdleFor != defaultIdle {
+		t.Errorf("%+v, %v", s, err)
+	}
+	if _, advice := s.Module["longest retry-after"]; advice {
+		t.Error("advice though the deployment gives none")
+	}
+}
