--- a/internal/net/clients/clients_test.go
+++ b/internal/net/clients/clients_test.go
@@ -95,10 +95,10 @@
 func TestALookupIsAnsweredWithTheServersBytes(t *testing.T) {
 	_, ships, address := serve(t, 8, true)
 	c := dial(t, address)
-	c.send("PUT /once/a%2Fb/k%20y?x=1&&y", id, within, "X-Customer: acme", "Idempotency-Key: Key 1", "Content-Length: 3\r\n\r\na\x00b")
+	c.send("PUT /once/a%2Fb/k%20y?x=1&&y", id, within, "X-Customer: acme", "X-Size-Hint: 99633", "Idempotency-Key: Key 1", "Content-Length: 3\r\n\r\na\x00b")
 	s := <-ships
 	if s.Method != "PUT" || s.Target != "/once/a%2Fb/k%20y?x=1&&y" || string(s.Body) != "a\x00b" || s.Trace != "9b1f" ||
-		s.Idempotency != "Key 1" || s.Key != "k%20y" || s.Partner != "acme" || !s.Write || s.Address != "z:1" ||
+		s.Idempotency != "Key 1" || s.Key != "k%20y" || s.Partner != "acme" || s.Work != 99.633 || !s.Write || s.Address != "z:1" ||
 		s.Within > 280*time.Millisecond || s.Within < 150*time.Millisecond {
 		t.Errorf("%+v %+v", s, s.Lookup)
 	}
--- a/internal/net/clients/message.go
+++ b/internal/net/clients/message.go
@@ -34,11 +34,9 @@
 	path, _, _ := strings.Cut(strings.TrimPrefix(in.Target, "/"), "?")
 	in.Namespace, in.Key, _ = strings.Cut(path, "/")
 	in.Key = in.Key[strings.LastIndexByte(in.Key, '/')+1:]
-	for prop := range strings.SplitSeq(r.Header.Get("X-Props"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(prop), "=")
-		if ms, err := strconv.ParseFloat(value, 64); name == "size-hint-ms" && err == nil && ms > 0 && !math.IsInf(ms, 0) {
-			in.Work = ms
-		}
+	// A hint is rough and may be absent: what can't be read is none.
+	if us, err := strconv.ParseFloat(r.Header.Get("X-Size-Hint"), 64); err == nil && us > 0 && !math.IsInf(us, 0) {
+		in.Work = us / 1000
 	}
 	within, err = span(r.Header.Get("X-Expires-In"))
 	return in, within, err
--- a/internal/net/exchange/ticket.go
+++ b/internal/net/exchange/ticket.go
@@ -9,7 +9,7 @@
 // Lookup is what a client sent: the few fields that decisions need, and the bytes that go on as they came.
 type Lookup struct {
 	Namespace, Partner, Key string
-	Work                    float64 // hint in milliseconds, 0 where there is none
+	Work                    float64 // hinted, in milliseconds; 0 where there is no hint
 	Write                   bool
 
 	Method, Target     string // the target is the raw path and query
