--- a/cmd/thistlerudder/commands_test.go
+++ b/cmd/thistlerudder/commands_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 )
 
 // run plays a command line.
@@ -42,3 +46,42 @@
 		}
 	}
 }
+
+// SIGTERM ends a node with exit status 0, well before SIGKILL may come.
+func TestSIGTERMEndsANodeWell(t *testing.T) {
+	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := probe.Addr().String()
+	probe.Close()
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, fmt.Appendf(nil, `{"listen":%q,"discovery":"127.0.0.1:2","settings":{"namespaces":[
+		{"name":"read","repeat":"safe","target-time-ms":200,"time-limit-ms":750}]}}`, address), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := run("serve", "--config", file, "--log-level", "error")
+		ended <- err
+	}()
+	for {
+		c, err := net.Dial("tcp", address)
+		if err == nil {
+			c.Close()
+			break
+		}
+		select {
+		case err := <-ended:
+			t.Fatal("ended by itself: ", err)
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	began := time.Now()
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-ended; err != nil || time.Since(began) > 1400*time.Millisecond {
+		t.Errorf("ended after %v: %v", time.Since(began), err)
+	}
+}
--- a/internal/net/clients/clients.go
+++ b/internal/net/clients/clients.go
@@ -21,13 +21,14 @@
 	Descriptors  int           // connections, and lookups in hand; those beyond are deferred
 	Beyond       int           // connections for such deferrals; the next wait for a free place
 	LongestLimit time.Duration // the longest time limit of a lookup
+	Advice       time.Duration // the longest retry-after that clients heed, 0: none is to be given
 	Body         int64         // of a lookup, in bytes
 }
 
 const (
 	headersMost  = 8 << 10                // bytes of a lookup's headers; real ones take some hundred
 	headersIn    = 5 * time.Second        // for a lookup's headers: who is slower than this holds a descriptor for nothing
-	readSlack    = 10 * time.Second       // beyond the longest limit: a whole lookup has long come by then
+	slack        = 10 * time.Second       // beyond the longest limit: by then a lookup has come whole, and its answer is read
 	idleFor      = 60 * time.Second       // a connection between lookups
 	comingFor    = 500 * time.Millisecond // new connections go on coming for up to 0.4 s after SIGTERM
 	endSlack     = 100 * time.Millisecond // beyond the longest limit, for the last answers to be written
@@ -49,7 +50,8 @@
 func New(x *exchange.Exchange, b Bounds, log *zap.Logger) *Clients {
 	c := &Clients{log: log, exchange: x, bounds: b, room: newRoom(b.Descriptors)}
 	c.server = &http.Server{Handler: c, MaxHeaderBytes: headersMost, ReadHeaderTimeout: headersIn,
-		ReadTimeout: b.LongestLimit + readSlack, IdleTimeout: idleFor, ErrorLog: zap.NewStdLog(log), ConnState: c.room.state}
+		ReadTimeout: b.LongestLimit + slack, WriteTimeout: b.LongestLimit + slack, IdleTimeout: idleFor,
+		ErrorLog: zap.NewStdLog(log), ConnState: c.room.state}
 	return c
 }
 
@@ -110,7 +112,7 @@
 		return
 	}
 	if full {
-		answer(w, exchange.Answer{Outcome: exchange.Deferred, RetryAfter: beyondAdvice})
+		answer(w, exchange.Answer{Outcome: exchange.Deferred, RetryAfter: min(beyondAdvice, c.bounds.Advice)})
 		return
 	}
 	in, within, err := decode(r, body)
--- a/internal/net/clients/clients_test.go
+++ b/internal/net/clients/clients_test.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := New(x, Bounds{Descriptors: descriptors, Beyond: 4, LongestLimit: limit, Body: 64}, zap.NewNop())
+	c := New(x, Bounds{Descriptors: descriptors, Beyond: 4, LongestLimit: limit, Advice: limit, Body: 64}, zap.NewNop())
 	go func() { _ = c.Serve(l) }()
 	t.Cleanup(func() { c.server.Close() })
 	return c, ships, l.Addr().String()
--- a/internal/net/exchange/tally.go
+++ b/internal/net/exchange/tally.go
@@ -38,7 +38,7 @@
 	if y.Took == nil {
 		return 0
 	}
-	return float64(y.Took.ValueAtPercentile(percent)) * tick.Seconds() * 1000
+	return float64(y.Took.ValueAtPercentile(percent)) / float64(time.Millisecond/tick)
 }
 
 // Tally takes the counts and starts anew.
--- a/internal/net/node/node.go
+++ b/internal/net/node/node.go
@@ -25,7 +25,7 @@
 		IdleFor: s.IdleFor, Body: bodyMost}, log.Named("servers"))
 	defer carrier.Close()
 	list := boxlist.New(x, s.Discovery, s.AskWithin, log.Named("boxlist"))
-	front := clients.New(x, clients.Bounds{Descriptors: l.clients, Beyond: l.beyond, LongestLimit: s.LongestLimit,
+	front := clients.New(x, clients.Bounds{Descriptors: l.clients, Beyond: l.beyond, LongestLimit: s.LongestLimit, Advice: s.Advice,
 		Body: bodyMost}, log.Named("clients"))
 
 	x.Start(s.Seed, carrier, list)
--- a/internal/net/servers/servers_test.go
+++ b/internal/net/servers/servers_test.go
@@ -17,6 +17,8 @@
 	"go.uber.org/zap"
 
 	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+	"github.com/thistlerudder/thistlerudder/logic"
 )
 
 func side(t *testing.T) *Servers {
@@ -184,6 +186,39 @@
 	}
 }
 
+// nobody follows no list.
+type nobody struct{}
+
+func (nobody) Subscribe() {}
+
+// A shot beyond the bound, and one whose carrying panics, are settled all the same.
+func TestEveryShotIsSettled(t *testing.T) {
+	for want, spoil := range map[exchange.End]func(*Servers){
+		exchange.NoRoom: func(s *Servers) { s.bounds.Shots = 0 },
+		exchange.Lost:   func(s *Servers) { s.transport = nil },
+	} {
+		d, err := terms.Of(map[string]any{"namespaces": []any{map[string]any{"name": "read", "repeat": "safe",
+			"target-time-ms": 200., "time-limit-ms": 750.}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		x, s := exchange.New(d, zap.NewNop()), side(t)
+		x.Start(1, s, nobody{})
+		x.List(logic.Whole, []exchange.Box{{ID: "a", Address: "127.0.0.1:1"}})
+		whole := s.transport
+		spoil(s)
+		ticket, err := x.Take(exchange.Lookup{Namespace: "read"}, time.Now(), time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := <-ticket.Answers()
+		if y := x.Tally(); a.Outcome != exchange.Deferred || y.Ends[want] != 1 || x.Out() != 0 {
+			t.Errorf("%v: %+v, ends %v", want, a, y.Ends)
+		}
+		s.transport = whole
+	}
+}
+
 // deaf gives an address whose connections never come up: its queue of new ones is full.
 func deaf(t *testing.T) string {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -18,6 +18,7 @@
 	Module                            map[string]any // names in our words to values, for logic.New
 	Namespaces, Partners, Machines    map[string]int // names to places in the module's lists
 	LongestLimit                      time.Duration  // of all namespaces
+	Advice                            time.Duration  // the longest retry-after that clients heed; 0: none is to be given
 	ConnectWithin, IdleFor, AskWithin time.Duration  // towards the servers and the box list
 }
 
@@ -139,6 +140,9 @@
 	if advice, found := find(settings, "permissions.retry-after"); found && advice == false {
 		delete(t.Module, "longest retry-after")
 	}
+	if longest, given := t.Module["longest retry-after"].(logic.Time); given {
+		t.Advice = Duration(longest)
+	}
 	list := func(key string, entries []entry, places map[string]int) (out []map[string]any) {
 		for i, v := range items(settings[key]) {
 			m, _ := v.(map[string]any)
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -43,7 +43,7 @@
 		s.Cores != 1.5 || s.MemoryMB != 256 || s.Descriptors != 512 || !json.Valid(s.Known) {
 		t.Errorf("%+v", s)
 	}
-	if s.ConnectWithin != 75*time.Millisecond || s.IdleFor != 15*time.Second || s.LongestLimit != 800*time.Millisecond ||
+	if s.ConnectWithin != 75*time.Millisecond || s.IdleFor != 15*time.Second || s.LongestLimit != 800*time.Millisecond || s.Advice != 400*time.Millisecond ||
 		s.Namespaces["log"] != 1 || s.Partners["acme"] != 0 || s.Machines["origin"] != 1 {
 		t.Errorf("%+v", s.Terms)
 	}
@@ -92,7 +92,7 @@
 	if err != nil || s.ConnectWithin != defaultConnect || s.IdleFor != defaultIdle {
 		t.Errorf("%+v, %v", s, err)
 	}
-	if _, advice := s.Module["longest retry-after"]; advice {
+	if _, advice := s.Module["longest retry-after"]; advice || s.Advice != 0 {
 		t.Error("advice though the deployment gives none")
 	}
 }
