Tell by the bytes on the connection, not by httptrace, that a shot was never written

Cause: net/http calls WroteRequest at the end of Request.write, before writeLoop flushes its buffer (transport.go 2655 and 2668), so for every small request it says written whatever happens. RoundTrip returns an error only after the writing is over, so the connection's own count of bytes and a failed last write are the proof (dial.go, send.go). Errors were on the safe side only: no effect could have happened twice, but tagged and single-use lookups were abandoned for want of a proof.

--- a/internal/net/servers/dial.go
+++ b/internal/net/servers/dial.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 var errNoRoom = errors.New("no descriptor or dial left")
@@ -64,10 +65,22 @@
 	d.open += by
 }
 
-// conn gives its descriptor back once.
+// conn gives its descriptor back once, and knows what was written to it: httptrace's WroteRequest comes
+// before the transport flushes its buffer, so it can't tell whether anything has left.
 type conn struct {
 	net.Conn
-	closed func()
+	closed  func()
+	written atomic.Int64 // bytes
+	failed  atomic.Bool  // a write came to an end before its last byte
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	if n < len(b) {
+		c.failed.Store(true)
+	}
+	return n, err
 }
 
 func (c *conn) Close() error {
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -5,11 +5,11 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,20 +36,36 @@
 	return r.WithContext(ctx)
 }
 
+// carried is the connection that a shot went out on, if it got one.
+type carried struct {
+	conn   *conn
+	before int64 // bytes that had been written to it
+}
+
+func (on *carried) got(c net.Conn) {
+	on.conn, _ = c.(*conn)
+	on.before = on.conn.written.Load()
+}
+
+// unwritten says that the request's last byte was not written: it is in the last write, and that one
+// failed or never was.
+func (on *carried) unwritten() bool {
+	return on.conn.failed.Load() || on.conn.written.Load() == on.before
+}
+
 // send does one exchange with a server and tells how it ended.
 func (s *Servers) send(shot *exchange.Shot) (exchange.End, exchange.Answer) {
 	ctx, cancel := context.WithTimeout(s.context, shot.Within)
 	defer cancel()
-	var connected, written atomic.Bool
+	var on carried
 	sent := time.Now()
 	resp, err := s.transport.RoundTrip(request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:      func(httptrace.GotConnInfo) { connected.Store(true) },
-		WroteRequest: func(i httptrace.WroteRequestInfo) { written.Store(i.Err == nil) },
+		GotConn: func(i httptrace.GotConnInfo) { on.got(i.Conn) },
 	}), shot))
 	var end exchange.End
 	var answer exchange.Answer
 	if err != nil {
-		end = s.broken(ctx, err, connected.Load(), written.Load())
+		end = s.broken(ctx, err, &on)
 	} else {
 		defer resp.Body.Close()
 		if end, answer, err = s.read(resp); err != nil && ctx.Err() != nil {
@@ -65,17 +81,17 @@
 
 // broken tells how an exchange without an answer ended. The transport returns only after its writing
 // is over, unless the wait for it was given up: then what was written is in doubt, and it may have run.
-func (s *Servers) broken(ctx context.Context, err error, connected, written bool) exchange.End {
+func (s *Servers) broken(ctx context.Context, err error, on *carried) exchange.End {
 	switch {
 	case errors.Is(err, errNoRoom):
 		return exchange.NoRoom
-	case !connected && s.context.Err() != nil:
+	case on.conn == nil && s.context.Err() != nil:
 		return exchange.Withdrawn
-	case !connected:
+	case on.conn == nil:
 		return exchange.Unreached
 	case ctx.Err() != nil:
 		return s.gaveUp()
-	case !written:
+	case on.unwritten():
 		return exchange.Unwritten
 	default:
 		return exchange.Lost
--- a/internal/net/servers/servers_test.go
+++ b/internal/net/servers/servers_test.go
@@ -150,18 +150,26 @@
 	if end, _ := side(t).send(shot(l.Addr().String(), "GET", "")); end != exchange.Unreached {
 		t.Errorf("refused: %v", end)
 	}
-	// The peer takes a few bytes and breaks: the last byte was never written.
-	s := side(t)
-	s.transport.DialContext = func(context.Context, string, string) (net.Conn, error) {
-		near, far := net.Pipe()
-		go func() {
-			_, _ = io.ReadFull(far, make([]byte, 10))
-			far.Close()
-		}()
-		return near, nil
-	}
-	if end, _ := s.send(shot("pipe:1", "PUT", "value")); end != exchange.Unwritten {
-		t.Errorf("broken while it was written: %v", end)
+	// The peer takes a few bytes, or none, and breaks: the last byte was never written. Once it has all, it may run.
+	for _, c := range []struct {
+		method, body string
+		taken        int
+		want         exchange.End
+	}{{"PUT", "value", 10, exchange.Unwritten}, {"GET", "", 10, exchange.Unwritten}, {"GET", "", 0, exchange.Unwritten},
+		{"PUT", "value", 1 << 10, exchange.Lost}, {"GET", "", 1 << 10, exchange.Lost}} {
+		s := side(t)
+		s.transport.DialContext = func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() {
+				_ = far.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+				_, _ = io.ReadFull(far, make([]byte, c.taken))
+				far.Close()
+			}()
+			return &conn{Conn: near, closed: func() {}}, nil
+		}
+		if end, _ := s.send(shot("pipe:1", c.method, c.body)); end != c.want {
+			t.Errorf("%s broken after %d bytes: %v", c.method, c.taken, end)
+		}
 	}
 }
 
