Blame no server for a dial that a shot's own time cut short

A shot with less time left than a dial takes ended as unreached, which makes its server a suspect for 250 ms at least (two strikes). It ends as overtaken now: never run, and the server isn't blamed; a dial's own error or its connect time-out still counts as unreached. Checked with a listener whose queue is full: 20 ms to go, overtaken; 500 ms to go, unreached after 100 ms.

--- a/internal/net/exchange/ends.go
+++ b/internal/net/exchange/ends.go
@@ -18,6 +18,7 @@
 	CutShort              // the answer broke off, is over its bound or makes no sense
 	Silent                // no answer when the node stopped waiting
 	NoRoom                // no descriptor, dial or goroutine was left: nothing was sent
+	Overtaken             // the node stopped waiting before a connection was up or had failed: no fault of the server
 	Withdrawn             // the node itself took it back, at its own end
 	endCount
 )
@@ -39,7 +40,7 @@
 		return logic.Broken
 	case Silent:
 		return logic.TimedOut
-	case NoRoom:
+	case NoRoom, Overtaken:
 		return logic.Unsent
 	default:
 		return logic.CalledOff
@@ -47,6 +48,7 @@
 }
 
 var endNames = [endCount]string{"whole", "lacking", "failing", "turned away", "unclear", "unreached", "unwritten",
-	"lost", "cut short", "silent", "no room", "withdrawn"}
+	"lost", "cut short", "silent", "no room", "overtaken",
+	"withdrawn"}
 
 func (e End) String() string { return endNames[e] }
--- a/internal/net/exchange/exchange_test.go
+++ b/internal/net/exchange/exchange_test.go
@@ -233,7 +233,7 @@
 }
 
 func TestOnlyProofsCountAsNotRun(t *testing.T) {
-	proofs := map[End]bool{Lacking: true, TurnedAway: true, Unreached: true, Unwritten: true, NoRoom: true}
+	proofs := map[End]bool{Lacking: true, TurnedAway: true, Unreached: true, Unwritten: true, NoRoom: true, Overtaken: true}
 	for end := range endCount {
 		code := end.Code()
 		notRun := code == logic.Full || code == logic.Unconnected || code == logic.Unsent || code == logic.Missing
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -82,11 +82,14 @@
 // broken tells how an exchange without an answer ended. The transport returns only after its writing
 // is over, unless the wait for it was given up: then what was written is in doubt, and it may have run.
 func (s *Servers) broken(ctx context.Context, err error, on *carried) exchange.End {
+	var dial *net.OpError // the dial's own word
 	switch {
 	case errors.Is(err, errNoRoom):
 		return exchange.NoRoom
 	case on.conn == nil && s.context.Err() != nil:
 		return exchange.Withdrawn
+	case on.conn == nil && ctx.Err() != nil && !errors.As(err, &dial):
+		return exchange.Overtaken
 	case on.conn == nil:
 		return exchange.Unreached
 	case ctx.Err() != nil:
--- a/internal/net/servers/servers_test.go
+++ b/internal/net/servers/servers_test.go
@@ -269,8 +269,17 @@
 	if end := <-first; end != exchange.Unreached || time.Since(began) > 400*time.Millisecond {
 		t.Errorf("%v after %v", end, time.Since(began))
 	}
-	if d.open != 0 || d.dialing != 0 || len(d.to) != 0 {
-		t.Errorf("still counted: %d open, %d dials", d.open, d.dialing)
+	hurried := shot(address, "GET", "")
+	hurried.Within = 20 * time.Millisecond
+	if end, _ := s.send(hurried); end != exchange.Overtaken {
+		t.Errorf("with less time than a dial has: %v", end)
+	}
+	time.Sleep(150 * time.Millisecond) // that dial lives on for its own time
+	d.mu.Lock()
+	open, dialing, to := d.open, d.dialing, len(d.to)
+	d.mu.Unlock()
+	if open != 0 || dialing != 0 || to != 0 {
+		t.Errorf("still counted: %d open, %d dials to %d servers", open, dialing, to)
 	}
 	for _, a := range []string{"1", "2"} {
 		if !d.begin(a) {
