Let connections that never send anything make way for those that do

Seen in a small test: 12 silent connections on a node with 6 places kept a lookup on a 13th waiting in the kernel's queue until the header time-out of 5 s, past any time limit. Cause: only connections that had carried a lookup counted as idle (room.go, state), and nothing was closed while Accept waited for a place (listener.go).

--- a/internal/net/clients/clients.go
+++ b/internal/net/clients/clients.go
@@ -57,7 +57,7 @@
 
 // Serve answers clients until Leave has ended, or the listener fails.
 func (c *Clients) Serve(l net.Listener) error {
-	if err := c.server.Serve(bound(l, c.bounds.Descriptors+c.bounds.Beyond)); !errors.Is(err, http.ErrServerClosed) {
+	if err := c.server.Serve(bound(l, c.bounds.Descriptors+c.bounds.Beyond, c.room.makeWay)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/internal/net/clients/clients_test.go
+++ b/internal/net/clients/clients_test.go
@@ -269,6 +269,20 @@
 	}
 }
 
+// Connections that never send anything make way as well, though not at once.
+func TestConnectionsThatStaySilentMakeWay(t *testing.T) {
+	_, ships, address := serve(t, 2, true)
+	for range 12 { // twice as many as there are places, the rest wait in the kernel's queue
+		dial(t, address)
+	}
+	conn, began := dial(t, address), time.Now()
+	conn.send("GET /read/k", id, "X-Expires-In: 9000m")
+	(<-ships).Settle(exchange.Whole, exchange.Answer{})
+	if r, _ := conn.receive(t); r.StatusCode != 200 || time.Since(began) > 3*time.Second {
+		t.Errorf("%d after %v", r.StatusCode, time.Since(began))
+	}
+}
+
 // After SIGTERM connections go on coming: each lookup is answered and its connection closed, what is out is
 // waited for, and the end comes well before SIGKILL may.
 func TestLeavingLosesNothing(t *testing.T) {
--- a/internal/net/clients/listener.go
+++ b/internal/net/clients/listener.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // bounded accepts no more connections than it has places; the next wait in the kernel's queue. The library's
@@ -13,10 +14,13 @@
 	places chan struct{}
 	closed chan struct{}
 	close  func() error
+	full   func() // called now and then while a connection may wait for a place
 }
 
-func bound(l net.Listener, most int) *bounded {
-	b := &bounded{Listener: l, places: make(chan struct{}, most), closed: make(chan struct{})}
+const fullEvery = 20 * time.Millisecond // a small part of any time limit
+
+func bound(l net.Listener, most int, full func()) *bounded {
+	b := &bounded{Listener: l, full: full, places: make(chan struct{}, most), closed: make(chan struct{})}
 	b.close = sync.OnceValue(func() error {
 		close(b.closed)
 		return l.Close()
@@ -26,10 +30,15 @@
 
 // Accept waits for a place, then for a connection.
 func (b *bounded) Accept() (net.Conn, error) {
-	select {
-	case b.places <- struct{}{}:
-	case <-b.closed:
-		return nil, net.ErrClosed
+	for taken := false; !taken; {
+		select {
+		case b.places <- struct{}{}:
+			taken = true
+		case <-b.closed:
+			return nil, net.ErrClosed
+		case <-time.After(fullEvery):
+			b.full()
+		}
 	}
 	c, err := b.Listener.Accept()
 	leave := sync.OnceFunc(func() { <-b.places })
