--- a/cmd/thistlerudder/commands.go
+++ b/cmd/thistlerudder/commands.go
@@ -19,14 +19,26 @@
 const fileVariable = "BALANCER_CONFIG"
 
 func root() *cobra.Command {
-	c := &cobra.Command{Use: "thistlerudder", Short: "A router for fleets of cache servers", SilenceUsage: true}
-	file := c.PersistentFlags().String("config", os.Getenv(fileVariable), "the node's configuration file, JSON (default $"+fileVariable+")")
+	c := &cobra.Command{
+		Use:          "thistlerudder",
+		Short:        "A router for fleets of cache servers",
+		SilenceUsage: true,
+	}
+	file := c.PersistentFlags().String(
+		"config",
+		os.Getenv(fileVariable),
+		"the node's configuration file, JSON (default $"+fileVariable+")",
+	)
 	c.AddCommand(serve(file), check(file), version())
 	return c
 }
 
 func serve(file *string) *cobra.Command {
-	c := &cobra.Command{Use: "serve", Short: "Run one node in the foreground; SIGTERM ends it without losing a lookup", Args: cobra.NoArgs}
+	c := &cobra.Command{
+		Use:   "serve",
+		Short: "Run one node in the foreground; SIGTERM ends it without losing a lookup",
+		Args:  cobra.NoArgs,
+	}
 	level := c.Flags().String("log-level", "info", "debug, info, warn or error")
 	c.RunE = func(cmd *cobra.Command, _ []string) error {
 		station, err := terms.Read(*file)
@@ -46,22 +58,40 @@
 }
 
 func check(file *string) *cobra.Command {
-	return &cobra.Command{Use: "check", Short: "Check a configuration and say what a node would start with", Args: cobra.NoArgs,
+	return &cobra.Command{
+		Use:   "check",
+		Short: "Check a configuration and say what a node would start with",
+		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s, err := terms.Read(*file)
 			if err != nil {
 				return fmt.Errorf("configuration: %w", err)
 			}
-			cmd.Printf("%s listens on %s, asks %s, %d namespaces, %d partners, %g cores, %d MB, %d descriptors\n", s.Name, s.Listen,
-				s.Discovery, len(s.Namespaces), len(s.Partners), s.Cores, s.MemoryMB, s.Descriptors)
+			cmd.Printf(
+				"%s listens on %s, asks %s, %d namespaces, %d partners, %g cores, %d MB, %d descriptors\n",
+				s.Name,
+				s.Listen,
+				s.Discovery,
+				len(s.Namespaces),
+				len(s.Partners),
+				s.Cores,
+				s.MemoryMB,
+				s.Descriptors,
+			)
 			return nil
-		}}
+		},
+	}
 }
 
 func version() *cobra.Command {
-	return &cobra.Command{Use: "version", Short: "Say which build this is", Args: cobra.NoArgs, Run: func(cmd *cobra.Command, _ []string) {
-		cmd.Println(build())
-	}}
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Say which build this is",
+		Args:  cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) {
+			cmd.Println(build())
+		},
+	}
 }
 
 func build() string {
--- a/internal/net/boxlist/entry.go
+++ b/internal/net/boxlist/entry.go
@@ -37,9 +37,11 @@
 	for _, e := range p.Servers {
 		state, known := states[e.State]
 		if !known || e.ID == "" || (e.Address == "" && state != logic.Gone) {
-			return 0, false, nil, fmt.Errorf("server %q: expected an id, an address and a known state, not %q", e.ID, e.State)
+			return 0, false, nil, fmt.Errorf("server %q: expected an id, an address and a known state, not %q",
+				e.ID, e.State)
 		}
-		boxes = append(boxes, exchange.Box{ID: e.ID, Address: e.Address, Machine: e.Machine, State: state, StartedMs: e.Started})
+		boxes = append(boxes, exchange.Box{ID: e.ID, Address: e.Address, Machine: e.Machine, State: state,
+			StartedMs: e.Started})
 	}
 	return *p.Version, p.Full, boxes, nil
 }
--- a/internal/net/boxlist/watch.go
+++ b/internal/net/boxlist/watch.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,8 +18,8 @@
 
 const (
 	path       = "/discovery/hosts"
-	holdMost   = 20 * time.Second        // a watch; news on a connection that went silent is late by no more than that
-	answerIn   = 4 * time.Second         // for an answer without a wait: what isn't there after 6 s counts as told
+	holdMost   = 20 * time.Second        // a watch; the most by which a silent connection keeps news back
+	answerIn   = 4 * time.Second         // an answer without a wait: what isn't there after 6 s counts as told
 	afterHold  = 1500 * time.Millisecond // beyond a watch's wait: news count as told 2 s after it
 	connectIn  = 1 * time.Second
 	idleFor    = 30 * time.Second
@@ -40,9 +39,21 @@
 
 // New makes a follower. A watch holds no longer than askWithin: by then the node must have asked.
 func New(x *exchange.Exchange, address string, askWithin time.Duration, log *zap.Logger) *Follower {
-	return &Follower{log: log, exchange: x, address: address, hold: min(holdMost, askWithin), orders: make(chan struct{}, 1),
-		transport: &http.Transport{DialContext: (&net.Dialer{Timeout: connectIn}).DialContext, DisableCompression: true,
-			MaxConnsPerHost: 2, MaxIdleConns: 1, IdleConnTimeout: idleFor, MaxResponseHeaderBytes: headerMost}}
+	return &Follower{
+		log:      log,
+		exchange: x,
+		address:  address,
+		hold:     min(holdMost, askWithin),
+		orders:   make(chan struct{}, 1),
+		transport: &http.Transport{
+			DialContext:            (&net.Dialer{Timeout: connectIn}).DialContext,
+			DisableCompression:     true,
+			MaxConnsPerHost:        2,
+			MaxIdleConns:           1,
+			IdleConnTimeout:        idleFor,
+			MaxResponseHeaderBytes: headerMost,
+		},
+	}
 }
 
 // Known tells the module the list as it was last had.
@@ -86,7 +97,7 @@
 	for {
 		query, within := "", answerIn
 		if !whole {
-			query = "?from=" + strconv.FormatInt(last, 10) + "&hold_ms=" + strconv.FormatInt(f.hold.Milliseconds(), 10)
+			query = fmt.Sprintf("?from=%d&hold_ms=%d", last, f.hold.Milliseconds())
 			within = f.hold + afterHold
 		}
 		version, full, boxes, err := f.ask(ctx, query, within)
@@ -106,13 +117,22 @@
 				how = logic.Whole
 			}
 			f.exchange.List(how, boxes)
-			f.log.Info("box list", zap.Int64("version", version), zap.Bool("whole", full), zap.Int("boxes", len(boxes)))
+			f.log.Info(
+				"box list",
+				zap.Int64("version", version),
+				zap.Bool("whole", full),
+				zap.Int("boxes", len(boxes)),
+			)
 		}
 		last, whole = version, false
 	}
 }
 
-func (f *Follower) ask(ctx context.Context, query string, within time.Duration) (int64, bool, []exchange.Box, error) {
+func (f *Follower) ask(
+	ctx context.Context,
+	query string,
+	within time.Duration,
+) (int64, bool, []exchange.Box, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address+path+query, nil)
--- a/internal/net/clients/clients.go
+++ b/internal/net/clients/clients.go
@@ -27,8 +27,8 @@
 
 const (
 	headersMost  = 8 << 10                // bytes of a lookup's headers; real ones take some hundred
-	headersIn    = 5 * time.Second        // for a lookup's headers: who is slower than this holds a descriptor for nothing
-	slack        = 10 * time.Second       // beyond the longest limit: by then a lookup has come whole, and its answer is read
+	headersIn    = 5 * time.Second        // for headers: who is slower holds a descriptor for nothing
+	slack        = 10 * time.Second       // beyond the longest limit: by then a lookup and its answer are through
 	idleFor      = 60 * time.Second       // a connection between lookups
 	comingFor    = 500 * time.Millisecond // new connections go on coming for up to 0.4 s after SIGTERM
 	endSlack     = 100 * time.Millisecond // beyond the longest limit, for the last answers to be written
@@ -57,14 +57,17 @@
 
 // Serve answers clients until Leave has ended, or the listener fails.
 func (c *Clients) Serve(l net.Listener) error {
-	if err := c.server.Serve(bound(l, c.bounds.Descriptors+c.bounds.Beyond, c.room.makeWay)); !errors.Is(err, http.ErrServerClosed) {
+	if err := c.server.Serve(bound(l, c.bounds.Descriptors+c.bounds.Beyond, c.room.makeWay)); !errors.Is(
+		err,
+		http.ErrServerClosed,
+	) {
 		return err
 	}
 	return nil
 }
 
 // Leave ends the service without losing a lookup: connections go on coming for a while, so it goes on
-// accepting them, ends each with its next answer, and only then closes the listener and waits for what is out.
+// accepting them, ends each with its next answer, and only then closes the listener and waits for the rest.
 func (c *Clients) Leave() error {
 	c.leaving.Store(true)
 	c.server.SetKeepAlivesEnabled(false)
@@ -105,7 +108,11 @@
 	read := time.Now()
 	if err != nil {
 		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
-			plain(w, http.StatusRequestEntityTooLarge, "the body is over "+strconv.FormatInt(tooLong.Limit, 10)+" bytes")
+			plain(
+				w,
+				http.StatusRequestEntityTooLarge,
+				"the body is over "+strconv.FormatInt(tooLong.Limit, 10)+" bytes",
+			)
 		} else {
 			plain(w, http.StatusBadRequest, "the body can't be read")
 		}
--- a/internal/net/clients/message.go
+++ b/internal/net/clients/message.go
@@ -35,7 +35,8 @@
 	in.Namespace, in.Key, _ = strings.Cut(path, "/")
 	in.Key = in.Key[strings.LastIndexByte(in.Key, '/')+1:]
 	// A hint is rough and may be absent: what can't be read is none.
-	if us, err := strconv.ParseFloat(r.Header.Get("X-Size-Hint"), 64); err == nil && us > 0 && !math.IsInf(us, 0) {
+	if us, err := strconv.ParseFloat(r.Header.Get("X-Size-Hint"), 64); err == nil && us > 0 &&
+		!math.IsInf(us, 0) {
 		in.Work = us / 1000
 	}
 	within, err = span(r.Header.Get("X-Expires-In"))
--- a/internal/net/exchange/ends.go
+++ b/internal/net/exchange/ends.go
@@ -18,7 +18,7 @@
 	CutShort              // the answer broke off, is over its bound or makes no sense
 	Silent                // no answer when the node stopped waiting
 	NoRoom                // no descriptor, dial or goroutine was left: nothing was sent
-	Overtaken             // the node stopped waiting before a connection was up or had failed: no fault of the server
+	Overtaken             // the node stopped waiting before a connection was up or had failed
 	Withdrawn             // the node itself took it back, at its own end
 	endCount
 )
@@ -47,8 +47,7 @@
 	}
 }
 
-var endNames = [endCount]string{"whole", "lacking", "failing", "turned away", "unclear", "unreached", "unwritten",
-	"lost", "cut short", "silent", "no room", "overtaken",
-	"withdrawn"}
+var endNames = [endCount]string{"whole", "lacking", "failing", "turned away", "unclear", "unreached",
+	"unwritten", "lost", "cut short", "silent", "no room", "overtaken", "withdrawn"}
 
 func (e End) String() string { return endNames[e] }
--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -72,7 +72,8 @@
 	defer func() {
 		if r := recover(); r != nil {
 			x.tally.Panics++
-			x.log.Error("the module panicked", zap.String("during", what), zap.Any("panic", r), zap.Stack("stack"))
+			x.log.Error("the module panicked", zap.String("during", what), zap.Any("panic", r),
+				zap.Stack("stack"))
 			if t != nil {
 				t.spoiled = true
 				x.finish(t, Answer{Outcome: Abandoned})
@@ -128,7 +129,8 @@
 			if !known {
 				kind = -1
 			}
-			list = append(list, logic.Box{Server: i, ID: b.ID, Kind: kind, State: b.State, Since: fromUnix(b.StartedMs)})
+			list = append(list, logic.Box{Server: i, ID: b.ID, Kind: kind, State: b.State,
+				Since: fromUnix(b.StartedMs)})
 		}
 		x.balancer.List(now, how, list)
 		if how != logic.Failed && len(boxes) > 0 {
@@ -149,7 +151,13 @@
 
 func (h host) Shoot(lkp, server int, timeout logic.Time) {
 	t := h.tickets[lkp]
-	s := &Shot{Lookup: &t.Lookup, Address: h.addresses[server], Within: spanOf(timeout), ticket: t, number: t.shots}
+	s := &Shot{
+		Lookup:  &t.Lookup,
+		Address: h.addresses[server],
+		Within:  spanOf(timeout),
+		ticket:  t,
+		number:  t.shots,
+	}
 	t.shots++
 	t.out++
 	h.tally.Shots++
--- a/internal/net/exchange/tally.go
+++ b/internal/net/exchange/tally.go
@@ -10,7 +10,8 @@
 type Tally struct {
 	Lookups, Resolved, Deferred, Abandoned, Left, Shots, Panics int
 	Ends                                                        [endCount]int
-	Took                                                        *hdrhistogram.Histogram // of resolved lookups, in tenths of a ms
+	// Took has the resolved lookups' times, in tenths of a millisecond.
+	Took *hdrhistogram.Histogram
 }
 
 // The histogram covers all time limits up to a minute; two digits tell a good second from a bad one.
--- a/internal/net/node/limits.go
+++ b/internal/net/node/limits.go
@@ -10,7 +10,7 @@
 
 const (
 	bodyMost    = 64 << 10 // bytes; the protocol's bound
-	reservePart = 16       // a sixteenth of the descriptors is kept for the list, the log and what the runtime opens,
+	reservePart = 16       // a sixteenth of the descriptors is for the list, the log and the runtime,
 	reserveMost = 64       // and more than this is never needed
 	beyondPart  = 8        // an eighth of the clients' may be connections that are turned away
 	memoryPart  = 0.7      // share of the memory limit for the Go heap; stacks and the kernel's part come on top
@@ -28,8 +28,13 @@
 	rest := s.Descriptors - min(reserveMost, max(s.Descriptors/reservePart, 16))
 	half := rest / 2
 	beyond := half / beyondPart
-	return limits{clients: half - beyond, beyond: beyond, servers: rest - half, cores: int(max(1, math.Ceil(s.Cores))),
-		memory: int64(float64(s.MemoryMB) * memoryPart * (1 << 20))}
+	return limits{
+		clients: half - beyond,
+		beyond:  beyond,
+		servers: rest - half,
+		cores:   int(max(1, math.Ceil(s.Cores))),
+		memory:  int64(float64(s.MemoryMB) * memoryPart * (1 << 20)),
+	}
 }
 
 func (l limits) apply() {
--- a/internal/net/node/node.go
+++ b/internal/net/node/node.go
@@ -21,16 +21,29 @@
 	l := split(s)
 	l.apply()
 	x := exchange.New(s.Terms, log.Named("exchange"))
-	carrier := servers.New(servers.Bounds{Descriptors: l.servers, Shots: l.servers + l.clients, ConnectWithin: s.ConnectWithin,
-		IdleFor: s.IdleFor, Body: bodyMost}, log.Named("servers"))
+	carrier := servers.New(
+		servers.Bounds{Descriptors: l.servers, Shots: l.servers + l.clients, ConnectWithin: s.ConnectWithin,
+			IdleFor: s.IdleFor, Body: bodyMost},
+		log.Named("servers"),
+	)
 	defer carrier.Close()
 	list := boxlist.New(x, s.Discovery, s.AskWithin, log.Named("boxlist"))
-	front := clients.New(x, clients.Bounds{Descriptors: l.clients, Beyond: l.beyond, LongestLimit: s.LongestLimit, Advice: s.Advice,
-		Body: bodyMost}, log.Named("clients"))
+	front := clients.New(
+		x,
+		clients.Bounds{
+			Descriptors:  l.clients,
+			Beyond:       l.beyond,
+			LongestLimit: s.LongestLimit,
+			Advice:       s.Advice,
+			Body:         bodyMost,
+		},
+		log.Named("clients"),
+	)
 
 	x.Start(s.Seed, carrier, list)
 	if err := list.Known(s.Known); err != nil {
-		log.Warn("the list in the configuration can't be read, not up until the first one comes", zap.Error(err))
+		log.Warn("the list in the configuration can't be read, not up until the first one comes",
+			zap.Error(err))
 	}
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
--- a/internal/net/node/report.go
+++ b/internal/net/node/report.go
@@ -32,10 +32,13 @@
 		}
 		var m runtime.MemStats
 		runtime.ReadMemStats(&m)
-		log.Info("so far", zap.Int("lookups", y.Lookups), zap.Int("resolved", y.Resolved), zap.Int("deferred", y.Deferred),
-			zap.Int("abandoned", y.Abandoned), zap.Int("left", y.Left), zap.Int("shots", y.Shots), zap.Dict("ends", ends...),
-			zap.Float64("median ms", y.Millis(50)), zap.Float64("p99 ms", y.Millis(99)), zap.Int("out", x.Out()),
-			zap.Int("connections", front.Open()), zap.Int("goroutines", runtime.NumGoroutine()), zap.Uint64("heap KB", m.HeapAlloc>>10),
+		log.Info("so far",
+			zap.Int("lookups", y.Lookups), zap.Int("resolved", y.Resolved), zap.Int("deferred", y.Deferred),
+			zap.Int("abandoned", y.Abandoned), zap.Int("left", y.Left),
+			zap.Int("shots", y.Shots), zap.Dict("ends", ends...),
+			zap.Float64("median ms", y.Millis(50)), zap.Float64("p99 ms", y.Millis(99)),
+			zap.Int("out", x.Out()), zap.Int("connections", front.Open()),
+			zap.Int("goroutines", runtime.NumGoroutine()), zap.Uint64("heap KB", m.HeapAlloc>>10),
 			zap.Uint64("sys KB", m.Sys>>10), zap.Int("panics", y.Panics))
 	}
 }
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -27,9 +27,14 @@
 // request makes what goes on: the bytes that came, and the time that is left.
 func request(ctx context.Context, shot *exchange.Shot) *http.Request {
 	r := &http.Request{Method: shot.Method, Host: shot.Address,
-		URL:    &url.URL{Scheme: "http", Host: shot.Address, Opaque: shot.Target}, // as it came: not parsed, not escaped
-		Header: http.Header{"User-Agent": nil, "X-Trace-Id": {shot.Trace}, "X-Expires-In": {strconv.FormatInt(shot.Within.Microseconds(), 10) + "u"}},
-		Body:   onceOnly{bytes.NewReader(shot.Body)}, ContentLength: int64(len(shot.Body))}
+		// The target as it came: not parsed, not escaped.
+		URL: &url.URL{Scheme: "http", Host: shot.Address, Opaque: shot.Target},
+		Header: http.Header{
+			"User-Agent":   nil,
+			"X-Trace-Id":   {shot.Trace},
+			"X-Expires-In": {strconv.FormatInt(shot.Within.Microseconds(), 10) + "u"},
+		},
+		Body: onceOnly{bytes.NewReader(shot.Body)}, ContentLength: int64(len(shot.Body))}
 	if shot.Idempotency != "" {
 		r.Header["Idempotency-Key"] = []string{shot.Idempotency}
 	}
--- a/internal/net/servers/servers.go
+++ b/internal/net/servers/servers.go
@@ -24,7 +24,7 @@
 }
 
 const (
-	idlePart     = 0.7      // share of the servers' idle limit after which we close: no shot may cross their close
+	idlePart     = 0.7      // share of the servers' idle limit after which we close, lest a shot cross theirs
 	headersMost  = 16 << 10 // bytes of an answer's headers; real ones take some hundred
 	bufferSize   = 4 << 10  // bytes of each connection's two buffers
 	dialsPart    = 4        // a quarter of the descriptors may be dials, the rest can go on
--- a/internal/terms/station.go
+++ b/internal/terms/station.go
@@ -50,12 +50,13 @@
 		}
 	}
 	own := map[string]bool{"name": true, "listen": true, "discovery": true}
-	if err := k.Load(env.Provider(".", env.Opt{Prefix: prefix, TransformFunc: func(key, value string) (string, any) {
+	variables := env.Opt{Prefix: prefix, TransformFunc: func(key, value string) (string, any) {
 		if key = strings.ToLower(strings.TrimPrefix(key, prefix)); !own[key] {
 			return "", nil
 		}
 		return key, value
-	}}), nil); err != nil {
+	}}
+	if err := k.Load(env.Provider(".", variables), nil); err != nil {
 		return nil, err
 	}
 	all := k.Raw()
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -18,7 +18,7 @@
 	Module                            map[string]any // names in our words to values, for logic.New
 	Namespaces, Partners, Machines    map[string]int // names to places in the module's lists
 	LongestLimit                      time.Duration  // of all namespaces
-	Advice                            time.Duration  // the longest retry-after that clients heed; 0: none is to be given
+	Advice                            time.Duration  // the longest retry-after that clients heed; 0: give none
 	ConnectWithin, IdleFor, AskWithin time.Duration  // towards the servers and the box list
 }
 
@@ -160,7 +160,7 @@
 	}
 	namespaces := list("namespaces", ofNamespace, t.Namespaces)
 	if len(namespaces) == 0 {
-		faults = append(faults, errors.New("settings.namespaces: expected a list of namespaces, one at least"))
+		faults = append(faults, errors.New("settings.namespaces: expected a list of one namespace at least"))
 	}
 	for _, ns := range namespaces {
 		if limit, ok := ns["time limit"].(logic.Time); ok {
