Cut a lookup's time at the terms' longest limit; record a try at keeping silent connections

A client could claim up to an hour, and a silent server then held the lookup, a goroutine and two descriptors as long.

Failed try: the connection of a shot that ended silent waited 2 s more for its answer, so that it could be kept. Ruled out as well: late timers (silent ends come within 1 ms of their time), clients that leave (none).

--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -87,7 +87,8 @@
 var ErrNamespace = errors.New("unknown namespace")
 
 // Take hands a client's lookup to the module. read is when its last byte had come; within is what the
-// client then still gave it.
+// client then still gave it. A client may claim any time; beyond the longest time limit of the terms a lookup
+// would only hold what others need.
 func (x *Exchange) Take(in Lookup, read time.Time, within time.Duration) (*Ticket, error) {
 	ns, known := x.terms.Namespaces[in.Namespace]
 	if !known {
@@ -108,7 +109,7 @@
 		}
 		x.tally.Lookups++
 		x.balancer.Lookup(now, t.index, logic.Lookup{Namespace: ns, Partner: partner, Key: in.Key,
-			Limit: x.clock.at(read.Add(within)), Work: in.Work, Write: in.Write})
+			Limit: x.clock.at(read.Add(min(within, x.terms.LongestLimit))), Work: in.Work, Write: in.Write})
 	})
 	return t, nil
 }
--- a/internal/net/exchange/exchange_test.go
+++ b/internal/net/exchange/exchange_test.go
@@ -181,6 +181,15 @@
 	}
 }
 
+func TestALimitBeyondTheTermsIsCut(t *testing.T) {
+	ships := &fleet{}
+	x := start(t, ships)
+	take(t, x, Lookup{Namespace: "late", Key: "k"}, time.Hour)
+	if s := ships.take(0); s.Within > 750*time.Millisecond || s.Within < 700*time.Millisecond {
+		t.Errorf("the shot has %v", s.Within)
+	}
+}
+
 // A panic of the module answers the lookup at hand with no promise; its index is not used again.
 func TestAPanicAnswersTheLookup(t *testing.T) {
 	ships := &fleet{}
