--- a/internal/net/clients/clients_test.go
+++ b/internal/net/clients/clients_test.go
@@ -262,6 +262,14 @@
 			t.Fatalf("lookup %d: %d", i, r.StatusCode)
 		}
 		conns = append(conns, conn)
+		quiet := func() int {
+			c.room.mu.Lock()
+			defer c.room.mu.Unlock()
+			return c.room.quiet.Len()
+		}
+		for quiet() <= i && i < 2 { // the server marks it as idle some time after the answer
+			time.Sleep(time.Millisecond)
+		}
 	}
 	_ = conns[0].SetReadDeadline(time.Now().Add(time.Second))
 	if _, err := conns[0].in.ReadByte(); err != io.EOF || c.Open() > 3 {
