--- a/internal/net/boxlist/watch_test.go
+++ b/internal/net/boxlist/watch_test.go
@@ -56,7 +56,11 @@
 	t.Helper()
 	s := &service{pages: pages}
 	server := httptest.NewServer(s)
-	d, err := terms.Of(map[string]any{"namespaces": []any{map[string]any{"name": "read", "repeat": "safe", "target-time-ms": 1., "time-limit-ms": 2.}}})
+	d, err := terms.Of(
+		map[string]any{
+			"namespaces": []any{map[string]any{"name": "read", "repeat": "safe", "target-time-ms": 1., "time-limit-ms": 2.}},
+		},
+	)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -120,8 +124,13 @@
 }
 
 func TestKnownIsToldAsPersisted(t *testing.T) {
-	_, full, boxes, err := parse([]byte(`{"version":41,"full":true,"new":1,"servers":[` + box + `,{"id":"b","state":"Gone","started_ms":1700000000123}]}`))
-	if err != nil || !full || len(boxes) != 2 || boxes[0].Address != "127.0.0.1:1" || boxes[1].State != logic.Gone || boxes[1].StartedMs != 1700000000123 {
+	_, full, boxes, err := parse(
+		[]byte(
+			`{"version":41,"full":true,"new":1,"servers":[` + box + `,{"id":"b","state":"Gone","started_ms":1700000000123}]}`,
+		),
+	)
+	if err != nil || !full || len(boxes) != 2 || boxes[0].Address != "127.0.0.1:1" || boxes[1].State != logic.Gone ||
+		boxes[1].StartedMs != 1700000000123 {
 		t.Errorf("%v %v %v", full, boxes, err)
 	}
 	_, x, _ := follow(t, 1)
--- a/internal/net/clients/clients_test.go
+++ b/internal/net/clients/clients_test.go
@@ -29,10 +29,23 @@
 // serve starts a client side on loopback, with its fleet.
 func serve(t *testing.T, descriptors int, told bool) (*Clients, fleet, string) {
 	t.Helper()
-	d, err := terms.Of(map[string]any{"models": []any{"box", "origin"}, "domain": map[string]any{"mode": "aside", "origin-kind": 1.},
-		"permissions": map[string]any{"most-shots": 3., "max-retry-after-ms": 400.}, "tenants": []any{map[string]any{"name": "acme"}},
-		"namespaces": []any{map[string]any{"name": "read", "repeat": "safe", "late-utility": 0.5, "target-time-ms": 200., "time-limit-ms": 300.},
-			map[string]any{"name": "once", "repeat": "unsafe", "target-time-ms": 200., "time-limit-ms": 300.}}})
+	d, err := terms.Of(
+		map[string]any{"models": []any{"box", "origin"}, "domain": map[string]any{"mode": "aside", "origin-kind": 1.},
+			"permissions": map[string]any{
+				"most-shots":         3.,
+				"max-retry-after-ms": 400.,
+			}, "tenants": []any{map[string]any{"name": "acme"}},
+			"namespaces": []any{
+				map[string]any{
+					"name":           "read",
+					"repeat":         "safe",
+					"late-utility":   0.5,
+					"target-time-ms": 200.,
+					"time-limit-ms":  300.,
+				},
+				map[string]any{"name": "once", "repeat": "unsafe", "target-time-ms": 200., "time-limit-ms": 300.},
+			}},
+	)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -40,7 +53,10 @@
 	x := exchange.New(d, zap.NewNop())
 	x.Start(1, ships, ships)
 	if told {
-		x.List(logic.Whole, []exchange.Box{{ID: "a", Address: "a:1", Machine: "box"}, {ID: "z", Address: "z:1", Machine: "origin"}})
+		x.List(
+			logic.Whole,
+			[]exchange.Box{{ID: "a", Address: "a:1", Machine: "box"}, {ID: "z", Address: "z:1", Machine: "origin"}},
+		)
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -95,7 +111,15 @@
 func TestALookupIsAnsweredWithTheServersBytes(t *testing.T) {
 	_, ships, address := serve(t, 8, true)
 	c := dial(t, address)
-	c.send("PUT /once/a%2Fb/k%20y?x=1&&y", id, within, "X-Customer: acme", "X-Size-Hint: 99633", "Idempotency-Key: Key 1", "Content-Length: 3\r\n\r\na\x00b")
+	c.send(
+		"PUT /once/a%2Fb/k%20y?x=1&&y",
+		id,
+		within,
+		"X-Customer: acme",
+		"X-Size-Hint: 99633",
+		"Idempotency-Key: Key 1",
+		"Content-Length: 3\r\n\r\na\x00b",
+	)
 	s := <-ships
 	if s.Method != "PUT" || s.Target != "/once/a%2Fb/k%20y?x=1&&y" || string(s.Body) != "a\x00b" || s.Trace != "9b1f" ||
 		s.Idempotency != "Key 1" || s.Key != "k%20y" || s.Partner != "acme" || s.Work != 99.633 || !s.Write || s.Address != "z:1" ||
--- a/internal/net/exchange/helper_test.go
+++ b/internal/net/exchange/helper_test.go
@@ -53,7 +53,13 @@
 		"domain":      map[string]any{"mode": "aside", "origin-kind": 1.},
 		"permissions": map[string]any{"most-shots": 3., "max-retry-after-ms": 400.},
 		"namespaces": []any{namespace("read", "safe"), namespace("once", "unsafe"),
-			map[string]any{"name": "late", "repeat": "safe", "late-utility": 0.5, "target-time-ms": 50., "time-limit-ms": 100.}}})
+			map[string]any{
+				"name":           "late",
+				"repeat":         "safe",
+				"late-utility":   0.5,
+				"target-time-ms": 50.,
+				"time-limit-ms":  100.,
+			}}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/net/node/node_test.go
+++ b/internal/net/node/node_test.go
@@ -38,9 +38,13 @@
 		fmt.Fprint(w, list)
 	}))
 	defer discovery.Close()
-	d, err := terms.Of(map[string]any{"models": []any{"box", "origin"}, "domain": map[string]any{"mode": "aside", "origin-kind": 1.},
-		"permissions": map[string]any{"most-shots": 3.},
-		"namespaces":  []any{map[string]any{"name": "read", "repeat": "safe", "target-time-ms": 400., "time-limit-ms": 600.}}})
+	d, err := terms.Of(
+		map[string]any{"models": []any{"box", "origin"}, "domain": map[string]any{"mode": "aside", "origin-kind": 1.},
+			"permissions": map[string]any{"most-shots": 3.},
+			"namespaces": []any{
+				map[string]any{"name": "read", "repeat": "safe", "target-time-ms": 400., "time-limit-ms": 600.},
+			}},
+	)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -99,7 +103,8 @@
 func TestLimitsAreSplitWithAReserve(t *testing.T) {
 	for _, sockets := range []int{64, 128, 1024, 4096, 100000} {
 		l := split(&terms.Station{Cores: 0.5, MemoryMB: 192, Descriptors: sockets, Terms: &terms.Terms{}})
-		if reserve := sockets - l.clients - l.beyond - l.servers; reserve < 16 || l.clients < 16 || l.beyond < 2 || l.servers < 16 {
+		if reserve := sockets - l.clients - l.beyond - l.servers; reserve < 16 || l.clients < 16 || l.beyond < 2 ||
+			l.servers < 16 {
 			t.Errorf("%d: %+v leaves %d", sockets, l, reserve)
 		}
 		if l.cores != 1 || l.memory >= 192<<20 || l.memory < 100<<20 {
--- a/internal/net/servers/servers_test.go
+++ b/internal/net/servers/servers_test.go
@@ -135,7 +135,8 @@
 		}
 		h := seen.Header
 		if seen.RequestURI != sh.Target || string(body) != c.body || h.Get("X-Trace-Id") != "tRaCe" || seen.Method != c.method ||
-			h.Get("Idempotency-Key") != "Key 1" || h.Get("X-Expires-In") != "500000u" || h.Get("Accept-Encoding") != "" {
+			h.Get("Idempotency-Key") != "Key 1" || h.Get("X-Expires-In") != "500000u" ||
+			h.Get("Accept-Encoding") != "" {
 			t.Errorf("%s %s %q %v", seen.Method, seen.RequestURI, body, h)
 		}
 	}
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -44,7 +44,8 @@
 		t.Errorf("%+v", s)
 	}
 	if s.ConnectWithin != 75*time.Millisecond || s.IdleFor != 15*time.Second || s.LongestLimit != 800*time.Millisecond || s.Advice != 400*time.Millisecond ||
-		s.Namespaces["log"] != 1 || s.Partners["acme"] != 0 || s.Machines["origin"] != 1 {
+		s.Namespaces["log"] != 1 || s.Partners["acme"] != 0 ||
+		s.Machines["origin"] != 1 {
 		t.Errorf("%+v", s.Terms)
 	}
 	ns := s.Module["namespaces"].([]map[string]any)
