Pause before the next watch where the service answers at once with nothing

Guards the discovery service: one that doesn't hold its watches was asked without a pause by every node (watch.go, follow). 100 ms stay inside the 200 ms in which a watch goes on.

--- a/internal/net/boxlist/watch.go
+++ b/internal/net/boxlist/watch.go
@@ -21,6 +21,7 @@
 	holdMost   = 20 * time.Second        // a watch; the most by which a silent connection keeps news back
 	answerIn   = 4 * time.Second         // an answer without a wait: what isn't there after 6 s counts as told
 	afterHold  = 1500 * time.Millisecond // beyond a watch's wait: news count as told 2 s after it
+	pause      = 100 * time.Millisecond  // after an empty answer at once; the next watch is due within 200 ms
 	connectIn  = 1 * time.Second
 	idleFor    = 30 * time.Second
 	pageMost   = 8 << 20 // bytes: some ten thousand boxes
@@ -69,7 +70,7 @@
 	return nil
 }
 
-// Subscribe orders the list and its changes. An order while one is being followed is none.
+// Subscribe orders the list and its changes. Two orders before the first is followed are one.
 func (f *Follower) Subscribe() {
 	select {
 	case f.orders <- struct{}{}:
@@ -100,6 +101,7 @@
 			query = fmt.Sprintf("?from=%d&hold_ms=%d", last, f.hold.Milliseconds())
 			within = f.hold + afterHold
 		}
+		asked := time.Now()
 		version, full, boxes, err := f.ask(ctx, query, within)
 		if err != nil {
 			return err
@@ -117,14 +119,18 @@
 				how = logic.Whole
 			}
 			f.exchange.List(how, boxes)
-			f.log.Info(
-				"box list",
-				zap.Int64("version", version),
-				zap.Bool("whole", full),
-				zap.Int("boxes", len(boxes)),
-			)
+			f.log.Info("box list", zap.Int64("version", version), zap.Bool("whole", full),
+				zap.Int("boxes", len(boxes)))
 		}
 		last, whole = version, false
+		if quick := time.Since(asked) < pause; quick && len(boxes) == 0 {
+			// A service that doesn't hold its watches must not be asked without end.
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(pause):
+			}
+		}
 	}
 }
 
--- a/internal/net/boxlist/watch_test.go
+++ b/internal/net/boxlist/watch_test.go
@@ -95,7 +95,7 @@
 		t.Errorf("asked %s; ready %v", got, x.Ready())
 	}
 	for i := 1; i < len(s.at); i++ {
-		if s.at[i].Sub(s.at[i-1]) > 200*time.Millisecond {
+		if s.at[i].Sub(s.at[i-1]) > 200*time.Millisecond || i == 3 && s.at[i].Sub(s.at[i-1]) < pause {
 			t.Errorf("call %d came %v after the one before", i, s.at[i].Sub(s.at[i-1]))
 		}
 	}
--- a/internal/net/clients/clients.go
+++ b/internal/net/clients/clients.go
@@ -4,10 +4,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -57,13 +57,11 @@
 
 // Serve answers clients until Leave has ended, or the listener fails.
 func (c *Clients) Serve(l net.Listener) error {
-	if err := c.server.Serve(bound(l, c.bounds.Descriptors+c.bounds.Beyond, c.room.makeWay)); !errors.Is(
-		err,
-		http.ErrServerClosed,
-	) {
-		return err
+	err := c.server.Serve(bound(l, c.bounds.Descriptors+c.bounds.Beyond, c.room.makeWay))
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
 	}
-	return nil
+	return err
 }
 
 // Leave ends the service without losing a lookup: connections go on coming for a while, so it goes on
@@ -108,11 +106,7 @@
 	read := time.Now()
 	if err != nil {
 		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
-			plain(
-				w,
-				http.StatusRequestEntityTooLarge,
-				"the body is over "+strconv.FormatInt(tooLong.Limit, 10)+" bytes",
-			)
+			plain(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is over %d bytes", tooLong.Limit))
 		} else {
 			plain(w, http.StatusBadRequest, "the body can't be read")
 		}
