--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -52,6 +52,7 @@
 		{`{"what":"ingress","ticket":"t2","tier-class":"none"}`, `namespace "none"`},
 		{`{"what":"peers-known","how":"Odd"}`, `list kind "Odd"`},
 		{`{"what":"create","info":7}`, "settings can't be read"},
+		{`{"what":"create","info":{"tick-ms":"soon"}}`, "settings.tick-ms: expected a time"},
 		{`null`, "unknown"},
 	} {
 		line := `{"now-ms":1002,"batch":3,"parts":[{"node":"node_0","msgs":[` + c.msg + `]}]}`
