Never close a connection on which a lookup may have been read

Cause: net/http calls a kept connection idle until it has read the next lookup's headers (server.go, serve), and room.go, giveWay closed the longest idle one in that moment. A busy client is idle for microseconds only, so with all connections busy every choice was wrong. A test with 8 clients on 4 places shows it within 0.6 s. Now what makes way has been idle for 50 ms, and it is not closed: its read is woken, so that the server itself ends it if nothing has come, and answers if something has.

--- a/internal/net/clients/clients.go
+++ b/internal/net/clients/clients.go
@@ -57,7 +57,7 @@
 
 // Serve answers clients until Leave has ended, or the listener fails.
 func (c *Clients) Serve(l net.Listener) error {
-	err := c.server.Serve(bound(l, c.bounds.Descriptors+c.bounds.Beyond, c.room.makeWay))
+	err := c.server.Serve(bound(l, c.bounds.Descriptors+c.bounds.Beyond, func() { c.room.makeWay(1) }))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -68,8 +68,10 @@
 // accepting them, ends each with its next answer, and only then closes the listener and waits for the rest.
 func (c *Clients) Leave() error {
 	c.leaving.Store(true)
-	c.server.SetKeepAlivesEnabled(false)
-	time.Sleep(comingFor)
+	// Not by SetKeepAlivesEnabled: it closes idle connections even while a lookup on them is being read.
+	for end := time.Now().Add(comingFor); time.Now().Before(end); time.Sleep(fullEvery) {
+		c.room.makeWay(c.room.count())
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.bounds.LongestLimit+endSlack)
 	defer cancel()
 	return c.server.Shutdown(ctx)
@@ -128,7 +130,9 @@
 	}
 	select {
 	case a := <-t.Answers():
-		answered = true
+		if answered = true; c.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		answer(w, a)
 	case <-r.Context().Done():
 		t.Leave()
--- a/internal/net/clients/clients_test.go
+++ b/internal/net/clients/clients_test.go
@@ -294,6 +294,7 @@
 		for quiet() <= i && i < 2 { // the server marks it as idle some time after the answer
 			time.Sleep(time.Millisecond)
 		}
+		time.Sleep(unused / 10)
 	}
 	_ = conns[0].SetReadDeadline(time.Now().Add(time.Second))
 	if _, err := conns[0].in.ReadByte(); err != io.EOF || c.Open() > 3 {
@@ -315,6 +316,46 @@
 	}
 }
 
+// Kept connections that are in use never end without an answer, whether they make way for others or the node
+// leaves; one that ends between lookups has read none, so its client may send the lookup again.
+func TestConnectionsInUseKeepTheirLookups(t *testing.T) {
+	c, ships, address := serve(t, 4, true)
+	go func() {
+		for s := range ships {
+			s.Settle(exchange.Whole, exchange.Answer{Body: []byte("v")})
+		}
+	}()
+	var users sync.WaitGroup
+	stop := time.Now().Add(600 * time.Millisecond)
+	for i := range 8 {
+		users.Go(func() {
+			conn := dial(t, address)
+			defer func() { conn.Close() }()
+			for n := 0; time.Now().Before(stop); n++ {
+				conn.send(fmt.Sprint("GET /read/k", i, "x", n), id, within)
+				_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+				r, err := http.ReadResponse(conn.in, nil)
+				if err != nil {
+					t.Errorf("user %d, lookup %d: %v", i, n, err)
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				if r.Close {
+					conn.Close()
+					conn = dial(t, address)
+				}
+			}
+		})
+	}
+	time.Sleep(400 * time.Millisecond)
+	left := make(chan error)
+	go func() { left <- c.Leave() }()
+	users.Wait()
+	if err := <-left; err != nil {
+		t.Error(err)
+	}
+}
+
 // After SIGTERM connections go on coming: each lookup is answered and its connection closed, what is out is
 // waited for, and the end comes well before SIGKILL may.
 func TestLeavingLosesNothing(t *testing.T) {
--- a/internal/net/clients/room.go
+++ b/internal/net/clients/room.go
@@ -8,9 +8,16 @@
 	"time"
 )
 
-// unheard is how long a new connection may take to its first lookup before it may have to make way. Clients
-// open one when they have a lookup, so a second is ample.
-const unheard = 1 * time.Second
+const (
+	// unheard is how long a new connection may take to its first lookup before it may have to make way.
+	// Clients open one when they have a lookup, so a second is ample.
+	unheard = 1 * time.Second
+	// unused is how long a kept one must have been idle: a client that is busy sends the next lookup at once.
+	unused = 50 * time.Millisecond
+)
+
+// past is a deadline that wakes whoever waits for a read.
+var past = time.Unix(1, 0)
 
 // room counts the clients' connections and knows which carry no lookup. Clients keep connections that they
 // don't use, and some never send anything; when such have taken all places, the longest quiet one makes way
@@ -47,7 +54,7 @@
 	switch s {
 	case http.StateNew:
 		if r.open++; r.open > r.most {
-			r.giveWay()
+			r.giveWay(1)
 		}
 		r.places[c] = r.quiet.PushBack(&place{c, true, time.Now()})
 	case http.StateIdle:
@@ -57,21 +64,26 @@
 	}
 }
 
-// makeWay closes the connection that was quiet longest, if one may be closed.
-func (r *room) makeWay() {
+// makeWay ends so many connections, those that were quiet longest, as far as they may be ended.
+func (r *room) makeWay(most int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.giveWay()
+	r.giveWay(most)
 }
 
-func (r *room) giveWay() {
-	for e := r.quiet.Front(); e != nil; e = e.Next() {
-		if p := e.Value.(*place); !p.fresh || time.Since(p.since) >= unheard {
+// giveWay doesn't close a connection: the server calls it idle until it has read the next lookup's headers, and
+// a lookup that was read must be answered. It wakes the server's read instead. The server then closes the
+// connection itself if nothing has come, and answers if something has.
+func (r *room) giveWay(most int) {
+	for e := r.quiet.Front(); e != nil && most > 0; {
+		p, next := e.Value.(*place), e.Next()
+		if age := time.Since(p.since); age >= unheard || !p.fresh && age >= unused {
 			r.quiet.Remove(e)
 			delete(r.places, p.conn)
-			_ = p.conn.Close() // its end is told to state like any other
-			return
+			_ = p.conn.SetReadDeadline(past)
+			most--
 		}
+		e = next
 	}
 }
 
