Turn away lookups with two lengths or an id that is out, and half ones in time

Checked: net/http's fixLength deletes the length before a handler sees the head, and ignores the coding on HTTP/1.0, so the handler can't tell (clients.go, ServeHTTP, as it was); a second lookup with an id that is out was taken as another one (exchange.go, Take). Headers had 5 s, half a body the longest limit and 10 s, where 3 s are owed. Ruled out: refusing all coded bodies, which ordinary clients may send. Now: the connection counts lines that give a length, and a coded body with such a line left over is answered 400 and closed; HTTP/1.0 is answered 505; an id that is out 409 with nothing sent on; headers have 2 s, a body 2.6 s from the connection's start or 0.8 s from its headers.

--- a/internal/net/clients/clients.go
+++ b/internal/net/clients/clients.go
@@ -4,8 +4,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -26,13 +24,15 @@
 }
 
 const (
-	headersMost  = 8 << 10                // bytes of a lookup's headers; real ones take some hundred
-	headersIn    = 5 * time.Second        // for headers: who is slower holds a descriptor for nothing
-	slack        = 10 * time.Second       // beyond the longest limit: by then a lookup and its answer are through
-	idleFor      = 60 * time.Second       // a connection between lookups
-	comingFor    = 500 * time.Millisecond // new connections go on coming for up to 0.4 s after SIGTERM
-	endSlack     = 100 * time.Millisecond // beyond the longest limit, for the last answers to be written
-	beyondAdvice = 250 * time.Millisecond // retry-after of a deferral for want of room here
+	headersMost  = 8 << 10                 // bytes of a lookup's headers; real ones take some hundred
+	headersIn    = 2 * time.Second         // for headers: who is slower holds a descriptor for nothing
+	bodyBy       = 2600 * time.Millisecond // after the connection came, for a body: an answer is owed within 3 s
+	bodyIn       = 800 * time.Millisecond  // after the headers, where that is later
+	slack        = 10 * time.Second        // beyond the longest limit: by then a lookup and its answer are through
+	idleFor      = 60 * time.Second        // a connection between lookups
+	comingFor    = 500 * time.Millisecond  // new connections go on coming for up to 0.4 s after SIGTERM
+	endSlack     = 100 * time.Millisecond  // beyond the longest limit, for the last answers to be written
+	beyondAdvice = 250 * time.Millisecond  // retry-after of a deferral for want of room here
 )
 
 // Clients is the client side of a node.
@@ -51,10 +51,16 @@
 	c := &Clients{log: log, exchange: x, bounds: b, room: newRoom(b.Descriptors)}
 	c.server = &http.Server{Handler: c, MaxHeaderBytes: headersMost, ReadHeaderTimeout: headersIn,
 		ReadTimeout: b.LongestLimit + slack, WriteTimeout: b.LongestLimit + slack, IdleTimeout: idleFor,
-		ErrorLog: zap.NewStdLog(log), ConnState: c.room.state}
+		ErrorLog: zap.NewStdLog(log), ConnState: c.room.state,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connection{}, conn)
+		}}
 	return c
 }
 
+// connection is the key under which a lookup's context has its connection.
+type connection struct{}
+
 // Serve answers clients until Leave has ended, or the listener fails.
 func (c *Clients) Serve(l net.Listener) error {
 	err := c.server.Serve(bound(l, c.bounds.Descriptors+c.bounds.Beyond, func() { c.room.makeWay(1) }))
@@ -104,14 +110,11 @@
 		}
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.bounds.Body))
+	body, status, err := c.body(w, r)
 	read := time.Now()
 	if err != nil {
-		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
-			plain(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is over %d bytes", tooLong.Limit))
-		} else {
-			plain(w, http.StatusBadRequest, "the body can't be read")
-		}
+		w.Header().Set("Connection", "close") // what follows is not to be read as another lookup
+		plain(w, status, err.Error())
 		return
 	}
 	if full {
@@ -124,6 +127,10 @@
 		return
 	}
 	t, err := c.exchange.Take(in, read, within)
+	if errors.Is(err, exchange.ErrOut) {
+		plain(w, http.StatusConflict, err.Error())
+		return
+	}
 	if err != nil {
 		plain(w, http.StatusBadRequest, err.Error())
 		return
--- a/internal/net/clients/listener.go
+++ b/internal/net/clients/listener.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -47,7 +48,7 @@
 		return nil, err
 	}
 	if tcp, ok := c.(*net.TCPConn); ok {
-		return &placed{tcp, leave}, nil
+		return &placed{TCPConn: tcp, leave: leave, accepted: time.Now()}, nil
 	}
 	leave()
 	return c, nil
@@ -56,10 +57,38 @@
 // Close ends the wait for a place too.
 func (b *bounded) Close() error { return b.close() }
 
-// placed gives its place back once.
+// placed gives its place back once, and counts the lines that give a Content-Length: a lookup that gives one
+// beside a Transfer-Encoding may hide another in its body, and net/http drops the length before a handler sees it.
 type placed struct {
 	*net.TCPConn
-	leave func()
+	leave    func()
+	accepted time.Time
+	lengths  atomic.Int64 // lines in what was read, a body's among them
+	matched  int          // bytes of lengthLine that have just been read
+}
+
+const lengthLine = "\ncontent-length" // in lower case; it begins a line wherever it stands in a head
+
+func (p *placed) Read(b []byte) (int, error) {
+	n, err := p.TCPConn.Read(b)
+	for _, c := range b[:n] {
+		if 'A' <= c && c <= 'Z' {
+			c += 'a' - 'A'
+		}
+		switch {
+		case c == lengthLine[p.matched]:
+			p.matched++
+		case c == lengthLine[0]:
+			p.matched = 1
+		default:
+			p.matched = 0
+		}
+		if p.matched == len(lengthLine) {
+			p.matched = 0
+			p.lengths.Add(1)
+		}
+	}
+	return n, err
 }
 
 func (p *placed) Close() error {
--- a/internal/net/clients/message.go
+++ b/internal/net/clients/message.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -20,6 +22,52 @@
 	errWithin = errors.New("X-Expires-In: expected a number and m or u")
 )
 
+var (
+	errVersion = errors.New("expected HTTP/1.1")
+	errLengths = errors.New("both Content-Length and Transfer-Encoding: expected one")
+	errLong    = errors.New("the body is over its bound")
+	errBody    = errors.New("the body can't be read")
+	errSlow    = errors.New("the body has not come in time")
+)
+
+// body reads a lookup's body, or gives the status that it is turned away with. It must not be trusted to end
+// where it says if it gives its length in two ways, or in one that HTTP/1.0 did not know.
+func (c *Clients) body(w http.ResponseWriter, r *http.Request) ([]byte, int, error) {
+	conn, _ := r.Context().Value(connection{}).(*placed)
+	_, given := r.Header["Content-Length"]
+	switch {
+	case !r.ProtoAtLeast(1, 1):
+		return nil, http.StatusHTTPVersionNotSupported, errVersion
+	case given && conn != nil:
+		conn.lengths.Add(-1) // net/http read the body by it
+	case len(r.TransferEncoding) > 0 && (conn == nil || conn.lengths.Load() > 0):
+		return nil, http.StatusBadRequest, errLengths
+	case r.ContentLength > c.bounds.Body:
+		return nil, http.StatusRequestEntityTooLarge, errLong
+	}
+	if r.ContentLength == 0 {
+		return nil, 0, nil
+	}
+	control, now := http.NewResponseController(w), time.Now()
+	by := now.Add(bodyIn)
+	if conn != nil && conn.accepted.Add(bodyBy).After(by) {
+		by = conn.accepted.Add(bodyBy)
+	}
+	_ = control.SetReadDeadline(by) // each connection here has deadlines
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.bounds.Body))
+	tooLong := (*http.MaxBytesError)(nil)
+	switch {
+	case errors.As(err, &tooLong):
+		return nil, http.StatusRequestEntityTooLarge, errLong
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, http.StatusRequestTimeout, errSlow
+	case err != nil:
+		return nil, http.StatusBadRequest, errBody
+	}
+	_ = control.SetReadDeadline(now.Add(c.server.ReadTimeout)) // from here on a read only tells that the client left
+	return body, 0, nil
+}
+
 // decode takes out the few fields that decisions need, and keeps the rest as it came.
 func decode(r *http.Request, body []byte) (in exchange.Lookup, within time.Duration, err error) {
 	in = exchange.Lookup{Method: r.Method, Target: r.RequestURI, Trace: r.Header.Get("X-Trace-Id"),
--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -40,8 +40,9 @@
 	balancer  *logic.Balancer
 	tickets   []*Ticket // by the module's index
 	free      []int
-	places    map[string]int // box ids to indices
-	addresses []string       // by index; it may change, the index stays
+	out       map[string]*Ticket // by the client's id, until all shots have settled
+	places    map[string]int     // box ids to indices
+	addresses []string           // by index; it may change, the index stays
 	listed    bool
 	alarms    alarms
 	timer     *time.Timer
@@ -50,7 +51,8 @@
 
 // New makes the owner; nothing happens before Start.
 func New(t *terms.Terms, log *zap.Logger) *Exchange {
-	x := &Exchange{log: log, terms: t, clock: clock{time.Now()}, places: map[string]int{}}
+	x := &Exchange{log: log, terms: t, clock: clock{time.Now()}, places: map[string]int{},
+		out: map[string]*Ticket{}}
 	x.timer = time.AfterFunc(time.Hour, x.ring)
 	x.timer.Stop()
 	return x
@@ -86,6 +88,9 @@
 // ErrNamespace says that a lookup names no namespace of the terms.
 var ErrNamespace = errors.New("unknown namespace")
 
+// ErrOut says that a lookup has the id of another one that is out: a server could not tell them apart.
+var ErrOut = errors.New("a lookup with this id is out already")
+
 // Take hands a client's lookup to the module. read is when its last byte had come; within is what the
 // client then still gave it. A client may claim any time; beyond the longest time limit of the terms a lookup
 // would only hold what others need.
@@ -99,7 +104,12 @@
 		partner = -1
 	}
 	t := &Ticket{Lookup: in, x: x, read: read, answers: make(chan Answer, 1)}
+	twice := false
 	x.do("lookup", t, func(now logic.Time) {
+		if _, twice = x.out[in.Trace]; twice {
+			return
+		}
+		x.out[in.Trace] = t
 		t.index = len(x.tickets)
 		if last := len(x.free) - 1; last >= 0 {
 			t.index, x.free = x.free[last], x.free[:last]
@@ -111,6 +121,9 @@
 		x.balancer.Lookup(now, t.index, logic.Lookup{Namespace: ns, Partner: partner, Key: in.Key,
 			Limit: x.clock.at(read.Add(min(within, x.terms.LongestLimit))), Work: in.Work, Write: in.Write})
 	})
+	if twice {
+		return nil, ErrOut
+	}
 	return t, nil
 }
 
@@ -196,6 +209,7 @@
 func (x *Exchange) forget(t *Ticket) {
 	if t.over && t.out == 0 && !t.forgotten && !t.spoiled {
 		t.forgotten = true
+		delete(x.out, t.Trace)
 		x.tickets[t.index] = nil
 		x.free = append(x.free, t.index)
 	}
--- a/internal/net/exchange/exchange_test.go
+++ b/internal/net/exchange/exchange_test.go
@@ -181,6 +181,29 @@
 	}
 }
 
+// The id of a lookup that is out is turned away with nothing sent on, until all its shots have settled.
+func TestAnIdThatIsOutIsTurnedAway(t *testing.T) {
+	ships := &fleet{}
+	x := start(t, ships)
+	first := take(t, x, Lookup{Namespace: "read", Key: "k"}, time.Second)
+	again := func() error {
+		_, err := x.Take(Lookup{Namespace: "read", Key: "l", Trace: first.Trace}, time.Now(), time.Second)
+		return err
+	}
+	shot := ships.take(0)
+	if err := again(); !errors.Is(err, ErrOut) || ships.take(0) != nil {
+		t.Errorf("while it is out: %v", err)
+	}
+	first.Leave()
+	if err := again(); !errors.Is(err, ErrOut) || ships.take(0) != nil {
+		t.Errorf("while its shot is out: %v", err)
+	}
+	shot.Settle(Whole, Answer{})
+	if err := again(); err != nil || len(x.out) != 1 {
+		t.Errorf("afterwards: %v, %d ids are kept", err, len(x.out))
+	}
+}
+
 func TestALimitBeyondTheTermsIsCut(t *testing.T) {
 	ships := &fleet{}
 	x := start(t, ships)
--- a/internal/net/exchange/helper_test.go
+++ b/internal/net/exchange/helper_test.go
@@ -1,7 +1,9 @@
 package exchange
 
 import (
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,8 +81,11 @@
 	}
 }
 
+var traces atomic.Int64
+
 func take(t *testing.T, x *Exchange, in Lookup, within time.Duration) *Ticket {
 	t.Helper()
+	in.Trace = fmt.Sprint("t", traces.Add(1)) // new with every lookup
 	ticket, err := x.Take(in, time.Now(), within)
 	if err != nil {
 		t.Fatal(err)
