Read the configuration anew at SIGHUP and move to its discovery service without a gap

Checked: nothing handled the signal (commands.go, serve); the follower's address was fixed at its making (watch.go, New); BALANCER_DISCOVERY comes before the file and still holds the old address at a second reading (station.go). Now: the handler is in place before the file is first read. A second reading takes the discovery address from the file. The old service is followed until the new one has given its whole list, with 1.5 s a call and again after 0.1 to 1 s; from then on it has no say, and the next watch is due at the new one at once, with its own versions. Keys that hold from the next start are named, a faulty file changes nothing.

--- a/cmd/thistlerudder/commands.go
+++ b/cmd/thistlerudder/commands.go
@@ -36,11 +36,14 @@
 func serve(file *string) *cobra.Command {
 	c := &cobra.Command{
 		Use:   "serve",
-		Short: "Run one node in the foreground; SIGTERM ends it without losing a lookup",
+		Short: "Run one node in the foreground; SIGTERM ends it without losing a lookup, SIGHUP reads its file anew",
 		Args:  cobra.NoArgs,
 	}
 	level := c.Flags().String("log-level", "info", "debug, info, warn or error")
 	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		// Before anything else, and never undone: without a handler the signal ends the program.
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGHUP)
 		station, err := terms.Read(*file)
 		if err != nil {
 			return fmt.Errorf("configuration: %w", err)
@@ -52,7 +55,7 @@
 		defer func() { _ = log.Sync() }() // standard error may not support it
 		ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
 		defer stop()
-		return node.Run(ctx, station, log)
+		return node.Run(ctx, station, signals, log)
 	}
 	return c
 }
--- a/cmd/thistlerudder/commands_test.go
+++ b/cmd/thistlerudder/commands_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -47,8 +49,9 @@
 	}
 }
 
-// SIGTERM ends a node with exit status 0, well before SIGKILL may come.
-func TestSIGTERMEndsANodeWell(t *testing.T) {
+// SIGHUP has a running node ask the discovery service that its file names by now; a faulty file changes nothing. The
+// node goes on, and SIGTERM ends it with exit status 0, well before SIGKILL may come.
+func TestSignals(t *testing.T) {
 	probe, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -56,10 +59,16 @@
 	address := probe.Addr().String()
 	probe.Close()
 	file := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(file, fmt.Appendf(nil, `{"listen":%q,"discovery":"127.0.0.1:2","settings":{"namespaces":[
-		{"name":"read","repeat":"safe","target-time-ms":200,"time-limit-ms":750}]}}`, address), 0o600); err != nil {
-		t.Fatal(err)
+	replace := func(discovery string) {
+		if err := os.WriteFile(file, fmt.Appendf(nil, `{"listen":%q,"discovery":%q,"settings":{"namespaces":[
+			{"name":"read","repeat":"safe","target-time-ms":200,"time-limit-ms":750}]}}`, address, discovery), 0o600); err != nil {
+			t.Fatal(err)
+		}
 	}
+	replace("127.0.0.1:2")
+	asked := make(chan string, 9)
+	discovery := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { asked <- r.URL.Path }))
+	defer discovery.Close()
 	ended := make(chan error, 1)
 	go func() {
 		_, err := run("serve", "--config", file, "--log-level", "error")
@@ -77,6 +86,24 @@
 		case <-time.After(10 * time.Millisecond):
 		}
 	}
+	t.Setenv("BALANCER_DISCOVERY", "127.0.0.1:2") // of the start; it stands behind the file from then on
+	for _, to := range []string{"nowhere", discovery.Listener.Addr().String()} {
+		replace(to)
+		for range 2 {
+			if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	select {
+	case path := <-asked:
+		if path != "/discovery/hosts" {
+			t.Error(path)
+		}
+	case <-time.After(3 * time.Second):
+		t.Error("the new discovery service was not asked")
+	}
 	began := time.Now()
 	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
 		t.Fatal(err)
--- a/internal/net/boxlist/watch.go
+++ b/internal/net/boxlist/watch.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,20 +23,37 @@
 	answerIn   = 4 * time.Second         // an answer without a wait: what isn't there after 6 s counts as told
 	afterHold  = 1500 * time.Millisecond // beyond a watch's wait: news count as told 2 s after it
 	pause      = 100 * time.Millisecond  // after an empty answer at once; the next watch is due within 200 ms
+	moveIn     = 1500 * time.Millisecond // an answer of a new address: two calls fit into the 4 s that it is given
+	moveWait   = 1 * time.Second         // longest wait between calls to a new address
 	connectIn  = 1 * time.Second
 	idleFor    = 30 * time.Second
 	pageMost   = 8 << 20 // bytes: some ten thousand boxes
 	headerMost = 16 << 10
 )
 
+var errNotWhole = errors.New("expected the whole list")
+
 // Follower watches the list.
 type Follower struct {
 	log       *zap.Logger
 	exchange  *exchange.Exchange
-	address   string
 	hold      time.Duration
 	orders    chan struct{}
+	moved     chan struct{}
 	transport *http.Transport
+
+	mu    sync.Mutex
+	from  source
+	leave context.CancelFunc // ends the call that is under way at the source
+	stay  context.CancelFunc // ends a move that is under way
+}
+
+// source is where the list comes from, and how far it was had from there.
+type source struct {
+	address string
+	nth     int // one more with each move: what an earlier source says no longer counts
+	version int64
+	had     bool
 }
 
 // New makes a follower. A watch holds no longer than askWithin: by then the node must have asked.
@@ -43,9 +61,12 @@
 	return &Follower{
 		log:      log,
 		exchange: x,
-		address:  address,
+		from:     source{address: address},
+		leave:    func() {},
+		stay:     func() {},
 		hold:     min(holdMost, askWithin),
 		orders:   make(chan struct{}, 1),
+		moved:    make(chan struct{}, 1),
 		transport: &http.Transport{
 			DialContext:            (&net.Dialer{Timeout: connectIn}).DialContext,
 			DisableCompression:     true,
@@ -78,70 +99,155 @@
 	}
 }
 
-// Run follows the list until the context ends: on each order the whole list, then watches until one fails.
+// Run follows the list until the context ends: on each order the whole list, then watches until one fails. After a
+// move it goes on with a watch at the new source.
 func (f *Follower) Run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-f.orders:
+			f.mu.Lock()
+			f.from.had = false
+			f.mu.Unlock()
+		case <-f.moved:
 		}
-		if err := f.follow(ctx); ctx.Err() == nil {
+		at, err := f.follow(ctx)
+		f.mu.Lock()
+		stale := at.nth != f.from.nth
+		f.mu.Unlock()
+		if !stale && ctx.Err() == nil {
 			f.log.Warn("box list lost, the old one stands", zap.Error(err))
 			f.exchange.List(logic.Failed, nil)
 		}
 	}
 }
 
-func (f *Follower) follow(ctx context.Context) error {
-	last, whole := int64(0), true
+// follow asks one source, in turn, until a call fails or the source is another.
+func (f *Follower) follow(ctx context.Context) (source, error) {
+	ctx, leave := context.WithCancel(ctx)
+	defer leave()
+	f.mu.Lock()
+	at := f.from
+	f.leave = leave
+	f.mu.Unlock()
 	for {
 		query, within := "", answerIn
-		if !whole {
-			query = fmt.Sprintf("?from=%d&hold_ms=%d", last, f.hold.Milliseconds())
+		if at.had {
+			query = fmt.Sprintf("?from=%d&hold_ms=%d", at.version, f.hold.Milliseconds())
 			within = f.hold + afterHold
 		}
 		asked := time.Now()
-		version, full, boxes, err := f.ask(ctx, query, within)
+		version, full, boxes, err := f.ask(ctx, at.address, query, within)
 		if err != nil {
-			return err
+			return at, err
 		}
-		if !full && (whole || version < last) {
-			if whole {
-				return errors.New("expected the whole list")
+		if !full && (!at.had || version < at.version) {
+			if !at.had {
+				return at, errNotWhole
 			}
-			whole = true // a gap: what lies between is not told
+			at.had = false // a gap: what lies between is not told
 			continue
 		}
-		if full || len(boxes) > 0 {
-			how := logic.Changes
-			if full {
-				how = logic.Whole
-			}
-			f.exchange.List(how, boxes)
-			f.log.Info("box list", zap.Int64("version", version), zap.Bool("whole", full),
-				zap.Int("boxes", len(boxes)))
+		at.version, at.had = version, true
+		if !f.tell(at, full, boxes) {
+			return at, nil
 		}
-		last, whole = version, false
 		if quick := time.Since(asked) < pause; quick && len(boxes) == 0 {
 			// A service that doesn't hold its watches must not be asked without end.
 			select {
 			case <-ctx.Done():
-				return ctx.Err()
+				return at, ctx.Err()
 			case <-time.After(pause):
 			}
 		}
 	}
 }
 
+// tell hands on what a source said, unless another one has taken its place since.
+func (f *Follower) tell(at source, full bool, boxes []exchange.Box) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.nth != f.from.nth {
+		return false
+	}
+	f.note(at, full, boxes)
+	return true
+}
+
+// note is called with the lock held, so that no list of an earlier source can come after one of a later.
+func (f *Follower) note(at source, full bool, boxes []exchange.Box) {
+	f.from = at
+	if !full && len(boxes) == 0 {
+		return
+	}
+	how := logic.Changes
+	if full {
+		how = logic.Whole
+	}
+	f.exchange.List(how, boxes)
+	f.log.Info("box list", zap.Int64("version", at.version), zap.Bool("whole", full), zap.Int("boxes", len(boxes)))
+}
+
+// Move goes over to another source without a gap: the old one is followed until the new one has given its whole
+// list, however long that takes, and has no say from then on. The new one may count versions anew. A move that is
+// still under way leads to an address of the past and ends.
+func (f *Follower) Move(ctx context.Context, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stay()
+	ctx, f.stay = context.WithCancel(ctx)
+	go f.move(ctx, address)
+}
+
+func (f *Follower) move(ctx context.Context, address string) {
+	for wait := pause; ; wait = min(2*wait, moveWait) {
+		version, full, boxes, err := f.ask(ctx, address, "", moveIn)
+		if err == nil && !full {
+			err = errNotWhole
+		}
+		if err == nil && f.arrive(ctx, source{address: address, version: version, had: true}, boxes) {
+			f.log.Info("the box list comes from another address now", zap.String("discovery", address))
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.log.Warn("the new address gives no box list yet, the old one stands", zap.String("discovery", address),
+			zap.Error(err))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+// arrive makes a source the one that counts, with its first list.
+func (f *Follower) arrive(ctx context.Context, at source, boxes []exchange.Box) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if ctx.Err() != nil {
+		return false
+	}
+	at.nth = f.from.nth + 1
+	f.note(at, true, boxes)
+	f.leave()
+	select {
+	case f.moved <- struct{}{}:
+	default: // one is enough
+	}
+	return true
+}
+
 func (f *Follower) ask(
 	ctx context.Context,
-	query string,
+	address, query string,
 	within time.Duration,
 ) (int64, bool, []exchange.Box, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address+path+query, nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path+query, nil)
 	if err != nil {
 		return 0, false, nil, err
 	}
--- a/internal/net/boxlist/watch_test.go
+++ b/internal/net/boxlist/watch_test.go
@@ -123,6 +123,60 @@
 	}
 }
 
+// A move goes on with the old list until the new address has given one, whatever its versions; then the old address
+// has no say, and the next watch is due at the new one without a pause.
+func TestAMoveLeavesNoGap(t *testing.T) {
+	old := &service{pages: []string{`{"version":70,"full":true,"servers":[` + box + `]}`}}
+	next := &service{pages: []string{"", "no list", `{"version":2,"full":true,"servers":[` + box + `]}`, `{"version":3,"full":false,"servers":[]}`}}
+	var at [2]string
+	for i, s := range []*service{old, next} {
+		server := httptest.NewServer(s)
+		t.Cleanup(func() {
+			server.CloseClientConnections()
+			server.Close()
+		})
+		at[i] = server.Listener.Addr().String()
+	}
+	d, err := terms.Of(map[string]any{"namespaces": []any{map[string]any{"name": "read", "repeat": "safe",
+		"target-time-ms": 1., "time-limit-ms": 2.}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, logs := observer.New(zap.InfoLevel)
+	x := exchange.New(d, zap.NewNop())
+	f := New(x, at[0], 10*time.Second, zap.New(core))
+	x.Start(1, nil, f)
+	go f.Run(t.Context())
+	for end := time.Now().Add(5 * time.Second); len(old.calls()) < 2; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no watch at the old address")
+		}
+	}
+	f.mu.Lock()
+	before := f.from
+	f.mu.Unlock()
+	f.Move(t.Context(), "127.0.0.1:1") // refused; the next move takes its place
+	f.Move(t.Context(), at[1])
+	for end := time.Now().Add(5 * time.Second); len(next.calls()) < 5; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no watch at the new address: ", next.calls())
+		}
+	}
+	got := strings.Join(next.calls()[2:], " ")
+	if want := path + " " + path + "?from=2&hold_ms=10000 " + path + "?from=3&hold_ms=10000"; got != want {
+		t.Errorf("asked %s", got)
+	}
+	if next.at[3].Sub(next.at[2]) > 200*time.Millisecond || len(old.calls()) != 2 {
+		t.Errorf("the watch came after %v; the old address was asked %d times", next.at[3].Sub(next.at[2]), len(old.calls()))
+	}
+	if f.tell(before, true, nil) || logs.FilterMessage("box list").Len() != 2 {
+		t.Error("the old address still has a say")
+	}
+	if logs.FilterMessage("box list lost, the old one stands").Len() != 0 {
+		t.Error("the module was told of a failure")
+	}
+}
+
 func TestKnownIsToldAsPersisted(t *testing.T) {
 	_, full, boxes, err := parse(
 		[]byte(
--- a/internal/net/node/node.go
+++ b/internal/net/node/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 
 	"go.uber.org/zap"
 
@@ -15,8 +16,9 @@
 	"github.com/thistlerudder/thistlerudder/internal/terms"
 )
 
-// Run serves until the context ends, then answers what it has taken, and returns.
-func Run(ctx context.Context, s *terms.Station, log *zap.Logger) error {
+// Run serves until the context ends, then answers what it has taken, and returns. At each signal it reads its
+// configuration anew.
+func Run(ctx context.Context, s *terms.Station, signals <-chan os.Signal, log *zap.Logger) error {
 	log = log.With(zap.String("node", s.Name))
 	l := split(s)
 	l.apply()
@@ -52,6 +54,7 @@
 	following, stop := context.WithCancel(context.Background())
 	defer stop()
 	go list.Run(following)
+	go renew(following, signals, s, list, log.Named("renew"))
 	go report(following, x, front, log.Named("report"))
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(listener) }()
--- a/internal/net/node/node_test.go
+++ b/internal/net/node/node_test.go
@@ -61,7 +61,7 @@
 	go func() {
 		// The list of the configuration can't be read: that is told, and the first one that comes is waited for.
 		ended <- Run(ctx, &terms.Station{Name: "n", Listen: address, Discovery: discovery.Listener.Addr().String(), Cores: 1, MemoryMB: 192,
-			Descriptors: 128, Known: []byte("no list"), Terms: d}, zap.New(core))
+			Descriptors: 128, Known: []byte("no list"), Terms: d}, nil, zap.New(core))
 	}()
 	client := &http.Client{Timeout: 2 * time.Second}
 	ask := func(path string) (int, string) {
--- a/internal/terms/station.go
+++ b/internal/terms/station.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -23,6 +25,9 @@
 	MemoryMB, Descriptors   int
 	Known                   []byte // the box list as last had, in the discovery service's form
 	*Terms
+
+	path string
+	all  map[string]any
 }
 
 // The smallest machine that operators name stands in where the limits are silent.
@@ -37,7 +42,33 @@
 
 // Read reads the file that a node is started with; BALANCER_NAME, BALANCER_LISTEN and BALANCER_DISCOVERY
 // come before what it says. The error names every key that is at fault, and what was expected there.
-func Read(path string) (*Station, error) {
+func Read(path string) (*Station, error) { return readUnder(path, "name", "listen", "discovery") }
+
+// Again reads the file anew. What it says of the discovery service comes before BALANCER_DISCOVERY now, which
+// still has the address of the start.
+func (s *Station) Again() (*Station, error) {
+	k := koanf.New(".")
+	if err := k.Load(file.Provider(s.path), koanfjson.Parser()); err != nil {
+		return nil, fmt.Errorf("%s: expected a JSON object: %w", s.path, err)
+	}
+	if k.Exists("discovery") {
+		return readUnder(s.path, "name", "listen")
+	}
+	return Read(s.path)
+}
+
+// Fixed names the keys whose values differ between two readings and can't change while the node runs.
+func (s *Station) Fixed(other *Station) (keys []string) {
+	for _, key := range []string{"listen", "limits", "settings"} {
+		if !reflect.DeepEqual(s.all[key], other.all[key]) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// readUnder lets the variables for these keys come before the file.
+func readUnder(path string, variables ...string) (*Station, error) {
 	k := koanf.New(".")
 	defaults := map[string]any{"name": "node", "limits.cores": defaultCores,
 		"limits.memory_mb": float64(defaultMemoryMB), "limits.sockets": float64(defaultDescriptors)}
@@ -49,20 +80,19 @@
 			return nil, fmt.Errorf("%s: expected a JSON object: %w", path, err)
 		}
 	}
-	own := map[string]bool{"name": true, "listen": true, "discovery": true}
-	variables := env.Opt{Prefix: prefix, TransformFunc: func(key, value string) (string, any) {
-		if key = strings.ToLower(strings.TrimPrefix(key, prefix)); !own[key] {
+	own := env.Opt{Prefix: prefix, TransformFunc: func(key, value string) (string, any) {
+		if key = strings.ToLower(strings.TrimPrefix(key, prefix)); !slices.Contains(variables, key) {
 			return "", nil
 		}
 		return key, value
 	}}
-	if err := k.Load(env.Provider(".", variables), nil); err != nil {
+	if err := k.Load(env.Provider(".", own), nil); err != nil {
 		return nil, err
 	}
 	all := k.Raw()
 	var faults []error
 	fault := func(key, expected string) { faults = append(faults, fmt.Errorf("%s: expected %s", key, expected)) }
-	s := &Station{}
+	s := &Station{path: path, all: all}
 	for key, into := range map[string]*string{"name": &s.Name, "listen": &s.Listen, "discovery": &s.Discovery} {
 		v, _ := find(all, key)
 		*into, _ = v.(string)
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -55,6 +56,33 @@
 	}
 }
 
+// Read again, the file's discovery address comes before the variable's; a faulty file is an error that names the key.
+func TestAgainTakesTheFilesDiscovery(t *testing.T) {
+	t.Setenv("BALANCER_DISCOVERY", "127.0.0.9:1")
+	s, err := read(t, "", "")
+	if err != nil || s.Discovery != "127.0.0.9:1" {
+		t.Fatal(s.Discovery, err)
+	}
+	for _, c := range []struct{ text, discovery, fixed, fault string }{
+		{paper, "127.0.0.2:8500", "[]", ""},
+		{strings.Replace(paper, `"sockets":512`, `"sockets":256`, 1), "127.0.0.2:8500", "[limits]", ""},
+		{strings.Replace(paper, `,"discovery":"127.0.0.2:8500"`, "", 1), "127.0.0.9:1", "[]", ""},
+		{strings.Replace(paper, `"127.0.0.2:8500"`, `"nowhere"`, 1), "", "", "discovery: "},
+		{paper[:len(paper)/2], "", "", "expected a JSON object"},
+	} {
+		if err := os.WriteFile(s.path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		again, err := s.Again()
+		switch {
+		case c.fault != "" && (err == nil || !strings.Contains(err.Error(), c.fault)):
+			t.Errorf("%v, want %q", err, c.fault)
+		case c.fault == "" && (err != nil || again.Discovery != c.discovery || fmt.Sprint(s.Fixed(again)) != c.fixed):
+			t.Errorf("%v, %+v, fixed %v", err, again, s.Fixed(again))
+		}
+	}
+}
+
 func TestAFaultNamesItsKey(t *testing.T) {
 	for _, c := range []struct{ old, new, key string }{
 		{`"127.0.0.1:7070"`, `7070`, "listen: "},
