Give back the places of boxes that went, and keep connections by place

Checked: exchange.go, List (places, addresses only grow); the transport's key is the address. Ruled out: indices used anew at once, which the module's ranges of before would take for the old box. Now: an index is given back once its box is gone and its shots have settled, and used anew after 256 others; the module takes another id under an index for another box (one condition). Connections are kept by place.

--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -5,7 +5,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -36,17 +35,19 @@
 	carrier Carrier
 	lister  Lister
 
-	mu        sync.Mutex
-	balancer  *logic.Balancer
-	tickets   []*Ticket // by the module's index
-	free      []int
-	out       map[string]*Ticket // by the client's id, until all shots have settled
-	places    map[string]int     // box ids to indices
-	addresses []string           // by index; it may change, the index stays
-	listed    bool
-	alarms    alarms
-	timer     *time.Timer
-	tally     Tally
+	mu       sync.Mutex
+	balancer *logic.Balancer
+	tickets  []*Ticket // by the module's index
+	free     []int
+	out      map[string]*Ticket // by the client's id, until all shots have settled
+	places   map[string]int     // box ids to indices
+	boxes    []place            // by index
+	resting  []int              // indices that were given back, the longest rested first
+	told     uint64             // places that the list has told of so far
+	listed   bool
+	alarms   alarms
+	timer    *time.Timer
+	tally    Tally
 }
 
 // New makes the owner; nothing happens before Start.
@@ -127,18 +128,25 @@
 	return t, nil
 }
 
-// List tells the module what the box list says. The address of a box may change, its index does not.
+// List tells the module what the box list says.
 func (x *Exchange) List(how logic.ListKind, boxes []Box) {
 	x.do("list", nil, func(now logic.Time) {
+		if how == logic.Whole || how == logic.Persisted {
+			for i := range x.boxes {
+				x.boxes[i].gone = true // unless the list names it
+			}
+		}
 		list := make([]logic.Box, 0, len(boxes))
 		for _, b := range boxes {
 			i, known := x.places[b.ID]
+			if !known && b.State == logic.Gone {
+				continue
+			}
 			if !known {
-				i = len(x.addresses)
+				i = x.index()
 				x.places[b.ID] = i
-				x.addresses = append(x.addresses, "")
 			}
-			x.addresses[i] = b.Address
+			x.boxes[i].renew(b, &x.told)
 			kind, known := x.terms.Machines[b.Machine]
 			if !known {
 				kind = -1
@@ -147,6 +155,9 @@
 				Since: fromUnix(b.StartedMs)})
 		}
 		x.balancer.List(now, how, list)
+		for i := range x.boxes {
+			x.giveBack(i)
+		}
 		if how != logic.Failed && len(boxes) > 0 {
 			x.listed = true
 		}
@@ -167,13 +178,16 @@
 	t := h.tickets[lkp]
 	s := &Shot{
 		Lookup:  &t.Lookup,
-		Address: h.addresses[server],
+		Address: h.boxes[server].address,
+		Place:   h.boxes[server].nth,
+		server:  server,
 		Within:  spanOf(timeout),
 		ticket:  t,
 		number:  t.shots,
 	}
 	t.shots++
 	t.out++
+	h.boxes[server].out++
 	h.tally.Shots++
 	h.carrier.Carry(s)
 }
@@ -214,6 +228,3 @@
 		x.free = append(x.free, t.index)
 	}
 }
-
-// String is for the log.
-func (b Box) String() string { return fmt.Sprintf("%s at %s", b.ID, b.Address) }
--- a/internal/net/exchange/exchange_test.go
+++ b/internal/net/exchange/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand"
 	"strconv"
 	"sync"
@@ -236,8 +237,48 @@
 	moved.Address = "elsewhere:1"
 	x.List(logic.Changes, []Box{moved})
 	take(t, x, Lookup{Namespace: "read", Write: true}, time.Second)
-	if s := ships.take(0); s.Address != "elsewhere:1" || len(x.addresses) != len(boxes) {
-		t.Errorf("sent to %s; %d indices for %d boxes", s.Address, len(x.addresses), len(boxes))
+	if s := ships.take(0); s.Address != "elsewhere:1" || len(x.boxes) != len(boxes) {
+		t.Errorf("sent to %s; %d indices for %d boxes", s.Address, len(x.boxes), len(boxes))
+	}
+}
+
+// Boxes come under new ids all day, some at the address of one that has gone: nothing is kept of those that went, no
+// box gets the index of another whose shots are out, and each has connections of its own.
+func TestPlacesOfBoxesThatWentAreGivenBack(t *testing.T) {
+	ships := &fleet{}
+	x := start(t, ships)
+	take(t, x, Lookup{Namespace: "late", Write: true}, time.Second) // at the origin while that is replaced
+	out := ships.take(0)
+	seen := map[uint64]bool{out.Place: true}
+	for n := range 3 * restLeast {
+		fresh := []Box{{ID: fmt.Sprint("c", n), Address: "same:1", Machine: "box"}, {ID: fmt.Sprint("z", n), Address: "z:1", Machine: "origin"}}
+		if n%2 == 0 {
+			x.List(logic.Whole, fresh)
+		} else {
+			x.List(logic.Changes, append(fresh, Box{ID: fmt.Sprint("c", n-1), State: logic.Gone},
+				Box{ID: fmt.Sprint("z", n-1), State: logic.Gone}, Box{ID: "never seen", State: logic.Gone}))
+		}
+		for _, write := range []bool{false, true} {
+			take(t, x, Lookup{Namespace: "late", Write: write}, time.Second)
+			s := ships.take(0)
+			if s == nil || seen[s.Place] || s.server == out.server || s.Address != fresh[map[bool]int{true: 1}[write]].Address {
+				t.Fatalf("list %d, write %v: %+v", n, write, s)
+			}
+			seen[s.Place] = true
+			s.Settle(Whole, Answer{})
+		}
+	}
+	out.Settle(Whole, Answer{})
+	if len(x.places) != 2 || len(x.boxes) > restLeast+12 {
+		t.Errorf("%d ids and %d indices are kept", len(x.places), len(x.boxes))
+	}
+	same, again := boxes[0], boxes[0]
+	again.StartedMs = 5
+	for _, b := range []Box{same, same, again} {
+		x.List(logic.Whole, []Box{b})
+	}
+	if p := x.boxes[x.places["a"]]; p.nth != x.told || x.told != uint64(len(boxes)+6*restLeast+2) {
+		t.Errorf("a restart is another place, the same list isn't: %+v of %d", p, x.told)
 	}
 }
 
--- /dev/null
+++ b/internal/net/exchange/places.go
@@ -0,0 +1,45 @@
+package exchange
+
+import "github.com/thistlerudder/thistlerudder/logic"
+
+// restLeast is how many indices lie between giving one back and using it anew: the ranges that the module keeps from
+// before the latest changes of the list name no box that has been gone for so long.
+const restLeast = 256
+
+// place is a box as the list last told of it.
+type place struct {
+	id, address string
+	since       float64
+	nth         uint64 // another number for each box, start and address: what was kept to an earlier one isn't for it
+	out         int    // shots
+	gone        bool
+}
+
+// renew takes over what the list says. A box that starts again or moves keeps its index.
+func (p *place) renew(b Box, told *uint64) {
+	if b.State != logic.Gone && (p.id != b.ID || p.address != b.Address || p.since != b.StartedMs) {
+		*told++
+		p.id, p.address, p.since, p.nth = b.ID, b.Address, b.StartedMs, *told
+	}
+	p.gone = b.State == logic.Gone
+}
+
+// index gives one for a new box: boxes come under new ids all day, so those of boxes that went are used anew.
+func (x *Exchange) index() int {
+	if len(x.resting) > restLeast {
+		i := x.resting[0]
+		x.resting = x.resting[1:]
+		return i
+	}
+	x.boxes = append(x.boxes, place{})
+	return len(x.boxes) - 1
+}
+
+// giveBack lets an index rest once its box is gone and all shots to it have settled.
+func (x *Exchange) giveBack(i int) {
+	if p := &x.boxes[i]; p.gone && p.out == 0 && p.id != "" {
+		delete(x.places, p.id)
+		*p = place{}
+		x.resting = append(x.resting, i)
+	}
+}
--- a/internal/net/exchange/ticket.go
+++ b/internal/net/exchange/ticket.go
@@ -65,9 +65,11 @@
 type Shot struct {
 	*Lookup
 	Address string
+	Place   uint64        // which box at this address, and since which start: another number for each
 	Within  time.Duration // how long the node waits for it
 
 	ticket  *Ticket
+	server  int
 	number  int
 	settled bool
 }
@@ -88,5 +90,7 @@
 			t.x.finish(t, answer)
 		}
 		t.x.balancer.Settled(now, t.index, s.number, end.Code(), end == Whole || t.over)
+		t.x.boxes[s.server].out--
+		t.x.giveBack(s.server)
 	})
 }
--- a/internal/net/servers/dial.go
+++ b/internal/net/servers/dial.go
@@ -24,7 +24,11 @@
 	to      map[string]int
 }
 
-func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+func (d *dialer) dial(ctx context.Context, network, place string) (net.Conn, error) {
+	address, ok := ctx.Value(toAddress{}).(string)
+	if !ok {
+		address = place
+	}
 	if !d.begin(address) {
 		return nil, errNoRoom
 	}
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -32,8 +32,9 @@
 // request makes what goes on: the bytes that came, and the time that is left.
 func request(ctx context.Context, shot *exchange.Shot) *http.Request {
 	r := &http.Request{Method: shot.Method, Host: shot.Address,
-		// The target as it came: not parsed, not escaped.
-		URL: &url.URL{Scheme: "http", Host: shot.Address, Opaque: shot.Target},
+		// The target as it came: not parsed, not escaped. The host is what connections are kept by: a new server
+		// at the address of one that has gone must get none that was made to the old one.
+		URL: &url.URL{Scheme: "http", Host: "place-" + strconv.FormatUint(shot.Place, 10), Opaque: shot.Target},
 		Header: http.Header{
 			"User-Agent":   nil,
 			"X-Trace-Id":   {shot.Trace},
@@ -43,9 +44,12 @@
 	if shot.Idempotency != "" {
 		r.Header["Idempotency-Key"] = []string{shot.Idempotency}
 	}
-	return r.WithContext(ctx)
+	return r.WithContext(context.WithValue(ctx, toAddress{}, shot.Address))
 }
 
+// toAddress is the key under which a dial's context has the address behind a place.
+type toAddress struct{}
+
 // carried is the connection that a shot went out on, if it got one.
 type carried struct {
 	conn          *conn
--- a/internal/net/servers/servers_test.go
+++ b/internal/net/servers/servers_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -188,6 +189,21 @@
 	return near, far
 }
 
+// A server at the address of one that has gone gets no connection that was made to the old one.
+func TestEachPlaceHasItsOwnConnections(t *testing.T) {
+	address := raw(t, func(c net.Conn, _ *http.Request, nth int) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", nth)
+	})
+	s := side(t)
+	for i, want := range []string{"0", "1", "0", "2", "1"} { // requests before it on its connection
+		sh := shot(address, "GET", "")
+		sh.Place = []uint64{1, 1, 2, 1, 2}[i]
+		if end, a := s.send(sh); end != exchange.Whole || string(a.Body) != want {
+			t.Errorf("shot %d: %v %q, want %s", i, end, a.Body, want)
+		}
+	}
+}
+
 // A kept connection that breaks before the shot is written says nothing of the server: the shot goes on another.
 func TestAStaleConnectionCostsNothing(t *testing.T) {
 	address := raw(t, func(c net.Conn, _ *http.Request, _ int) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -598,7 +598,7 @@
 			b.servers = append(b.servers, nil)
 		}
 		s := b.servers[x.Server]
-		if s == nil || s.Since != x.Since {
+		if s == nil || s.Since != x.Since || s.ID != x.ID {
 			// A restart makes a server another one, cold and without a past; its old shots still settle.
 			fresh := &server{budgetAt: now, calm: b.least, credit: creditMost}
 			if s != nil {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -357,6 +357,21 @@
 }
 
 // A failed call to the list is made again, later each time, and no more once one went through.
+// Another box under an index that was given back has none of its predecessor's past.
+func TestAnIndexUsedAnewHasNoPast(t *testing.T) {
+	f := newFake(1, 2)
+	s := f.b.servers[0]
+	s.strikes, s.rest, s.restEnd, s.credit = 2, suspectMost, f.now+suspectMost, 0
+	f.b.List(f.now, Changes, []Box{{Server: 0, ID: "10.0.0.00"}})
+	if f.b.servers[0].rest == 0 {
+		t.Error("the same box lost its past")
+	}
+	f.b.List(f.now, Changes, []Box{{Server: 0, ID: "10.0.0.99"}})
+	if s := f.b.servers[0]; s.rest != 0 || s.strikes != 0 || s.credit != creditMost {
+		t.Errorf("another box has %+v", s)
+	}
+}
+
 func TestListIsAskedAgain(t *testing.T) {
 	f := newFake(1, 1)
 	for n := 1; n <= 5; n++ {
