Take the end of one connection for an error, not for the end of its server

Checked: a broken connection makes its server a suspect at once (logic.go, judge), 0.25 s and more for each; 30 a second rest most of nine caches. Lines at fault: ends.go, Code. A connection's end that the kernel knew of was not looked for before a write (dial.go, waiting), and a fresh connection that broke before the last byte counted against its server. Ruled out: late closing of idle connections on our side, these are closed within milliseconds of an answer. Now: lost and cut short are errors, of which two in a row make a suspect; a dial that is refused tells of a dead server. The end counts as stray bytes do, and a shot that was not written whole goes on another connection. What is left there are shots that end silent.

--- a/internal/net/exchange/ends.go
+++ b/internal/net/exchange/ends.go
@@ -31,14 +31,14 @@
 		return logic.Answered
 	case Lacking:
 		return logic.Missing
-	case Failing, Unclear, Spoilt:
+	case Failing, Unclear, Spoilt, Lost, CutShort:
+		// Servers reset and close single connections and work on; taken for broken servers, most of a fleet would
+		// rest. Of a dead one the next dial tells.
 		return logic.Errored
 	case TurnedAway:
 		return logic.Full
 	case Unreached, Unwritten:
 		return logic.Unconnected
-	case Lost, CutShort:
-		return logic.Broken
 	case Silent:
 		return logic.TimedOut
 	case NoRoom, Overtaken:
--- a/internal/net/exchange/exchange_test.go
+++ b/internal/net/exchange/exchange_test.go
@@ -310,6 +310,9 @@
 	for end := range endCount {
 		code := end.Code()
 		notRun := code == logic.Full || code == logic.Unconnected || code == logic.Unsent || code == logic.Missing
+		if code == logic.Broken {
+			t.Errorf("%v: one connection's end is taken for its server's", end)
+		}
 		if notRun != proofs[end] || end.String() == "" || (code == logic.Answered) != (end == Whole) {
 			t.Errorf("%v: code %v", end, code)
 		}
--- a/internal/net/servers/dial.go
+++ b/internal/net/servers/dial.go
@@ -95,7 +95,7 @@
 	return own
 }
 
-var errStray = errors.New("bytes came before the request was written")
+var errStray = errors.New("bytes or the end came before the request was written")
 
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
@@ -113,7 +113,7 @@
 	return n, err
 }
 
-// waiting looks for bytes that have come and that nobody has read yet.
+// waiting looks for bytes, or the connection's end, that have come and that nobody has read yet.
 func (c *conn) waiting() bool {
 	tcp, ok := c.Conn.(syscall.Conn)
 	if !ok {
@@ -123,12 +123,12 @@
 	if err != nil {
 		return false
 	}
-	n, there := 0, false
+	there := false
 	_ = raw.Control(func(fd uintptr) { // not Read, which would wait for the transport's own
-		n, _, err = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		there = err == nil
+		_, _, err = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		there = err == nil || !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
 	})
-	return there && n > 0
+	return there
 }
 
 func (c *conn) Read(b []byte) (int, error) {
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	triesMost = 3                      // kept connections tried: more than that are not stale at once by chance
+	triesMost = 3                      // connections tried: more than that don't break by chance
 	wholeIn   = 100 * time.Millisecond // from an answer's first byte to its last; 64 KiB take a few
 )
 
@@ -53,14 +53,12 @@
 // carried is the connection that a shot went out on, if it got one.
 type carried struct {
 	conn          *conn
-	reused        bool
 	written, read int64 // bytes there had been before
 	began         *time.Timer
 }
 
 func (on *carried) got(c net.Conn, reused bool) {
 	on.conn, _ = c.(*conn)
-	on.reused = reused
 	on.written, on.read = on.conn.take(reused)
 }
 
@@ -90,8 +88,8 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op)
 }
 
-// send does one exchange with a server and tells how it ended. A kept connection that turns out to be no good
-// before the shot was written to it tells nothing of the server, so another one is tried.
+// send does one exchange with a server and tells how it ended. A connection that breaks before the shot was
+// written whole tells little of the server, and the shot has not run, so another one is tried.
 func (s *Servers) send(shot *exchange.Shot) (exchange.End, exchange.Answer) {
 	ctx, cancel := context.WithTimeout(s.context, shot.Within)
 	defer cancel()
@@ -99,7 +97,7 @@
 	for tried := 1; ; tried++ {
 		var on carried
 		end, answer, err := s.once(ctx, shot, &on)
-		if end == exchange.Unwritten && on.reused && tried < triesMost && ctx.Err() == nil {
+		if end == exchange.Unwritten && tried < triesMost && ctx.Err() == nil {
 			continue
 		}
 		if err != nil {
--- a/internal/net/servers/servers_test.go
+++ b/internal/net/servers/servers_test.go
@@ -170,6 +170,14 @@
 	if n, err := c.Write([]byte("request")); n != 7 || err != nil || c.early {
 		t.Errorf("a clean connection: wrote %d, %v", n, err)
 	}
+	c.take(false)
+	far.Close() // with the request unread, so that it is a reset
+	for end := time.Now().Add(time.Second); !c.waiting() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if n, err := c.Write([]byte("request")); n != 0 || err == nil {
+		t.Errorf("at the connection's end: wrote %d, %v", n, err)
+	}
 }
 
 // tcp gives two ends of a connection.
