Count a time-out of a lookup with little time left as no strike against its server

Checked: the lookups' own limits were that short; two such in a row made a suspect (logic.go, judge). A new connection that is reset counts like one that breaks under the request, and another is tried; a half answer has 50 ms. An overloaded cache and a silent connection look alike to a bound on time.

--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,8 +19,8 @@
 )
 
 const (
-	triesMost = 3                      // connections tried: more than that don't break by chance
-	wholeIn   = 100 * time.Millisecond // from an answer's first byte to its last; 64 KiB take a few
+	triesMost = 3                     // connections tried: more than that don't break by chance
+	wholeIn   = 50 * time.Millisecond // from an answer's first byte to its last; 64 KiB take a few
 )
 
 // onceOnly is a body that the transport can't rewind, and so won't send again when a kept connection
@@ -144,6 +145,8 @@
 		return exchange.Withdrawn
 	case on.conn == nil && ctx.Err() != nil && !errors.As(err, &dial):
 		return exchange.Overtaken
+	case on.conn == nil && errors.Is(err, syscall.ECONNRESET):
+		return exchange.Unwritten // a new connection that is reset: a dead server would refuse it
 	case on.conn == nil:
 		return exchange.Unreached
 	case ctx.Err() != nil:
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,13 +1,11 @@
 package logic
 
-// This file holds every decision of a balancer node. New makes one Balancer per node from the terms
-// (a plain map of names to values, filled by the caller) and a Host to act through; host.go has the
-// Host interface and the plain types. After that the caller reports each thing that happens by calling
-// one method: Lookup, Started, Settled, Left, List or Alarm, each with the clock. Methods act
-// by calling the Host before they return; nothing happens between calls.
-//
-// It is laid out to be read in order: the rules, the line and its ranges, the walk along them with its
-// bounds, the origin, what happens. docs/design.md says where all this comes from.
+// This file holds every decision of a balancer node. New makes one Balancer per node from the terms (a
+// plain map of names to values, filled by the caller) and a Host to act through; host.go has the Host
+// interface and the plain types. After that the caller reports each thing that happens by calling one
+// method: Lookup, Started, Settled, Left, List or Alarm, each with the clock. Methods act by calling the
+// Host before they return. It is laid out to be read in order: the rules, the line and its ranges, the walk
+// along them with its bounds, the origin, what happens. docs/design.md says where all this comes from.
 
 import (
 	"encoding/binary"
@@ -312,10 +310,8 @@
 
 // passOver gives the exceptions: each is one more reason to skip a cache.
 func (b *Balancer) passOver(l *lookup, i int, s *server) bool {
-	for _, t := range l.shots {
-		if t.server == i {
-			return true // it had its try
-		}
+	if slices.ContainsFunc(l.shots, func(t shot) bool { return t.server == i }) {
+		return true // it had its try
 	}
 	// After a suspect's rest one replayable lookup tries it out.
 	if s.rest > 0 && (b.now < s.restEnd || s.trial || b.spaces[l.Namespace].kind != replayable) {
@@ -380,10 +376,8 @@
 // advance takes a lookup's next step: its cache, the origin, a wait for the key's fetch, or its end.
 func (b *Balancer) advance(lkp int) {
 	l := &b.lookups[lkp]
-	for _, s := range l.shots {
-		if s.out {
-			return // its outcome will come
-		}
+	if slices.ContainsFunc(l.shots, func(s shot) bool { return s.out }) {
+		return // its outcome will come
 	}
 	if !b.mayShoot(l) {
 		b.finish(lkp)
@@ -504,9 +498,9 @@
 	}
 	if l.over && b.draw() >= b.ease {
 		b.finish(lkp)
-		return
+	} else {
+		b.advance(lkp)
 	}
-	b.advance(lkp)
 }
 
 // Started tells that an answer streams: the rest is the server's and the client's.
@@ -517,13 +511,15 @@
 	b.clock(now)
 	l := &b.lookups[lkp]
 	t := &l.shots[number]
-	t.out = false
+	t.out, t.notRun = false, code == Full || code == Unconnected || code == Unsent || code == Missing
 	b.servers[t.server].took += (now - t.sent - b.servers[t.server].took) / 8
-	t.notRun = code == Full || code == Unconnected || code == Unsent || code == Missing
 	s := b.servers[t.server]
-	b.judge(s, number, code)
 	// Crowded caches slow down, so the room shrinks until their answers are quick again.
 	slow := now-t.sent > Time(calmPart*float64(b.spaces[l.Namespace].target))
+	if code == TimedOut && !slow {
+		code = CalledOff // the lookup had little time left, which says nothing of the server
+	}
+	b.judge(s, number, code)
 	if code == Full {
 		l.turned++
 	}
@@ -535,9 +531,7 @@
 	case code == Answered || code == Missing: // a failure may be quick as well
 		s.calm = min(calmMost, s.calm+calmWon)
 	}
-	if code == Missing {
-		l.missed = true
-	}
+	l.missed = l.missed || code == Missing
 	if !l.live {
 		return
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -325,6 +325,25 @@
 }
 
 // One fetch a key: the second lookup waits for the first one's and then asks the cache again.
+// Clients that give up early: a shot that ends with its lookup's little time says nothing of its server.
+func TestAShortTimeIsNoStrike(t *testing.T) {
+	f := newFake(1, 1)
+	for _, c := range []struct {
+		span    Time
+		strikes int
+	}{{300, 0}, {300, 0}, {700, 1}, {300, 1}, {700, 2}} {
+		lkp, asked := f.ask(0, "k", false, f.now+c.span)
+		if len(asked.shots) != 1 || asked.shots[0].server != 0 {
+			t.Fatalf("%d strikes: shots %v", f.b.servers[0].strikes, asked.shots)
+		}
+		f.now += c.span
+		f.settle(lkp, 0, TimedOut)
+		if got := f.b.servers[0].strikes; got != c.strikes {
+			t.Errorf("after %d tenths of a millisecond: %d strikes, want %d", c.span, got, c.strikes)
+		}
+	}
+}
+
 func TestOneFetchAKey(t *testing.T) {
 	f := newFake(1, 1)
 	first, c1 := f.ask(0, "a", false, f.now+5000)
