Give up a read whose connection fell silent while its server answers later ones

Lines at fault: none waited by anything but the lookup's limit (send.go, send). Now: each whole answer looks at the reads sent earlier to the same place; one that has waited for four of the place's mean times is given up and counts as called off.

--- a/internal/net/exchange/ends.go
+++ b/internal/net/exchange/ends.go
@@ -18,6 +18,7 @@
 	CutShort              // the connection broke in the middle of the answer
 	Spoilt                // the answer can't be read, doesn't end or is over its bound; the server itself works
 	Silent                // no answer when the node stopped waiting
+	Passed                // none either, while the server answered later shots: its connection has fallen silent
 	NoRoom                // no descriptor, dial or goroutine was left: nothing was sent
 	Overtaken             // the node stopped waiting before a connection was up or had failed
 	Withdrawn             // the node itself took it back, at its own end
@@ -49,6 +50,6 @@
 }
 
 var endNames = [endCount]string{"whole", "lacking", "failing", "turned away", "unclear", "unreached",
-	"unwritten", "lost", "cut short", "spoilt", "silent", "no room", "overtaken", "withdrawn"}
+	"unwritten", "lost", "cut short", "spoilt", "silent", "passed", "no room", "overtaken", "withdrawn"}
 
 func (e End) String() string { return endNames[e] }
--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -181,13 +181,14 @@
 		Address: h.boxes[server].address,
 		Place:   h.boxes[server].nth,
 		server:  server,
+		sent:    time.Now(),
 		Within:  spanOf(timeout),
 		ticket:  t,
 		number:  t.shots,
 	}
 	t.shots++
 	t.out++
-	h.boxes[server].out++
+	h.boxes[server].out = append(h.boxes[server].out, s)
 	h.tally.Shots++
 	h.carrier.Carry(s)
 }
--- a/internal/net/exchange/exchange_test.go
+++ b/internal/net/exchange/exchange_test.go
@@ -242,6 +242,52 @@
 	}
 }
 
+// A read that waits while later ones at its server are answered, for several of its mean times, is given up: its
+// connection has fallen silent. A write isn't, and neither is a read that was sent later.
+func TestAReadThatLaterOnesPassIsGivenUp(t *testing.T) {
+	ships := &fleet{}
+	x := start(t, ships)
+	x.List(logic.Whole, []Box{boxes[3]}) // one server: writes and misses go there
+	shoot := func(write bool) *Shot {
+		take(t, x, Lookup{Namespace: "once", Write: write}, time.Second)
+		return ships.take(0)
+	}
+	p := &x.boxes[x.places["z"]]
+	passed := map[string]int{}
+	watched := func(name string) *Shot {
+		s := shoot(true)
+		s.WhenPassed(func() { passed[name]++ })
+		return s
+	}
+	first, write := watched("read"), watched("write")
+	first.Lookup.Write = false
+	p.mean = time.Minute
+	shoot(true).Settle(Whole, Answer{})
+	if len(passed) != 0 {
+		t.Errorf("given up at once: %v", passed)
+	}
+	p.mean = 0
+	time.Sleep(time.Millisecond)
+	shoot(true).Settle(Failing, Answer{})
+	last := shoot(true)
+	late := watched("late")
+	late.Lookup.Write = false
+	late.sent = last.sent.Add(time.Microsecond)
+	if len(passed) != 0 {
+		t.Errorf("an error has passed it: %v", passed)
+	}
+	last.Settle(Whole, Answer{})
+	if fmt.Sprint(passed) != "map[read:1]" {
+		t.Errorf("given up: %v, want the read, once", passed)
+	}
+	for _, s := range []*Shot{late, write, first} {
+		s.Settle(Silent, Answer{})
+	}
+	if len(p.out) != 0 {
+		t.Errorf("%d shots are still counted", len(p.out))
+	}
+}
+
 // Boxes come under new ids all day, some at the address of one that has gone: nothing is kept of those that went, no
 // box gets the index of another whose shots are out, and each has connections of its own.
 func TestPlacesOfBoxesThatWentAreGivenBack(t *testing.T) {
--- a/internal/net/exchange/places.go
+++ b/internal/net/exchange/places.go
@@ -1,17 +1,28 @@
 package exchange
 
-import "github.com/thistlerudder/thistlerudder/logic"
+import (
+	"slices"
+	"time"
+
+	"github.com/thistlerudder/thistlerudder/logic"
+)
 
 // restLeast is how many indices lie between giving one back and using it anew: the ranges that the module keeps from
 // before the latest changes of the list name no box that has been gone for so long.
 const restLeast = 256
 
+const (
+	passedTimes = 4 // mean times of its server after which a shot is silent, if a later one was answered meanwhile
+	meanPart    = 8 // an answer counts as an eighth of the mean: a second's worth of them or so
+)
+
 // place is a box as the list last told of it.
 type place struct {
 	id, address string
 	since       float64
 	nth         uint64 // another number for each box, start and address: what was kept to an earlier one isn't for it
-	out         int    // shots
+	out         []*Shot
+	mean        time.Duration // of the latest whole answers
 	gone        bool
 }
 
@@ -37,9 +48,25 @@
 
 // giveBack lets an index rest once its box is gone and all shots to it have settled.
 func (x *Exchange) giveBack(i int) {
-	if p := &x.boxes[i]; p.gone && p.out == 0 && p.id != "" {
+	if p := &x.boxes[i]; p.gone && len(p.out) == 0 && p.id != "" {
 		delete(x.places, p.id)
 		*p = place{}
 		x.resting = append(x.resting, i)
 	}
 }
+
+// settled takes a shot off its place. Connections fall silent by themselves while their servers work: where a read has
+// waited for several of the server's mean times, and one sent later was answered, it is not waited for any longer. An
+// overloaded server takes longer for all, so that nothing changes there.
+func (p *place) settled(s *Shot, end End) {
+	p.out = slices.DeleteFunc(p.out, func(o *Shot) bool { return o == s })
+	if end != Whole {
+		return
+	}
+	p.mean += (time.Since(s.sent) - p.mean) / meanPart
+	for _, o := range p.out {
+		if o.sent.Before(s.sent) && !o.Write && time.Since(o.sent) > passedTimes*p.mean {
+			o.Passed()
+		}
+	}
+}
--- a/internal/net/exchange/ticket.go
+++ b/internal/net/exchange/ticket.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/thistlerudder/thistlerudder/logic"
@@ -71,6 +72,8 @@
 	ticket  *Ticket
 	server  int
 	number  int
+	sent    time.Time
+	passed  atomic.Pointer[func()]
 	settled bool
 }
 
@@ -90,7 +93,19 @@
 			t.x.finish(t, answer)
 		}
 		t.x.balancer.Settled(now, t.index, s.number, end.Code(), end == Whole || t.over)
-		t.x.boxes[s.server].out--
+		t.x.boxes[s.server].settled(s, end)
 		t.x.giveBack(s.server)
 	})
 }
+
+// Passed says that the shot's connection seems to have fallen silent.
+func (s *Shot) Passed() {
+	if f := s.passed.Load(); f != nil {
+		(*f)()
+	}
+}
+
+// WhenPassed gives what is called, without waiting for it, once the shot's connection seems to have fallen silent.
+func (s *Shot) WhenPassed(f func()) {
+	s.passed.Store(&f)
+}
