--- a/cmd/thistlerudder/commands.go
+++ b/cmd/thistlerudder/commands.go
@@ -53,6 +53,8 @@
 			return fmt.Errorf("log-level: %w", err)
 		}
 		defer func() { _ = log.Sync() }() // standard error may not support it
+		// The transport writes there what a server sent too much, customers' bytes among it.
+		defer zap.RedirectStdLog(log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))()
 		ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
 		defer stop()
 		return node.Run(ctx, station, signals, log)
@@ -64,7 +66,9 @@
 	return &cobra.Command{
 		Use:   "check",
 		Short: "Check a configuration and say what a node would start with",
-		Args:  cobra.NoArgs,
+		Long: "Check a configuration and say what a node would start with. At the start BALANCER_NAME, BALANCER_LISTEN and\n" +
+			"BALANCER_DISCOVERY come before the file; at SIGHUP the file's discovery address comes before the variable's.",
+		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s, err := terms.Read(*file)
 			if err != nil {
--- a/cmd/thistlerudder/commands_test.go
+++ b/cmd/thistlerudder/commands_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -86,6 +87,9 @@
 		case <-time.After(10 * time.Millisecond):
 		}
 	}
+	if stdlog.Writer() == os.Stderr {
+		t.Error("the libraries' own lines come on standard error as they are")
+	}
 	t.Setenv("BALANCER_DISCOVERY", "127.0.0.1:2") // of the start; it stands behind the file from then on
 	for _, to := range []string{"nowhere", discovery.Listener.Addr().String()} {
 		replace(to)
--- a/internal/net/clients/message.go
+++ b/internal/net/clients/message.go
@@ -13,13 +13,14 @@
 	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
 )
 
-// longestWithin bounds the time that a client may claim to wait, so that no clock overflows.
+// longestWithin bounds the time that a client may claim to wait: more is a mistake, and would overflow a clock.
 const longestWithin = time.Hour
 
 var (
 	errMethod = errors.New("unknown method: expected GET or PUT")
 	errTrace  = errors.New("X-Trace-Id: expected an id")
-	errWithin = errors.New("X-Expires-In: expected a number and m or u")
+	errWithin = errors.New("X-Expires-In: expected a number and m or u, an hour at most")
+	errTwice  = errors.New("a header that may stand once has several values")
 )
 
 var (
@@ -76,6 +77,11 @@
 	if r.Method != http.MethodGet && r.Method != http.MethodPut {
 		return in, 0, errMethod
 	}
+	for _, name := range []string{"X-Trace-Id", "X-Expires-In", "X-Customer", "Idempotency-Key"} {
+		if len(r.Header[name]) > 1 {
+			return in, 0, errTwice // we might take one and a server the other
+		}
+	}
 	if in.Trace == "" {
 		return in, 0, errTrace
 	}
@@ -103,8 +109,10 @@
 	if !known || err != nil || math.IsNaN(x) {
 		return 0, errWithin
 	}
-	x *= float64(unit)
-	return time.Duration(min(max(x, -float64(longestWithin)), float64(longestWithin))), nil
+	if x *= float64(unit); x > float64(longestWithin) {
+		return 0, errWithin
+	}
+	return time.Duration(max(x, -float64(longestWithin))), nil
 }
 
 // answer writes a final answer.
--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -176,6 +176,9 @@
 
 func (h host) Shoot(lkp, server int, timeout logic.Time) {
 	t := h.tickets[lkp]
+	if t.over {
+		return // only a module that panicked can order this; nothing is sent after the final answer
+	}
 	s := &Shot{
 		Lookup:  &t.Lookup,
 		Address: h.boxes[server].address,
@@ -222,10 +225,16 @@
 
 // forget frees a lookup's index once it is over and all its shots have settled.
 func (x *Exchange) forget(t *Ticket) {
-	if t.over && t.out == 0 && !t.forgotten && !t.spoiled {
-		t.forgotten = true
-		delete(x.out, t.Trace)
-		x.tickets[t.index] = nil
-		x.free = append(x.free, t.index)
+	if !t.over || t.out > 0 || t.forgotten {
+		return
+	}
+	t.forgotten = true
+	delete(x.out, t.Trace)
+	if t.spoiled {
+		// The module may still hold the lookup to be live, so its index rests for good, but none of its bytes.
+		x.tickets[t.index] = &Ticket{x: x, over: true, forgotten: true}
+		return
 	}
+	x.tickets[t.index] = nil
+	x.free = append(x.free, t.index)
 }
--- a/internal/net/exchange/exchange_test.go
+++ b/internal/net/exchange/exchange_test.go
@@ -225,6 +225,10 @@
 		t.Errorf("%+v, %v", a, came)
 	}
 	x.balancer = whole
+	host{x}.Shoot(ticket.index, 0, logic.Millisecond)
+	if ships.take(0) != nil || len(x.out) != 0 {
+		t.Errorf("a shot after the final answer, or %d ids are kept", len(x.out))
+	}
 	if next := take(t, x, Lookup{Namespace: "read"}, time.Second); next.index == ticket.index || ships.take(0) == nil {
 		t.Errorf("the next lookup has index %d after %d", next.index, ticket.index)
 	}
