Make the test of connections that break before a shot able to fail

Seen: it passed with the retry taken out, since its first connection never broke. Now each connection breaks at its second write and each second dial is reset; it fails without the retry, and without the reset dial among what is tried again.

--- a/internal/net/servers/servers_test.go
+++ b/internal/net/servers/servers_test.go
@@ -212,24 +212,30 @@
 	}
 }
 
-// A kept connection that breaks before the shot is written says nothing of the server: the shot goes on another.
+// A connection that breaks before the shot is written says nothing of the server: the shot goes on another.
 func TestAStaleConnectionCostsNothing(t *testing.T) {
 	address := raw(t, func(c net.Conn, _ *http.Request, _ int) {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv")
 	})
-	s := side(t)
+	s, dials := side(t), 0
+	dial := s.transport.DialContext
+	s.transport.DialContext = func(ctx context.Context, network, to string) (net.Conn, error) {
+		if dials++; dials%2 == 0 {
+			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNRESET} // a new one that is reset
+		}
+		c, err := dial(ctx, network, to)
+		if err == nil {
+			c.(*conn).Conn = &failing{Conn: c.(*conn).Conn}
+		}
+		return c, err
+	}
 	for i := range 5 {
 		if end, _ := s.send(shot(address, "GET", "")); end != exchange.Whole {
 			t.Fatalf("shot %d: %v", i, end)
 		}
-		dial := s.transport.DialContext
-		s.transport.DialContext = func(ctx context.Context, network, to string) (net.Conn, error) {
-			c, err := dial(ctx, network, to)
-			if err == nil {
-				c.(*conn).Conn = &failing{Conn: c.(*conn).Conn}
-			}
-			return c, err
-		}
+	}
+	if dials < 5 {
+		t.Errorf("%d dials: no connection broke", dials)
 	}
 }
 
