--- a/cmd/thistlerudder/commands.go
+++ b/cmd/thistlerudder/commands.go
@@ -36,7 +36,7 @@
 func serve(file *string) *cobra.Command {
 	c := &cobra.Command{
 		Use:   "serve",
-		Short: "Run one node in the foreground; SIGTERM ends it without losing a lookup, SIGHUP reads its file anew",
+		Short: "Run one node in the foreground; SIGTERM ends it well, SIGHUP reads its file anew",
 		Args:  cobra.NoArgs,
 	}
 	level := c.Flags().String("log-level", "info", "debug, info, warn or error")
@@ -66,8 +66,9 @@
 	return &cobra.Command{
 		Use:   "check",
 		Short: "Check a configuration and say what a node would start with",
-		Long: "Check a configuration and say what a node would start with. At the start BALANCER_NAME, BALANCER_LISTEN and\n" +
-			"BALANCER_DISCOVERY come before the file; at SIGHUP the file's discovery address comes before the variable's.",
+		Long: "Check a configuration and say what a node would start with. At the start BALANCER_NAME,\n" +
+			"BALANCER_LISTEN and BALANCER_DISCOVERY come before the file; at SIGHUP the file's discovery\n" +
+			"address comes before the variable's.",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s, err := terms.Read(*file)
--- a/internal/net/node/renew.go
+++ b/internal/net/node/renew.go
@@ -12,7 +12,13 @@
 
 // renew reads the configuration anew at each signal. A faulty file changes nothing. The box list goes over to
 // another discovery service; what can't change while the node runs is only told.
-func renew(ctx context.Context, signals <-chan os.Signal, s *terms.Station, list *boxlist.Follower, log *zap.Logger) {
+func renew(
+	ctx context.Context,
+	signals <-chan os.Signal,
+	s *terms.Station,
+	list *boxlist.Follower,
+	log *zap.Logger,
+) {
 	for address := s.Discovery; ; {
 		select {
 		case <-ctx.Done():
