Close two gaps through which stray bytes passed for an answer

Checked: the test itself raced (the server wrote 1 ms after its answer, the client sent the next shot 2 ms later by its own clock), and bytes that come when a request is out can't be told from its answer. So it now sends only once they have arrived. It went on failing, for two reasons in dial.go: - conn.Read took the bytes off the socket and noted them under the lock afterwards. A Write between the two found nothing waiting and nothing noted. Taken and noted are now one step. - conn.Write, when it refused for unread bytes, set begun but not early: the transport then read them as the answer to the refused request, and delivered it if it was quicker than the error. A refusal is now noted. A request that was refused so was told as spoilt, which may have run, in one of the two orders; nothing of it was written, so it is Unwritten and goes out on another connection.

Ruled out: arrival itself (the test looks at the socket before it sends), the place's connection being shared, and the transport's buffer: bytes that come in one read with the answer never failed.

--- a/internal/net/servers/dial.go
+++ b/internal/net/servers/dial.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -37,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(c, sync.OnceFunc(func() { d.change(-1) })), nil
+	return newConn(c.(socket), sync.OnceFunc(func() { d.change(-1) })), nil
 }
 
 func (d *dialer) begin(address string) bool {
@@ -76,6 +78,7 @@
 // that; it would take the rest for the next request's answer.
 type conn struct {
 	net.Conn
+	raw     syscall.RawConn
 	closed  func()
 	written atomic.Int64 // bytes
 	failed  atomic.Bool  // a write came to an end before its last byte
@@ -85,12 +88,19 @@
 	reading bool      // the transport waits for bytes, so it has none left over
 	gone    bool      // closed on our side
 	begun   bool      // the present request's first byte is about to be written, or was
-	early   bool      // bytes came before that
+	early   bool      // bytes came before that, so that it must not be written
 	read    int64
 }
 
-func newConn(c net.Conn, closed func()) *conn {
-	own := &conn{Conn: c, closed: closed}
+// socket is a connection that has a descriptor to look at.
+type socket interface {
+	net.Conn
+	syscall.Conn
+}
+
+func newConn(c socket, closed func()) *conn {
+	raw, _ := c.SyscallConn() // fails for a nil connection only
+	own := &conn{Conn: c, raw: raw, closed: closed}
 	own.change.L = &own.mu
 	return own
 }
@@ -99,8 +109,9 @@
 
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	stray := !c.begun && (c.early || c.waiting())
+	c.early = c.early || !c.begun && c.waiting()
 	c.begun = true
+	stray := c.early
 	c.mu.Unlock()
 	if stray {
 		return 0, errStray
@@ -115,34 +126,48 @@
 
 // waiting looks for bytes, or the connection's end, that have come and that nobody has read yet.
 func (c *conn) waiting() bool {
-	tcp, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
 	there := false
-	_ = raw.Control(func(fd uintptr) { // not Read, which would wait for the transport's own
-		_, _, err = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		there = err == nil || !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+	_ = c.raw.Control(func(fd uintptr) { // not Read, which would wait for the transport's own
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		there = err == nil || !passing(err)
 	})
 	return there
 }
 
-func (c *conn) Read(b []byte) (int, error) {
+// passing says that a call on a descriptor may go otherwise if it is made again.
+func passing(err error) bool { return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) }
+
+// Read takes bytes and notes them in one step. With a step between the two, a request could be written when stray
+// bytes have left the socket and are not noted yet.
+func (c *conn) Read(b []byte) (n int, err error) {
 	c.mu.Lock()
 	c.reading = true
 	c.change.Broadcast()
 	c.mu.Unlock()
-	n, err := c.Conn.Read(b)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reading = false
-	c.read += int64(n)
-	c.early = c.early || n > 0 && !c.begun
-	return n, err
+	over := c.raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for n, err = syscall.Read(int(fd), b); errors.Is(err, syscall.EINTR); {
+			n, err = syscall.Read(int(fd), b)
+		}
+		if errors.Is(err, syscall.EAGAIN) {
+			return false
+		}
+		n = max(n, 0)
+		c.reading = false
+		c.read += int64(n)
+		c.early = c.early || n > 0 && !c.begun
+		return true
+	})
+	switch {
+	case over != nil:
+		return 0, over
+	case err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
+	case n == 0 && len(b) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
 }
 
 // take makes the connection ready for a request. After an answer the transport goes on to read, or closes if
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -69,7 +69,7 @@
 	return on.conn.failed.Load() || on.conn.written.Load() == on.written
 }
 
-// stray says that what came back was there before the request.
+// stray says that what came back was there before the request. The request was not written then, and won't be.
 func (on *carried) stray() bool {
 	on.conn.mu.Lock()
 	defer on.conn.mu.Unlock()
@@ -128,7 +128,7 @@
 	end, answer, err := s.read(resp)
 	switch {
 	case on.stray():
-		return exchange.Spoilt, exchange.Answer{}, errStray
+		return exchange.Unwritten, exchange.Answer{}, errStray
 	case err != nil && ctx.Err() != nil:
 		return s.gaveUp(ctx), exchange.Answer{}, err
 	}
--- a/internal/net/servers/servers_test.go
+++ b/internal/net/servers/servers_test.go
@@ -118,36 +118,59 @@
 	}
 }
 
-// What a server sends behind an answer must not be taken for the next one's, whether it comes at once, when the
-// transport has already handed the connection on, or later; the answer before it counts.
+// What a server sends behind an answer must not be taken for the next one's, whether it comes with the answer, when
+// the transport has already handed the connection on, or later; the answer before it counts. The next shot is sent
+// once all has arrived: bytes that come when it is out can't be told from its answer.
 func TestBytesBehindAnAnswerSpoilTheConnection(t *testing.T) {
-	const second = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
+	const head, second = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
 	for _, behind := range []string{second, "\x00noise\r\n\r\n", second[:20]} {
-		for _, later := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
-			address := raw(t, func(c net.Conn, r *http.Request, nth int) {
-				answer := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + r.Header.Get("X-Trace-Id")
-				if later == 0 {
-					answer += behind
-				}
-				_, _ = io.WriteString(c, answer)
-				time.Sleep(later)
-				if later > 0 {
+		for _, later := range []time.Duration{-1, 0, 5 * time.Millisecond} { // -1: in one write with the answer
+			got, written := make(chan bool), make(chan bool)
+			address := raw(t, func(c net.Conn, r *http.Request, _ int) {
+				answer := head + r.Header.Get("X-Trace-Id")
+				if later < 0 {
+					_, _ = io.WriteString(c, answer+behind)
+					<-got
+				} else {
+					_, _ = io.WriteString(c, answer)
+					<-got
 					_, _ = io.WriteString(c, behind)
 				}
+				written <- true
 			})
 			s := side(t)
+			var last *conn
+			dial := s.transport.DialContext
+			s.transport.DialContext = func(ctx context.Context, network, place string) (net.Conn, error) {
+				c, err := dial(ctx, network, place)
+				last, _ = c.(*conn)
+				return c, err
+			}
 			for i := range 30 {
 				sh := shot(address, "GET", "")
 				sh.Trace = string(rune('a' + i%26))
 				if end, a := s.send(sh); end != exchange.Whole || string(a.Body) != sh.Trace {
 					t.Fatalf("%q after %v, shot %d: %v %q", behind, later, i, end, a.Body)
 				}
-				time.Sleep(2 * later)
+				got <- true
+				<-written
+				for end := time.Now().Add(time.Second); !beyond(last, int64(len(head)+1)) && time.Now().Before(end); {
+					time.Sleep(100 * time.Microsecond)
+				}
+				time.Sleep(later)
 			}
 		}
 	}
 }
 
+// beyond says that more than so many bytes have come, read or not, or that the connection is closed for it.
+func beyond(c *conn, bytes int64) bool {
+	there := c.waiting()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return there || c.gone || c.read > bytes
+}
+
 // The same where the transport's reading can't be ahead: bytes that lie there when a request is about to be written,
 // or that come before it is, are not its answer.
 func TestBytesBeforeARequestAreNotItsAnswer(t *testing.T) {
@@ -158,7 +181,7 @@
 	for end := time.Now().Add(time.Second); !c.waiting() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
-	if n, err := c.Write([]byte("request")); n != 0 || err == nil || c.written.Load() != 0 {
+	if n, err := c.Write([]byte("request")); n != 0 || err == nil || c.written.Load() != 0 || !c.early {
 		t.Errorf("unread bytes: wrote %d, %v", n, err)
 	}
 	c.take(false)
@@ -181,20 +204,22 @@
 }
 
 // tcp gives two ends of a connection.
-func tcp(t *testing.T) (near, far net.Conn) {
+func tcp(t *testing.T) (near, far *net.TCPConn) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	if near, err = net.Dial("tcp", l.Addr().String()); err == nil {
-		far, err = l.Accept()
+	one, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
 	}
+	other, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { near.Close(); far.Close() })
-	return near, far
+	t.Cleanup(func() { one.Close(); other.Close() })
+	return one.(*net.TCPConn), other.(*net.TCPConn)
 }
 
 // A server at the address of one that has gone gets no connection that was made to the old one.
@@ -301,6 +326,20 @@
 	}
 }
 
+// narrow breaks once it has written so many bytes.
+type narrow struct {
+	*net.TCPConn
+	left int
+}
+
+func (c narrow) Write(b []byte) (int, error) {
+	n, err := c.TCPConn.Write(b[:min(len(b), c.left)])
+	if err == nil && n < len(b) {
+		err = io.ErrClosedPipe
+	}
+	return n, err
+}
+
 func TestWhatNeverReachedAServerIsTold(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -319,13 +358,13 @@
 		{"PUT", "value", 1 << 10, exchange.Lost}, {"GET", "", 1 << 10, exchange.Lost}} {
 		s := side(t)
 		s.transport.DialContext = func(context.Context, string, string) (net.Conn, error) {
-			near, far := net.Pipe()
+			near, far := tcp(t)
 			go func() {
 				_ = far.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
 				_, _ = io.ReadFull(far, make([]byte, c.taken))
 				far.Close()
 			}()
-			return newConn(near, func() {}), nil
+			return newConn(narrow{near, c.taken}, func() {}), nil
 		}
 		if end, _ := s.send(shot("pipe:1", c.method, c.body)); end != c.want {
 			t.Errorf("%s broken after %d bytes: %v", c.method, c.taken, end)
