Allow rooms the root of what is in flight, and call answers slow after 0.4 of the target

Checked: ordinary answers of sound caches reach 24 ms, 0.3 of that target time, in a third of the cases, which is where a calm room shrinks below two; and rate x time is a mean, which chance exceeds half of the time. Ruled out by samples: the origin (44 of 1,110), credit, suspects.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,7 +36,7 @@
 	halveSpan   = 1000 * Millisecond // between halvings of what is measured: a few seconds' memory
 	roomPart    = 0.25               // share of a target time that shots in flight may fill: misses need more
 	roomLeast   = 8.0                // shots of all nodes that are always allowed, from one to two for each
-	calmPart    = 0.3                // share of its target time after which an answer counts as slow
+	calmPart    = 0.4                // share of its target time after which an answer counts as slow
 	calmLost    = 0.1                // share of a calm room that a slow or a full answer takes, and
 	calmWon     = 0.1                // shots a quick one adds: a third slow is too many at a room of two
 	calmStop    = 0.5                // share that a time-out at the origin takes: its queue grows for all nodes
@@ -323,9 +323,11 @@
 	return b.coldShare(s) < 1 && b.coldBudget(s) < l.work
 }
 
-// room bounds what is in flight at a cache: by rate times time, as measured, and by what keeps it calm.
+// room bounds what is in flight at a cache: by rate times time, as measured, with its root for chance, and by what
+// keeps it calm.
 func (b *Balancer) room(l *lookup, s *server) float64 {
-	return min(s.calm, max(b.least, b.rate(s.answers)*roomPart*seconds(b.spaces[l.Namespace].target)))
+	filled := b.rate(s.answers) * roomPart * seconds(b.spaces[l.Namespace].target)
+	return min(s.calm, max(b.least, filled+math.Sqrt(filled)))
 }
 
 // rate turns a count that is halved into one a second. Halving keeps twice a span's count in the long run.
