--- a/logic/logic.go
+++ b/logic/logic.go
@@ -323,8 +323,8 @@
 	return b.coldShare(s) < 1 && b.coldBudget(s) < l.work
 }
 
-// room bounds what is in flight at a cache: by rate times time, as measured, with its root for chance, and by what
-// keeps it calm.
+// room bounds what is in flight at a cache: by rate times time, as measured, with its root for chance, and
+// by what keeps it calm.
 func (b *Balancer) room(l *lookup, s *server) float64 {
 	filled := b.rate(s.answers) * roomPart * seconds(b.spaces[l.Namespace].target)
 	return min(s.calm, max(b.least, filled+math.Sqrt(filled)))
