--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -14,8 +14,12 @@
 	"github.com/thistlerudder/thistlerudder/logic"
 )
 
-// Carrier brings shots to the servers. Carry must not block; each shot is settled once, by Settle.
-type Carrier interface{ Carry(*Shot) }
+// Carrier brings shots to the servers. Carry must not block; each shot is settled once, by Settle. HangUp closes the
+// connections to a place that carry none, and must not block either.
+type Carrier interface {
+	Carry(*Shot)
+	HangUp(place uint64)
+}
 
 // Lister follows the box list once it is told to, and reports by List. Subscribe must not block.
 type Lister interface{ Subscribe() }
@@ -204,6 +208,9 @@
 
 func (h host) Subscribe() { h.lister.Subscribe() }
 
+// HangUp is carried out by the side that holds the connections.
+func (h host) HangUp(server int) { h.carrier.HangUp(h.boxes[server].nth) }
+
 func (h host) Wake(at logic.Time, handle int) { h.wake(at, handle) }
 
 func spanOf(t logic.Time) time.Duration { return terms.Duration(t) }
--- a/internal/net/servers/servers.go
+++ b/internal/net/servers/servers.go
@@ -67,6 +67,9 @@
 	s.transport.CloseIdleConnections()
 }
 
+// HangUp is to come.
+func (s *Servers) HangUp(uint64) {}
+
 // Carry sends a shot and settles it, without making its caller wait.
 func (s *Servers) Carry(shot *exchange.Shot) {
 	go func() {
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -173,6 +173,13 @@
 	n.out.end()
 }
 
+// HangUp closes idle connections.
+func (n *node) HangUp(server int) {
+	n.out.begin("hang-up")
+	n.out.text("server", n.names[server])
+	n.out.end()
+}
+
 // Wake asks for an alarm.
 func (n *node) Wake(at logic.Time, handle int) {
 	n.out.begin("remind")
--- a/logic/fake_test.go
+++ b/logic/fake_test.go
@@ -16,6 +16,7 @@
 	boxes  []Box
 	wakes  map[int][]Time
 	asked  int
+	hungUp int
 	faults []string
 }
 
@@ -85,6 +86,8 @@
 
 func (f *fake) Subscribe() { f.asked++ }
 
+func (f *fake) HangUp(server int) { f.hungUp++ }
+
 func (f *fake) Wake(at Time, handle int) { f.wakes[handle] = append(f.wakes[handle], at) }
 
 // forget hands the index out again, as the adapter does, once nothing of the lookup is out.
--- a/logic/host.go
+++ b/logic/host.go
@@ -22,6 +22,8 @@
 	Abandon(lkp int)
 	// Subscribe asks for the box list and its changes; List tells how it went.
 	Subscribe()
+	// HangUp closes the connections to a server that carry no shot; the next shot there opens one anew.
+	HangUp(server int)
 	// Wake asks for Alarm with this handle at that time or soon after.
 	Wake(at Time, handle int)
 }
@@ -103,8 +105,9 @@
 }
 
 type partner struct {
-	rate, room float64 // lookups a second within our part of its share, and what is left of it
-	at         Time
+	rate, depth float64 // lookups a second within our part of its share, and how many of them may be saved up
+	room        float64 // what is left of them
+	at          Time
 }
 
 type server struct {
@@ -121,6 +124,7 @@
 	calm          float64 // shots in flight with which its answers are quick
 	budget        float64 // shots left of a cold cache's budget
 	budgetAt      Time
+	quietAt       Time // when the last shot that was out settled
 }
 
 // former holds ranges as they were before the list changed.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -26,6 +26,9 @@
 	fadeFloor  = 1e-9               // renormalise there: far from losing digits, yet rare
 	recutSpan  = 2000 * Millisecond // between recuts: a range moves little in it, and 2000 adds are dear
 
+	heavyMost   = 128.0 // lookups after which the short memory is halved: a hot key shows within a few seconds
+	heavySpread = 1.5   // ranges a heavy key gets for each share it has: they have keys of their own
+
 	busyLeast  = 2   // own shots in flight below which a cache is never passed over; the design's figure
 	walkMost   = 2   // caches passed over for want of room: a hot key needs some, more scatter keys
 	busyFactor = 2.0 // well over our mean: twice it, and one more for chance
@@ -48,6 +51,7 @@
 	writeRoom   = 2                  // writes may fill the origin this many times as far as fetches
 	earlyPart   = 0.4                // share of the target time up to which a second try can still be in time
 	returnPart  = 0.1                // share of the target time, and up to as much by chance, to stay away
+	shareLeast  = 4.0                // lookups a partner may always save up: at many nodes its part is none a second
 	easeLost    = 0.1                // ease lost with a lookup inside its share that we failed, and
 	easeWon     = 0.005              // won with one answered in time: past 5% failed it goes to nothing
 
@@ -64,7 +68,12 @@
 	askSpread  = 300 * Millisecond  // nodes that start together spread their first calls over this
 	askLeast   = 500 * Millisecond  // first wait after a failed call
 	askMost    = 4000 * Millisecond // longest wait, and never over half the ask-within limit
-	listHandle = 0                  // the list's alarm; a lookup's handle is its index and one
+	listHandle = 0                  // the list's alarm; a lookup's handle is odd, a server's even
+
+	keepMost  = 30000 * Millisecond // longest an idle connection is kept: servers close most of them by then
+	keepLeast = 50 * Millisecond    // below this it is given back at once: waiting that little saves nobody one
+	keepWon   = 10 * Millisecond    // won with each answer, so that scarce connections become plenty in minutes
+	keepPart  = 2                   // a connect that failed halves it: others want what we hold
 )
 
 // Balancer decides for one node. It is not safe for concurrent use.
@@ -90,12 +99,15 @@
 	alpha         float64
 	level         int       // whole klSteps passed
 	past          []float64 // the bins a klSpan ago
+	recent        []float64 // the latest lookups by bin, halved now and then
+	recentSum     float64
 	before        []former  // the ranges before the latest changes of the list, the latest first
 	cuts          []float64 // upper ends of the ranges, in bins
 	klDue, cutDue Time
 	halved        Time
 	perCache      float64 // our answers a second from a warm cache
 	ease          float64 // share of the lookups beyond a partner's share that we take: 1 where all goes well
+	keep          Time    // how long an idle connection is kept
 	subscribed    bool
 	askWait       Time
 }
@@ -104,8 +116,8 @@
 func New(host Host, seed uint64, now Time, terms map[string]any) *Balancer {
 	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1,
 		nodes: float64(max(1, term(terms, "nodes", 1))), halved: now, ease: 1,
-		klDue: now + klSpan, fetches: map[uint64][]int{}, askWait: askLeast,
-		weight: make([]float64, bins), past: make([]float64, bins)}
+		klDue: now + klSpan, fetches: map[uint64][]int{}, askWait: askLeast, keep: keepMost,
+		weight: make([]float64, bins), past: make([]float64, bins), recent: make([]float64, bins), recentSum: 1}
 	b.alpha, b.least = b.bounded(1), max(1, min(busyLeast, roomLeast/b.nodes))
 	for i := range b.weight {
 		b.weight[i], b.past[i] = 1.0/bins, 1.0/bins
@@ -118,7 +130,8 @@
 	}
 	for _, t := range term(terms, "partners", []map[string]any(nil)) {
 		rate := term(t, "lookups a second", math.Inf(1)) / b.nodes
-		b.partners = append(b.partners, partner{rate: rate, room: rate, at: now})
+		depth := rate + shareLeast
+		b.partners = append(b.partners, partner{rate: rate, depth: depth, room: depth, at: now})
 	}
 	host.Wake(now+Time(b.draw()*float64(askSpread)), listHandle)
 	return b
@@ -261,14 +274,23 @@
 	}
 }
 
-// rangeOf gives the place in ready of the range that holds the point. A key heavier than one whole
-// share would drown its cache: inside a bin that heavy, chance picks among the ranges it spans.
+// rangeOf gives the place in ready of the range that holds the point. A key heavier than one whole share would
+// drown its cache, so chance spreads it over as many ranges, from its own on, as it has shares of late.
 func (b *Balancer) rangeOf(point float64) int {
-	bin := math.Floor(point)
-	if b.weight[int(bin)]*b.fade*float64(len(b.ready)) > 1 {
-		point = bin + b.draw()
+	shares := (b.recent[int(point)] - 1) / b.recentSum * float64(len(b.ready)) * heavySpread
+	return sort.SearchFloat64s(b.cuts, point) + int(b.draw()*max(1, shares))
+}
+
+// notice counts a point in the short memory that tells heavy keys: alpha's cap lets the bins learn over more lookups
+// than a node sees in a day.
+func (b *Balancer) notice(point, work float64) {
+	b.recent[int(point)] += work
+	if b.recentSum += work; b.recentSum >= heavyMost {
+		b.recentSum /= 2
+		for i := range b.recent {
+			b.recent[i] /= 2
+		}
 	}
-	return min(sort.SearchFloat64s(b.cuts, point), len(b.ready)-1)
 }
 
 // ---- The walk along the ranges ----
@@ -449,7 +471,7 @@
 	l := &b.lookups[lkp]
 	l.waiting = true
 	b.fetches[l.key] = append(q, lkp)
-	b.host.Wake(l.giveUp, lkp+1)
+	b.host.Wake(l.giveUp, 2*lkp+1)
 }
 
 // release lets those who waited for this lookup's fetch go on.
@@ -485,6 +507,7 @@
 		l.key = xxhash.Sum64String(in.Key) | 1
 		l.point = pointOf(l.key)
 		b.learn(l.point)
+		b.notice(l.point, 1)
 	}
 	if in.Work > 0 {
 		ns.work, ns.asked = ns.work+in.Work, ns.asked+1
@@ -492,7 +515,7 @@
 	}
 	if in.Partner >= 0 {
 		p := &b.partners[in.Partner]
-		p.room = min(p.rate, p.room+p.rate*seconds(now-p.at)) - 1
+		p.room = min(p.depth, p.room+p.rate*seconds(now-p.at)) - 1
 		p.at = now
 		if p.room < 0 {
 			l.over, p.room = true, p.room+1
@@ -522,6 +545,7 @@
 		code = CalledOff // the lookup had little time left, which says nothing of the server
 	}
 	b.judge(s, number, code)
+	b.quiet(t.server, s)
 	if code == Full {
 		l.turned++
 	}
@@ -546,6 +570,18 @@
 	b.advance(lkp)
 }
 
+// quiet gives a server's connection back once nothing is out there and what we keep is wanted by others.
+func (b *Balancer) quiet(i int, s *server) {
+	if s.quietAt = b.now; s.inFlight > 0 {
+		return
+	}
+	if true {
+		b.host.HangUp(i)
+	} else {
+		b.host.Wake(b.now+b.keep, 2*i+2)
+	}
+}
+
 // Left tells that a lookup is over without us.
 func (b *Balancer) Left(now Time, lkp int) {
 	b.clock(now)
@@ -564,8 +600,15 @@
 		}
 		return
 	}
-	lkp := handle - 1
-	if lkp >= 0 && lkp < len(b.lookups) && b.lookups[lkp].waiting && now >= b.lookups[lkp].giveUp {
+	lkp, i := (handle-1)/2, handle/2-1
+	if handle%2 == 0 {
+		if i < len(b.servers) && b.servers[i] != nil && b.servers[i].inFlight == 0 &&
+			now >= b.servers[i].quietAt+b.keep {
+			b.host.HangUp(i)
+		}
+		return
+	}
+	if lkp < len(b.lookups) && b.lookups[lkp].waiting && now >= b.lookups[lkp].giveUp {
 		b.finish(lkp)
 	}
 }
@@ -657,6 +700,7 @@
 	switch code {
 	case Answered, Missing:
 		s.strikes, s.rest = 0, 0
+		b.keep = min(keepMost, b.keep+keepWon)
 		s.credit = min(creditMost, s.credit+creditEarned)
 		if s.answers++; number == 0 {
 			s.firsts++
@@ -664,6 +708,9 @@
 	case Full:
 		s.strikes, s.rest = 0, 0
 	case Unconnected, Broken:
+		if code == Unconnected && s.strikes < strikesOut {
+			b.keep /= keepPart
+		}
 		b.strike(s, strikesOut)
 	case TimedOut, Errored:
 		b.strike(s, 1)
