--- a/logic/host.go
+++ b/logic/host.go
@@ -153,7 +153,8 @@
 	fetching bool // its fetch stands for all lookups of its key
 	waiting  bool // for another's fetch
 	work     float64
-	turned   int // times it was turned away
+	refused  bool // a cache took no connection
+	turned   int  // times it was turned away
 	shots    []shot
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,7 +30,7 @@
 	heavySpread = 1.5   // ranges a heavy key gets for each share it has: they have keys of their own
 
 	busyLeast  = 2   // own shots in flight below which a cache is never passed over; the design's figure
-	walkMost   = 2   // caches passed over for want of room: a hot key needs some, more scatter keys
+	walkMost   = 6   // caches passed over for want of room: a hot key needs some, more scatter keys
 	busyFactor = 2.0 // well over our mean: twice it, and one more for chance
 	jamFactor  = 1.5 // a full cache with no more than this many times our mean tells of a jam
 
@@ -413,7 +413,7 @@
 	}
 	// A cache that misses on the last shot leaves none for the fetch: where all were full, ask the origin.
 	last := len(l.shots) > 0 && len(l.shots) == term(b.terms, "most shots", 1)-1 && len(b.origins) > 0
-	if l.Write || l.missed || last {
+	if l.Write || l.missed || last || l.refused && b.origin(l) >= 0 {
 		b.fetch(lkp)
 		return
 	}
@@ -429,9 +429,23 @@
 // fetch sends a miss or a write to the origin: one fetch a key, bounded by rate times time, writes first.
 func (b *Balancer) fetch(lkp int) {
 	l := &b.lookups[lkp]
+	best := b.origin(l)
+	if best < 0 {
+		if best = b.former(l); best < 0 {
+			b.finish(lkp)
+			return
+		}
+	} else if !l.Write && l.key != 0 {
+		l.fetching = true
+		b.fetches[l.key] = nil
+	}
+	b.shoot(lkp, best, l.giveUp-b.now)
+}
+
+// origin gives the origin that has room for a lookup and would answer it in time, or -1.
+func (b *Balancer) origin(l *lookup) int {
 	if len(b.origins) == 0 {
-		b.finish(lkp)
-		return
+		return -1
 	}
 	best := slices.MinFunc(b.origins, func(x, y int) int {
 		return b.servers[x].inFlight - b.servers[y].inFlight
@@ -443,15 +457,9 @@
 		room = writeRoom * max(1, room)
 	}
 	if s.inFlight >= int(room+b.draw()) || l.giveUp-b.now < s.took { // no fetch that would come too late
-		if best = b.former(l); best < 0 {
-			b.finish(lkp)
-			return
-		}
-	} else if !l.Write && l.key != 0 {
-		l.fetching = true
-		b.fetches[l.key] = nil
+		return -1
 	}
-	b.shoot(lkp, best, l.giveUp-b.now)
+	return best
 }
 
 // former gives a cache whose range held a read's point before the list changed, the latest first: changes
@@ -549,6 +557,7 @@
 	if code == Full {
 		l.turned++
 	}
+	l.refused = l.refused || code == Unconnected
 	switch {
 	case slow && code == TimedOut && s.origin: // all nodes must let go of it before it works for nobody
 		s.calm = max(calmLeast, s.calm*(1-calmStop))
@@ -572,10 +581,10 @@
 
 // quiet gives a server's connection back once nothing is out there and what we keep is wanted by others.
 func (b *Balancer) quiet(i int, s *server) {
-	if s.quietAt = b.now; s.inFlight > 0 {
+	if s.quietAt = b.now; s.inFlight > 0 || b.keep >= keepMost {
 		return
 	}
-	if true {
+	if b.keep < keepLeast {
 		b.host.HangUp(i)
 	} else {
 		b.host.Wake(b.now+b.keep, 2*i+2)
@@ -708,7 +717,7 @@
 	case Full:
 		s.strikes, s.rest = 0, 0
 	case Unconnected, Broken:
-		if code == Unconnected && s.strikes < strikesOut {
+		if code == Unconnected {
 			b.keep /= keepPart
 		}
 		b.strike(s, strikesOut)
