--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -208,6 +208,8 @@
 
 func (h host) Subscribe() { h.lister.Subscribe() }
 
+func (h host) Probe(server int) {}
+
 // HangUp is carried out by the side that holds the connections.
 func (h host) HangUp(server int) { h.carrier.HangUp(h.boxes[server].nth) }
 
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -100,6 +100,7 @@
 	{"domain.origin-kind", "origin kind", whole, false},
 	{"permissions.most-shots", "most shots", whole, false},
 	{"permissions.parallel-tries", "second copies", yesNo, false},
+	{"permissions.probes", "probes", yesNo, false},
 	{"permissions.max-retry-after-ms", "longest retry-after", span, false},
 	{"invariants.cold-from", "cold share", number, false},
 	{"invariants.warm-up-ms", "warm-up", span, false},
--- a/logic/fake_test.go
+++ b/logic/fake_test.go
@@ -17,6 +17,7 @@
 	wakes  map[int][]Time
 	asked  int
 	hungUp int
+	probed []int
 	faults []string
 }
 
@@ -88,6 +89,8 @@
 
 func (f *fake) HangUp(server int) { f.hungUp++ }
 
+func (f *fake) Probe(server int) { f.probed = append(f.probed, server) }
+
 func (f *fake) Wake(at Time, handle int) { f.wakes[handle] = append(f.wakes[handle], at) }
 
 // forget hands the index out again, as the adapter does, once nothing of the lookup is out.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -83,6 +83,7 @@
 	seed     uint64
 	nodes    float64
 	least    float64 // our part of roomLeast
+	probes   bool    // probes are allowed, and needed since no second shot may look round beside a silent one
 	drawn    uint64
 	now      Time
 	spaces   []namespace
@@ -119,6 +120,7 @@
 		klDue: now + klSpan, fetches: map[uint64][]int{}, askWait: askLeast, keep: keepMost,
 		weight: make([]float64, bins), past: make([]float64, bins), recent: make([]float64, bins), recentSum: 1}
 	b.alpha, b.least = b.bounded(1), max(1, min(busyLeast, roomLeast/b.nodes))
+	b.probes = term(terms, "probes", false) && !term(terms, "second copies", true)
 	for i := range b.weight {
 		b.weight[i], b.past[i] = 1.0/bins, 1.0/bins
 	}
@@ -336,7 +338,7 @@
 		return true // it had its try
 	}
 	// After a suspect's rest one replayable lookup tries it out.
-	if s.rest > 0 && (b.now < s.restEnd || s.trial || b.spaces[l.Namespace].kind != replayable) {
+	if s.rest > 0 && (b.now < s.restEnd || s.silent || s.trial || b.spaces[l.Namespace].kind != replayable) {
 		return true
 	}
 	if len(l.shots) > 0 && !l.missed && s.credit < 1 {
@@ -552,7 +554,7 @@
 	if code == TimedOut && !slow {
 		code = CalledOff // the lookup had little time left, which says nothing of the server
 	}
-	b.judge(s, number, code)
+	b.judge(t.server, s, number, code)
 	b.quiet(t.server, s)
 	if code == Full {
 		l.turned++
@@ -591,6 +593,20 @@
 	}
 }
 
+// Probed tells what a probe came to. While no sign of life comes the suspect goes on resting, and no lookup is
+// spent to try it out.
+func (b *Balancer) Probed(now Time, i int, code Code) {
+	b.clock(now)
+	s := b.servers[i]
+	switch {
+	case code == Answered: // one that is full of probes may be so because it answers none
+		s.strikes, s.rest, s.silent = 0, 0, false
+	case s.silent:
+		b.strike(s, strikesOut)
+		b.host.Wake(s.restEnd, 2*i+2)
+	}
+}
+
 // Left tells that a lookup is over without us.
 func (b *Balancer) Left(now Time, lkp int) {
 	b.clock(now)
@@ -611,10 +627,16 @@
 	}
 	lkp, i := (handle-1)/2, handle/2-1
 	if handle%2 == 0 {
-		if i < len(b.servers) && b.servers[i] != nil && b.servers[i].inFlight == 0 &&
-			now >= b.servers[i].quietAt+b.keep {
+		if i >= len(b.servers) || b.servers[i] == nil {
+			return
+		}
+		s := b.servers[i]
+		if s.inFlight == 0 && now >= s.quietAt+b.keep {
 			b.host.HangUp(i)
 		}
+		if s.silent && s.rest > 0 && now >= s.restEnd && s.State == Ready {
+			b.host.Probe(i)
+		}
 		return
 	}
 	if lkp < len(b.lookups) && b.lookups[lkp].waiting && now >= b.lookups[lkp].giveUp {
@@ -703,25 +725,32 @@
 }
 
 // judge learns from an outcome, late ones too.
-func (b *Balancer) judge(s *server, number int, code Code) {
+func (b *Balancer) judge(i int, s *server, number int, code Code) {
 	s.inFlight--
 	s.trial = false
 	switch code {
 	case Answered, Missing:
-		s.strikes, s.rest = 0, 0
+		s.strikes, s.rest, s.silent = 0, 0, false
 		b.keep = min(keepMost, b.keep+keepWon)
 		s.credit = min(creditMost, s.credit+creditEarned)
 		if s.answers++; number == 0 {
 			s.firsts++
 		}
 	case Full:
-		s.strikes, s.rest = 0, 0
+		s.strikes, s.rest, s.silent = 0, 0, false
 	case Unconnected, Broken:
 		if code == Unconnected {
 			b.keep /= keepPart
 		}
 		b.strike(s, strikesOut)
-	case TimedOut, Errored:
+	case TimedOut:
+		if s.silent = b.probes && !s.origin; s.silent {
+			b.strike(s, strikesOut)
+			b.host.Probe(i)
+		} else {
+			b.strike(s, 1)
+		}
+	case Errored:
 		b.strike(s, 1)
 	}
 }
