--- a/logic/host.go
+++ b/logic/host.go
@@ -125,7 +125,7 @@
 	budget        float64 // shots left of a cold cache's budget
 	budgetAt      Time
 	quietAt       Time // when the latest shot settled
-	waking        bool // an alarm looks whether its connections are still wanted
+	held          bool // a connection may be kept since
 }
 
 // former holds ranges as they were before the list changed.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -325,6 +325,9 @@
 		} else if !full && (s.inFlight < busyLeast || float64(s.inFlight) <= busyFactor*mean+1) {
 			return i
 		}
+		if full && !l.Write && b.origin(l) >= 0 {
+			return b.origin(l)
+		}
 		if passed++; busy < 0 && !full {
 			busy = i
 		}
@@ -420,7 +423,9 @@
 		b.fetch(lkp)
 		return
 	}
-	if i := b.pick(l); i >= 0 {
+	if i := b.pick(l); i >= 0 && b.servers[i].origin {
+		b.fetch(lkp)
+	} else if i >= 0 {
 		b.shoot(lkp, i, l.giveUp-b.now)
 	} else {
 		b.finish(lkp)
@@ -482,7 +487,7 @@
 	l := &b.lookups[lkp]
 	l.waiting = true
 	b.fetches[l.key] = append(q, lkp)
-	b.host.Wake(l.giveUp, 2*lkp+1)
+	b.host.Wake(l.giveUp, lkp+1)
 }
 
 // release lets those who waited for this lookup's fetch go on.
@@ -556,8 +561,13 @@
 		code = CalledOff // the lookup had little time left, which says nothing of the server
 	}
 	b.judge(s, number, code)
-	s.quietAt = now
-	b.quiet(t.server, s)
+	s.quietAt, s.held = now, code != Unconnected
+	if code == Unconnected {
+		b.giveBack()
+	} else if s.inFlight == 0 && b.keep < keepLeast {
+		s.held = false
+		b.host.HangUp(t.server)
+	}
 	if code == Full {
 		l.turned++
 	}
@@ -583,16 +593,14 @@
 	b.advance(lkp)
 }
 
-// quiet gives a server's connections back once nothing has been out there for as long as we keep them.
-func (b *Balancer) quiet(i int, s *server) {
-	due := s.quietAt + b.keep
-	switch {
-	case s.inFlight > 0 || b.keep >= keepMost:
-	case b.now >= due || b.keep < keepLeast:
-		b.host.HangUp(i)
-	case !s.waking:
-		s.waking = true
-		b.host.Wake(due, 2*i+2)
+// giveBack closes what has been idle for as long as we keep it, when a connect has failed elsewhere.
+func (b *Balancer) giveBack() {
+	b.keep /= keepPart
+	for i, s := range b.servers {
+		if s != nil && s.inFlight == 0 && s.held && b.now >= s.quietAt+b.keep {
+			s.held = false
+			b.host.HangUp(i)
+		}
 	}
 }
 
@@ -614,15 +622,8 @@
 		}
 		return
 	}
-	lkp, i := (handle-1)/2, handle/2-1
-	if handle%2 == 0 {
-		if i < len(b.servers) && b.servers[i] != nil {
-			b.servers[i].waking = false
-			b.quiet(i, b.servers[i])
-		}
-		return
-	}
-	if lkp < len(b.lookups) && b.lookups[lkp].waiting && now >= b.lookups[lkp].giveUp {
+	lkp := handle - 1
+	if lkp >= 0 && lkp < len(b.lookups) && b.lookups[lkp].waiting && now >= b.lookups[lkp].giveUp {
 		b.finish(lkp)
 	}
 }
@@ -722,9 +723,6 @@
 	case Full:
 		s.strikes, s.rest = 0, 0
 	case Unconnected, Broken:
-		if code == Unconnected {
-			b.keep /= keepPart
-		}
 		b.strike(s, strikesOut)
 	case TimedOut, Errored:
 		b.strike(s, 1)
