--- a/logic/logic.go
+++ b/logic/logic.go
@@ -26,9 +26,6 @@
 	fadeFloor  = 1e-9               // renormalise there: far from losing digits, yet rare
 	recutSpan  = 2000 * Millisecond // between recuts: a range moves little in it, and 2000 adds are dear
 
-	heavyMost   = 128.0 // lookups after which the short memory is halved: a hot key shows within some seconds
-	heavySpread = 1.5   // ranges a heavy key gets for each share it has: they have keys of their own
-
 	busyLeast  = 2   // own shots in flight below which a cache is never passed over; the design's figure
 	walkMost   = 6   // caches passed over for want of room: a hot key needs some, more scatter keys
 	busyFactor = 2.0 // well over our mean: twice it, and one more for chance
@@ -99,8 +96,6 @@
 	alpha         float64
 	level         int       // whole klSteps passed
 	past          []float64 // the bins a klSpan ago
-	recent        []float64 // the latest lookups by bin, halved now and then
-	recentSum     float64
 	before        []former  // the ranges before the latest changes of the list, the latest first
 	cuts          []float64 // upper ends of the ranges, in bins
 	klDue, cutDue Time
@@ -117,8 +112,7 @@
 	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1,
 		nodes: float64(max(1, term(terms, "nodes", 1))), halved: now, ease: 1,
 		klDue: now + klSpan, fetches: map[uint64][]int{}, askWait: askLeast, keep: keepMost,
-		weight: make([]float64, bins), past: make([]float64, bins),
-		recent: make([]float64, bins), recentSum: heavyMost / 2}
+		weight: make([]float64, bins), past: make([]float64, bins)}
 	b.alpha, b.least = b.bounded(1), max(1, min(busyLeast, roomLeast/b.nodes))
 	for i := range b.weight {
 		b.weight[i], b.past[i] = 1.0/bins, 1.0/bins
@@ -275,24 +269,9 @@
 	}
 }
 
-// rangeOf gives the place of the range that holds the point, in ready taken round and round. A key heavier than
-// one whole share would drown its cache, so chance spreads it over as many ranges, from its own on, as it had
-// shares of late. One lookup of a key says nothing.
+// rangeOf gives the place in ready of the range that holds the point.
 func (b *Balancer) rangeOf(point float64) int {
-	shares := (b.recent[int(point)] - 1) / b.recentSum * float64(len(b.ready)) * heavySpread
-	return sort.SearchFloat64s(b.cuts, point) + int(b.draw()*max(1, shares))
-}
-
-// notice counts a point in the short memory that tells heavy keys: under alpha's cap the bins learn over more
-// lookups than a node of a large fleet sees in a day. It begins half full, lest a new node take any key for heavy.
-func (b *Balancer) notice(point float64) {
-	b.recent[int(point)]++
-	if b.recentSum++; b.recentSum >= heavyMost {
-		b.recentSum /= 2
-		for i := range b.recent {
-			b.recent[i] /= 2
-		}
-	}
+	return min(sort.SearchFloat64s(b.cuts, point), len(b.ready)-1)
 }
 
 // ---- The walk along the ranges ----
@@ -523,7 +502,6 @@
 		l.key = xxhash.Sum64String(in.Key) | 1
 		l.point = pointOf(l.key)
 		b.learn(l.point)
-		b.notice(l.point)
 	}
 	if in.Work > 0 {
 		ns.work, ns.asked = ns.work+in.Work, ns.asked+1
