--- a/logic/host.go
+++ b/logic/host.go
@@ -128,13 +128,6 @@
 	held          bool // a connection may be kept since
 }
 
-// former holds ranges as they were before the list changed.
-type former struct {
-	ready []int
-	cuts  []float64
-	at    Time
-}
-
 type shot struct {
 	server int
 	sent   Time
@@ -155,7 +148,6 @@
 	waiting  bool // for another's fetch
 	work     float64
 	refused  bool // a cache took no connection
-	turned   int  // times it was turned away
 	shots    []shot
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -27,12 +27,10 @@
 	recutSpan  = 2000 * Millisecond // between recuts: a range moves little in it, and 2000 adds are dear
 
 	busyLeast  = 2   // own shots in flight below which a cache is never passed over; the design's figure
-	walkMost   = 6   // caches passed over for want of room: a hot key needs some, more scatter keys
+	walkMost   = 2   // caches passed over for want of room: a hot key needs some, more scatter keys
 	busyFactor = 2.0 // well over our mean: twice it, and one more for chance
 	jamFactor  = 1.5 // a full cache with no more than this many times our mean tells of a jam
 
-	formerSpan  = 3000 * Millisecond // between ranges kept from before changes, which come in batches, and
-	formerMost  = 4                  // how many are kept: what lies longer unasked is dropped by its cache
 	halveSpan   = 1000 * Millisecond // between halvings of what is measured: a few seconds' memory
 	roomPart    = 0.25               // share of a target time that shots in flight may fill: misses need more
 	roomLeast   = 8.0                // shots of all nodes that are always allowed, from one to two for each
@@ -96,7 +94,6 @@
 	alpha         float64
 	level         int       // whole klSteps passed
 	past          []float64 // the bins a klSpan ago
-	before        []former  // the ranges before the latest changes of the list, the latest first
 	cuts          []float64 // upper ends of the ranges, in bins
 	klDue, cutDue Time
 	halved        Time
@@ -289,9 +286,7 @@
 	for _, i := range b.ready {
 		mean += float64(b.servers[i].inFlight) / float64(n)
 	}
-	// Where hundreds of nodes walk in step a hot key's next ranges are as full: each shot skips further ahead.
-	reach := math.Pow(float64(n), float64(l.turned)/float64(term(b.terms, "most shots", 1)))
-	at, busy, passed := b.rangeOf(l.point)+int(b.draw()*reach), -1, 0
+	at, busy, passed := b.rangeOf(l.point), -1, 0
 	for step := 0; step < n && passed <= walkMost; step++ {
 		i := b.ready[(at+step)%n]
 		s := b.servers[i]
@@ -395,10 +390,7 @@
 		b.wait(lkp, q)
 		return
 	}
-	// A cache that misses on the last shot leaves none for the fetch: where all were full, ask the origin. It is
-	// also nearer than a cache that has no connection of ours and hardly the value.
-	last := len(l.shots) > 0 && len(l.shots) == term(b.terms, "most shots", 1)-1 && len(b.origins) > 0
-	if l.Write || l.missed || last || l.refused && b.origin(l) >= 0 {
+	if l.Write || l.missed || l.refused && b.origin(l) >= 0 {
 		b.fetch(lkp)
 		return
 	}
@@ -418,11 +410,10 @@
 	l := &b.lookups[lkp]
 	best := b.origin(l)
 	if best < 0 {
-		if best = b.former(l); best < 0 {
-			b.finish(lkp)
-			return
-		}
-	} else if !l.Write && l.key != 0 {
+		b.finish(lkp)
+		return
+	}
+	if !l.Write && l.key != 0 {
 		l.fetching = true
 		b.fetches[l.key] = nil
 	}
@@ -449,18 +440,6 @@
 	return best
 }
 
-// former gives a cache whose range held a read's point before the list changed, the latest first: changes
-// shift most ranges of a large fleet, and what they held is still there when the origin can't give it.
-func (b *Balancer) former(l *lookup) int {
-	for _, was := range b.before {
-		i := was.ready[min(sort.SearchFloat64s(was.cuts, l.point), len(was.ready)-1)]
-		if s := b.servers[i]; s.State == Ready && !l.Write && !b.passOver(l, i, s) {
-			return i
-		}
-	}
-	return -1
-}
-
 // wait holds a lookup while another of its key is at the origin.
 func (b *Balancer) wait(lkp int, q []int) {
 	l := &b.lookups[lkp]
@@ -546,9 +525,6 @@
 		s.held = false
 		b.host.HangUp(t.server)
 	}
-	if code == Full {
-		l.turned++
-	}
 	l.refused = l.refused || code == Unconnected
 	switch {
 	case slow && code == TimedOut: // all nodes must let go of it before it works for nobody
@@ -642,10 +618,6 @@
 		s.Box = x
 		s.origin = term(b.terms, "mode", "") == "aside" && x.Kind == term(b.terms, "origin kind", -1)
 	}
-	if len(b.ready) > 0 && (len(b.before) == 0 || now >= b.before[0].at+formerSpan) {
-		was := former{slices.Clone(b.ready), slices.Clone(b.cuts), now}
-		b.before = slices.Insert(b.before[:min(len(b.before), formerMost-1)], 0, was)
-	}
 	b.ready, b.origins = b.ready[:0], b.origins[:0]
 	for i, s := range b.servers {
 		if s != nil && s.State == Ready {
