Ask the origin once a walk and before a jam ends it; one way to it for misses, refusals and full caches

Seen on the yards at full size: boxes without room send lookups on to boxes that lack the key. The real node: no shot's first byte after half a drain's grace, no second copy where none is allowed, impossible values named.

--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -175,6 +175,8 @@
 	return x.listed
 }
 
+const gracePart = 2 // half of the grace is left for the news of a drain to be read, and for a slow scheduler
+
 // host is what the module acts through. Its methods run with the lock held.
 type host struct{ *Exchange }
 
@@ -193,6 +195,10 @@
 		ticket:  t,
 		number:  t.shots,
 	}
+	if h.terms.Grace > 0 {
+		// A dial may take longer than a drain's grace; what was decided before the drain must not go out after it.
+		s.BeginBy = s.sent.Add(h.terms.Grace / gracePart)
+	}
 	t.shots++
 	t.out++
 	h.sent(s)
--- a/internal/net/servers/dial.go
+++ b/internal/net/servers/dial.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 var errNoRoom = errors.New("no descriptor or dial left")
@@ -119,6 +120,7 @@
 	gone    bool      // closed on our side
 	begun   bool      // the present request's first byte is about to be written, or was
 	early   bool      // bytes came before that, so that it must not be written
+	by      time.Time // when its first byte must have been written; zero: any time
 	read    int64
 }
 
@@ -135,11 +137,11 @@
 	return own
 }
 
-var errStray = errors.New("bytes or the end came before the request was written")
+var errStray = errors.New("bytes or the end came before the request was written, or it came too late for a drain")
 
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	c.early = c.early || !c.begun && c.waiting()
+	c.early = c.early || !c.begun && (c.waiting() || !c.by.IsZero() && time.Now().After(c.by))
 	c.begun = true
 	stray := c.early
 	c.mu.Unlock()
@@ -202,14 +204,14 @@
 
 // take makes the connection ready for a request. After an answer the transport goes on to read, or closes if
 // there is more than the answer: one of the two must have happened.
-func (c *conn) take(reused bool) (written, read int64) {
+func (c *conn) take(reused bool, by time.Time) (written, read int64) {
 	c.busy.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for reused && !c.reading && !c.gone {
 		c.change.Wait()
 	}
-	c.begun, c.early = false, false
+	c.begun, c.early, c.by = false, false, by
 	return c.written.Load(), c.read
 }
 
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -61,10 +61,10 @@
 	began         *time.Timer
 }
 
-func (on *carried) got(c net.Conn, reused bool) {
+func (on *carried) got(c net.Conn, reused bool, by time.Time) {
 	on.release() // the transport may have found the first one broken
 	on.conn, _ = c.(*conn)
-	on.written, on.read = on.conn.take(reused)
+	on.written, on.read = on.conn.take(reused, by)
 }
 
 // release says that nothing of this shot is on its connection any more.
@@ -109,7 +109,8 @@
 	for tried := 1; ; tried++ {
 		var on carried
 		end, answer, err := s.once(ctx, shot, &on)
-		if end == exchange.Unwritten && tried < triesMost && ctx.Err() == nil {
+		late := !shot.BeginBy.IsZero() && time.Now().After(shot.BeginBy)
+		if end == exchange.Unwritten && tried < triesMost && ctx.Err() == nil && !late {
 			continue
 		}
 		if err != nil {
@@ -129,7 +130,7 @@
 	defer on.began.Stop()
 	defer on.release()
 	resp, err := s.transport.RoundTrip(request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:              func(i httptrace.GotConnInfo) { on.got(i.Conn, i.Reused) },
+		GotConn:              func(i httptrace.GotConnInfo) { on.got(i.Conn, i.Reused, shot.BeginBy) },
 		GotFirstResponseByte: func() { on.began.Reset(wholeIn) },
 	}), shot))
 	if err != nil {
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -20,6 +20,7 @@
 	LongestLimit                      time.Duration  // of all namespaces
 	Advice                            time.Duration  // the longest retry-after that clients heed; 0: give none
 	ConnectWithin, IdleFor, AskWithin time.Duration  // towards the servers and the box list
+	Grace                             time.Duration  // from a drain's telling to the last shot's first byte; 0: not told
 }
 
 // Replayable says whether lookups of a namespace, one that the terms name, may run any number of times.
@@ -56,6 +57,24 @@
 		}
 		return nil
 	}}
+	count = form{"a whole number, 1 or more", func(v any) any {
+		if x, ok := whole.read(v).(int); ok && x > 0 {
+			return x
+		}
+		return nil
+	}}
+	amount = form{"a number, 0 or more", func(v any) any {
+		if x, ok := v.(float64); ok && x >= 0 {
+			return x
+		}
+		return nil
+	}}
+	share = form{"a number from 0 to 1", func(v any) any {
+		if x, ok := v.(float64); ok && x >= 0 && x <= 1 {
+			return x
+		}
+		return nil
+	}}
 	number = form{"a number", func(v any) any {
 		if x, ok := v.(float64); ok {
 			return x
@@ -101,15 +120,15 @@
 }
 
 var general = []entry{
-	{"balancers", "nodes", whole, false},
+	{"balancers", "nodes", count, false},
 	{"domain.mode", "mode", text, false},
 	{"domain.origin-kind", "origin kind", whole, false},
-	{"permissions.most-shots", "most shots", whole, false},
+	{"permissions.most-shots", "most shots", count, false},
 	{"permissions.parallel-tries", "second copies", yesNo, false},
 	{"permissions.max-retry-after-ms", "longest retry-after", span, false},
-	{"invariants.cold-from", "cold share", number, false},
+	{"invariants.cold-from", "cold share", share, false},
 	{"invariants.warm-up-ms", "warm-up", span, false},
-	{"invariants.overload-factor", "overload factor", number, false},
+	{"invariants.overload-factor", "overload factor", amount, false},
 	{"invariants.fall-ms", "fall window", span, false},
 	{"invariants.ask-within-ms", "ask within", span, false},
 	{"tick-ms", "tick", span, false},
@@ -121,11 +140,11 @@
 	{"target-time-ms", "target time", span, true},
 	{"time-limit-ms", "time limit", span, true},
 	{"memory-span-ms", "memory span", span, false},
-	{"late-utility", "late utility", number, false},
-	{"utility", "utility", number, false},
+	{"late-utility", "late utility", share, false},
+	{"utility", "utility", amount, false},
 }
 
-var ofPartner = []entry{{"quota-rps", "lookups a second", number, false}}
+var ofPartner = []entry{{"quota-rps", "lookups a second", amount, false}}
 
 // Of gives a deployment's settings our names. What is missing or of another form is left out, so that the
 // module falls back to its cautious default; the error names each key that is malformed, or missing though
@@ -183,7 +202,8 @@
 		t.Machines[fmt.Sprint(m)] = i
 	}
 	for key, d := range map[string]*time.Duration{"permissions.connect-timeout-ms": &t.ConnectWithin,
-		"permissions.conn-idle-ms": &t.IdleFor, "invariants.ask-within-ms": &t.AskWithin} {
+		"permissions.conn-idle-ms": &t.IdleFor, "invariants.ask-within-ms": &t.AskWithin,
+		"invariants.stop-sending-within-ms": &t.Grace} {
 		if v, found := find(settings, key); found {
 			if s, ok := span.read(v).(logic.Time); ok && s > 0 {
 				*d = Duration(s)
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -101,6 +101,11 @@
 		{`"target-time-ms":200.19`, `"target-time-ms":-1`, "settings.namespaces[0].target-time-ms: "},
 		{`"most-shots":3`, `"most-shots":"3"`, "settings.permissions.most-shots: expected a whole number"},
 		{`"connect-timeout-ms":75.0`, `"connect-timeout-ms":0`, "settings.permissions.connect-timeout-ms: "},
+		{`"cold-from":0.17`, `"stop-sending-within-ms":"soon"`, "settings.invariants.stop-sending-within-ms: expected a time"},
+		{`"most-shots":3`, `"parallel-tries":1`, "settings.permissions.parallel-tries: expected true or false"},
+		{`"balancers":3`, `"balancers":0`, "settings.balancers: expected a whole number, 1 or more"},
+		{`"quota-rps":218.0`, `"quota-rps":-1`, "settings.tenants[0].quota-rps: expected a number, 0 or more"},
+		{`"cold-from":0.17`, `"cold-from":17`, "settings.invariants.cold-from: expected a number from 0 to 1"},
 		{`"quota-rps":218.0`, `"quota-rps":[]`, "settings.tenants[0].quota-rps: expected a number"},
 		{`{"name":"n3"`, `["name":"n3"`, "expected a JSON object"},
 	} {
@@ -122,6 +127,17 @@
 	if err != nil || s.ConnectWithin != defaultConnect || s.IdleFor != defaultIdle {
 		t.Errorf("%+v, %v", s, err)
 	}
+	if s.Grace != 0 || !s.SecondCopies() {
+		t.Error("settings that came later must leave a silent paper as it was")
+	}
+	for value, want := range map[string]bool{"true": true, "false": false, "null": true} {
+		if s, err := read(t, `"most-shots":3`, `"parallel-tries":`+value); err != nil || s.SecondCopies() != want {
+			t.Errorf("%s: second copies %v, %v", value, s.SecondCopies(), err)
+		}
+	}
+	if s, err := read(t, `"cold-from":0.17`, `"stop-sending-within-ms":100.0`); err != nil || s.Grace != 100*time.Millisecond {
+		t.Errorf("grace %v, %v", s.Grace, err)
+	}
 	if _, advice := s.Module["longest retry-after"]; advice || s.Advice != 0 {
 		t.Error("advice though the deployment gives none")
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -273,7 +273,8 @@
 
 // ---- The walk along the ranges ----
 
-// pick walks from the lookup's own range to the first cache that nothing speaks against, or gives -1.
+// pick walks from the lookup's own range to the first cache that nothing speaks against; the origin comes before
+// the next cache where one has no room. -1: none.
 func (b *Balancer) pick(l *lookup) int {
 	n := len(b.ready)
 	if n == 0 {
@@ -294,14 +295,17 @@
 			continue
 		}
 		full := s.inFlight >= int(b.room(l, s)+b.draw())
+		if full {
+			// The next caches hardly have the value, and misses there would jam them too.
+			if to := b.origin(l); to >= 0 {
+				return to
+			}
+		}
 		if full && s.inFlight > 0 && float64(s.inFlight) <= jamFactor*mean {
 			break // all are about as full: walking on would only scatter the keys and jam the rest
 		} else if !full && (s.inFlight < busyLeast || float64(s.inFlight) <= busyFactor*mean+1) {
 			return i
 		}
-		if full && !l.Write && b.origin(l) >= 0 {
-			return b.origin(l)
-		}
 		if passed++; busy < 0 && !full {
 			busy = i
 		}
@@ -358,7 +362,7 @@
 }
 
 // shoot sends a lookup and books it.
-func (b *Balancer) shoot(lkp, i int, timeout Time) {
+func (b *Balancer) shoot(lkp, i int) {
 	l, s := &b.lookups[lkp], b.servers[i]
 	if s.rest > 0 {
 		s.trial = true
@@ -373,7 +377,7 @@
 	}
 	s.inFlight++
 	l.shots = append(l.shots, shot{server: i, sent: b.now, out: true})
-	b.host.Shoot(lkp, i, timeout)
+	b.host.Shoot(lkp, i, l.giveUp-b.now)
 }
 
 // advance takes a lookup's next step: its cache, the origin, a wait for the key's fetch, or its end.
@@ -390,37 +394,28 @@
 		b.wait(lkp, q)
 		return
 	}
-	if l.Write || l.missed || l.refused && b.origin(l) >= 0 {
-		b.fetch(lkp)
-		return
+	to := -1
+	if l.Write || l.missed || l.refused {
+		to = b.origin(l) // where a cache takes no connection of ours, hardly another has the value
 	}
-	if i := b.pick(l); i >= 0 && b.servers[i].origin {
-		b.fetch(lkp)
-	} else if i >= 0 {
-		b.shoot(lkp, i, l.giveUp-b.now)
-	} else {
-		b.finish(lkp)
+	if to < 0 && !l.Write && !l.missed {
+		to = b.pick(l)
 	}
-}
-
-// ---- The origin ----
-
-// fetch sends a miss or a write to the origin: one fetch a key, bounded by rate times time, writes first.
-func (b *Balancer) fetch(lkp int) {
-	l := &b.lookups[lkp]
-	best := b.origin(l)
-	if best < 0 {
+	if to < 0 {
 		b.finish(lkp)
 		return
 	}
-	if !l.Write && l.key != 0 {
+	if b.servers[to].origin && !l.Write && l.key != 0 {
 		l.fetching = true
 		b.fetches[l.key] = nil
 	}
-	b.shoot(lkp, best, l.giveUp-b.now)
+	b.shoot(lkp, to)
 }
 
-// origin gives the origin that has room for a lookup and would answer it in time, or -1.
+// ---- The origin ----
+
+// origin gives the origin that has room for a lookup and would answer it in time, or -1. What it takes is bounded
+// by rate times time, writes first; its least room lets each node measure it.
 func (b *Balancer) origin(l *lookup) int {
 	if len(b.origins) == 0 {
 		return -1
