--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -46,7 +46,7 @@
 	out      map[string]*Ticket // by the client's id, until all shots have settled
 	places   map[string]int     // box ids to indices
 	boxes    []place            // by index
-	resting  []int              // indices that were given back, the longest rested first
+	resting  []int              // indices that were given back
 	told     uint64             // places that the list has told of so far
 	listed   bool
 	alarms   alarms
--- a/internal/net/exchange/places.go
+++ b/internal/net/exchange/places.go
@@ -7,10 +7,6 @@
 	"github.com/thistlerudder/thistlerudder/logic"
 )
 
-// restLeast is how many indices lie between giving one back and using it anew: the ranges that the module keeps from
-// before the latest changes of the list name no box that has been gone for so long.
-const restLeast = 256
-
 const (
 	passedTimes = 2 // mean times of its server after which a read is passed, if a later one was answered meanwhile
 	meanPart    = 8 // an answer counts as an eighth of the mean: a second's worth of them or so
@@ -38,9 +34,9 @@
 
 // index gives one for a new box: boxes come under new ids all day, so those of boxes that went are used anew.
 func (x *Exchange) index() int {
-	if len(x.resting) > restLeast {
-		i := x.resting[0]
-		x.resting = x.resting[1:]
+	if last := len(x.resting) - 1; last >= 0 {
+		i := x.resting[last]
+		x.resting = x.resting[:last]
 		return i
 	}
 	x.boxes = append(x.boxes, place{})
--- a/logic/host.go
+++ b/logic/host.go
@@ -11,8 +11,7 @@
 
 // Host is all that a Balancer can do. Lookups and servers are named by small indices that the caller hands
 // out. A lookup's may be used again once it has ended and all its shots have settled, a server's once it is
-// Gone, its shots have settled and many others have gone since. Shots of a lookup are numbered from 0 in the
-// order of Shoot.
+// Gone and its shots have settled. Shots of a lookup are numbered from 0 in the order of Shoot.
 type Host interface {
 	// Shoot sends the lookup to a server; no answer within timeout settles the shot as TimedOut.
 	Shoot(lkp, server int, timeout Time)
