--- a/logic/logic.go
+++ b/logic/logic.go
@@ -78,6 +78,7 @@
 	seed     uint64
 	nodes    float64
 	least    float64 // our part of roomLeast
+	soonest  Time    // the shortest target time
 	drawn    uint64
 	now      Time
 	spaces   []namespace
@@ -118,7 +119,9 @@
 		ns := namespace{kind: kindOf[term(t, "repeat", "")], target: term(t, "target time", 1000*Millisecond),
 			memory: term(t, "memory span", Time(0)), groupAll: term(t, "group", "") == "all",
 			late: term(t, "late utility", 0.0)}
-		b.spaces = append(b.spaces, ns)
+		if b.spaces = append(b.spaces, ns); b.soonest == 0 || ns.target < b.soonest {
+			b.soonest = ns.target
+		}
 	}
 	for _, t := range term(terms, "partners", []map[string]any(nil)) {
 		rate := term(t, "lookups a second", math.Inf(1)) / b.nodes
@@ -423,9 +426,11 @@
 	best := slices.MinFunc(b.origins, func(x, y int) int {
 		return b.servers[x].inFlight - b.servers[y].inFlight
 	})
-	s := b.servers[best]
-	room := max(originLeast/b.nodes, min(s.calm, originOwn),
-		b.rate(s.answers)*originPart*seconds(b.spaces[l.Namespace].target))
+	s, target := b.servers[best], b.soonest // what may be patient must not keep waiting what may not
+	if l.Write {
+		target = b.spaces[l.Namespace].target
+	}
+	room := max(originLeast/b.nodes, min(s.calm, originOwn), b.rate(s.answers)*originPart*seconds(target))
 	if l.Write {
 		room = writeRoom * max(1, room)
 	}
