Let a lookup that ran out of time take three tenths of the ease that one without room takes

h730ecf (grow+hang+zone_loss at the videos): from 15 s nearly all deferrals were of lookups held for beyond a share (counted at each finish), since lookups lost at silent boxes had taken all ease (feel), while caches and origin had room. Half the nodes were lost, so that the even parts quota / nodes were too small too.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -47,8 +47,9 @@
 	earlyPart   = 0.4                // share of the target time up to which a second try can still be in time
 	returnPart  = 0.1                // share of the target time, and up to as much by chance, to stay away
 	shareLeast  = 4.0                // lookups a partner may always save up: of many nodes each has few a minute
-	easeLost    = 0.1                // ease lost with a lookup inside its share that we failed, and
-	easeWon     = 0.005              // won with one answered in time: past 5% failed it goes to nothing
+	easeLost    = 0.1                // ease lost with a lookup inside its share that we had no room for,
+	easeLate    = 0.03               // with one that ran out of time,
+	easeWon     = 0.005              // and won with one answered in time: past 5% without room it goes to nothing
 
 	strikesOut   = 2                  // strikes that make a suspect: one broken connection, two silences
 	suspectLeast = 250 * Millisecond  // first rest of a suspect: a few connect time-outs
@@ -185,12 +186,15 @@
 	return most
 }
 
-// feel notes how we fare with what is inside its share: where it suffers, what is beyond yields first.
+// feel notes how we fare with what is inside its share: where it suffers, what is beyond yields first. What ran
+// out of time tells of its server more than of the load.
 func (b *Balancer) feel(l *lookup, inTime bool) {
 	switch {
 	case l.over: // worth little whatever becomes of it
 	case inTime:
 		b.ease = min(1, b.ease+easeWon)
+	case b.now >= l.giveUp:
+		b.ease = max(0, b.ease-easeLate)
 	default:
 		b.ease = max(0, b.ease-easeLost)
 	}
@@ -276,8 +280,8 @@
 
 // ---- The walk along the ranges ----
 
-// pick walks from the lookup's own range to the first cache that nothing speaks against; the origin comes before
-// the next cache where one has no room. -1: none.
+// pick walks from the lookup's own range to the first cache that nothing speaks against; where one has no room
+// the origin comes before the next. -1: none.
 func (b *Balancer) pick(l *lookup) int {
 	n := len(b.ready)
 	if n == 0 {
@@ -417,8 +421,8 @@
 
 // ---- The origin ----
 
-// origin gives the origin that has room for a lookup and would answer it in time, or -1. What it takes is bounded
-// by rate times time, writes first; its least room lets each node measure it.
+// origin gives the origin that has room for a lookup and would answer it in time, or -1. What it takes is
+// bounded by rate times time, writes first; its least room lets each node measure it.
 func (b *Balancer) origin(l *lookup) int {
 	if len(b.origins) == 0 {
 		return -1
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -324,6 +324,26 @@
 	}
 }
 
+// h1fdc83, ib55e28: lookups lost at a few silent boxes made all nodes turn away what they held for beyond a share.
+func TestASickServerIsNotALackOfRoom(t *testing.T) {
+	for _, c := range []struct {
+		code  Code
+		after Time
+		least float64
+	}{{TimedOut, 200 * Millisecond, 0.8}, {Full, Millisecond, 0.4}} {
+		f := newFake(1, 1)
+		for range 5 {
+			f.b.servers[0].rest, f.b.servers[0].calm, f.b.servers[1].inFlight = 0, calmMost, 99
+			lkp, _ := f.ask(0, "", false, f.now+5000)
+			f.now += c.after
+			f.settle(lkp, 0, c.code)
+		}
+		if f.b.ease < c.least || f.b.ease > c.least+0.2 {
+			t.Errorf("code %d: an ease of %.2f, want %.1f or a little more", c.code, f.b.ease, c.least)
+		}
+	}
+}
+
 // crash: a broken connection makes a suspect; after its rest one replayable lookup tries it out.
 func TestSuspectRestsThenIsTried(t *testing.T) {
 	f := newFake(1, 2)
