--- a/logic/logic.go
+++ b/logic/logic.go
@@ -49,7 +49,7 @@
 	shareLeast  = 4.0                // lookups a partner may always save up: of many nodes each has few a minute
 	easeLost    = 0.1                // ease lost with a lookup inside its share that we had no room for,
 	easeLate    = 0.03               // with one that ran out of time,
-	easeWon     = 0.005              // and won with one answered in time: past 5% without room it goes to nothing
+	easeWon     = 0.005              // and won with one answered in time: past 5% without room it is nothing
 
 	strikesOut   = 2                  // strikes that make a suspect: one broken connection, two silences
 	suspectLeast = 250 * Millisecond  // first rest of a suspect: a few connect time-outs
@@ -186,8 +186,8 @@
 	return most
 }
 
-// feel notes how we fare with what is inside its share: where it suffers, what is beyond yields first. What ran
-// out of time tells of its server more than of the load.
+// feel notes how we fare with what is inside its share: where it suffers, what is beyond yields first. What
+// ran out of time tells of its server more than of the load.
 func (b *Balancer) feel(l *lookup, inTime bool) {
 	switch {
 	case l.over: // worth little whatever becomes of it
@@ -280,8 +280,8 @@
 
 // ---- The walk along the ranges ----
 
-// pick walks from the lookup's own range to the first cache that nothing speaks against; where one has no room
-// the origin comes before the next. -1: none.
+// pick walks from the lookup's own range to the first cache that nothing speaks against; where one has no
+// room the origin comes before the next. -1: none.
 func (b *Balancer) pick(l *lookup) int {
 	n := len(b.ready)
 	if n == 0 {
