--- a/logic/host.go
+++ b/logic/host.go
@@ -104,9 +104,10 @@
 }
 
 type partner struct {
-	rate, depth float64 // lookups a second within our part of its share, and how many of them may be saved up
-	room        float64 // what is left of them
-	at          Time
+	rate       float64 // lookups a second within our even part of its share
+	room, most float64 // what is left of that, and of what we carry of its share
+	asked      float64
+	at         Time
 }
 
 type server struct {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -126,8 +126,7 @@
 	}
 	for _, t := range term(terms, "partners", []map[string]any(nil)) {
 		rate := term(t, "lookups a second", math.Inf(1)) / b.nodes
-		depth := rate + shareLeast
-		b.partners = append(b.partners, partner{rate: rate, depth: depth, room: depth, at: now})
+		b.partners = append(b.partners, partner{rate: rate, room: rate + shareLeast, most: rate + shareLeast, at: now})
 	}
 	host.Wake(now+Time(b.draw()*float64(askSpread)), listHandle)
 	return b
@@ -490,21 +489,45 @@
 		ns.work, ns.asked = ns.work+in.Work, ns.asked+1
 		l.work = in.Work * ns.asked / ns.work
 	}
+	sure := false
 	if in.Partner >= 0 {
-		p := &b.partners[in.Partner]
-		p.room = min(p.depth, p.room+p.rate*seconds(now-p.at)) - 1
+		p, carry := &b.partners[in.Partner], b.carry(in.Partner)
+		p.room = min(p.rate+shareLeast, p.room+p.rate*seconds(now-p.at)) - 1
+		p.most = min(p.rate*carry+shareLeast, p.most+p.rate*carry*seconds(now-p.at)) - 1
 		p.at = now
+		p.asked++
 		if p.room < 0 {
 			l.over, p.room = true, p.room+1
 		}
+		if p.most < 0 {
+			sure, p.most = true, p.most+1
+		}
+	}
+	ease := 2 * b.ease
+	if sure {
+		ease--
 	}
-	if l.over && b.draw() >= b.ease {
+	if l.over && b.draw() >= ease {
 		b.finish(lkp)
 	} else {
 		b.advance(lkp)
 	}
 }
 
+// carry tells how many times an even part of the traffic we carry: what the other partners send, beside their shares.
+func (b *Balancer) carry(of int) float64 {
+	asked, due := 0.0, 0.0
+	for i, p := range b.partners {
+		if i != of {
+			asked, due = asked+b.rate(p.asked), due+p.rate
+		}
+	}
+	if due == 0 {
+		return 1
+	}
+	return max(1, asked/due)
+}
+
 // Started tells that an answer streams: the rest is the server's and the client's.
 func (b *Balancer) Started(now Time, lkp int) { b.Left(now, lkp) }
 
@@ -659,6 +682,9 @@
 			s.answers, s.firsts = s.answers/2, s.firsts/2
 		}
 	}
+	for i := range b.partners {
+		b.partners[i].asked /= 2
+	}
 	b.halved = now
 }
 
