Let what is beyond the carried part of a share yield long before what is beyond the even part

What the other partners send here, beside their shares, tells the two apart (carry). The first fifth of ease is for what is surely beyond, the last for what may be.

--- a/logic/host.go
+++ b/logic/host.go
@@ -106,7 +106,7 @@
 type partner struct {
 	rate       float64 // lookups a second within our even part of its share
 	room, most float64 // what is left of that, and of what we carry of its share
-	asked      float64
+	asked      float64 // halved now and then
 	at         Time
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,6 +50,7 @@
 	easeLost    = 0.1                // ease lost with a lookup inside its share that we had no room for,
 	easeLate    = 0.03               // with one that ran out of time,
 	easeWon     = 0.005              // and won with one answered in time: past 5% without room it is nothing
+	easeSteps   = 5.0                // its first fifth is for what is surely beyond, its last for what may be
 
 	strikesOut   = 2                  // strikes that make a suspect: one broken connection, two silences
 	suspectLeast = 250 * Millisecond  // first rest of a suspect: a few connect time-outs
@@ -126,7 +127,8 @@
 	}
 	for _, t := range term(terms, "partners", []map[string]any(nil)) {
 		rate := term(t, "lookups a second", math.Inf(1)) / b.nodes
-		b.partners = append(b.partners, partner{rate: rate, room: rate + shareLeast, most: rate + shareLeast, at: now})
+		room := rate + shareLeast
+		b.partners = append(b.partners, partner{rate: rate, room: room, most: room, at: now})
 	}
 	host.Wake(now+Time(b.draw()*float64(askSpread)), listHandle)
 	return b
@@ -503,9 +505,9 @@
 			sure, p.most = true, p.most+1
 		}
 	}
-	ease := 2 * b.ease
+	ease := easeSteps * b.ease
 	if sure {
-		ease--
+		ease -= easeSteps - 1
 	}
 	if l.over && b.draw() >= ease {
 		b.finish(lkp)
@@ -514,7 +516,8 @@
 	}
 }
 
-// carry tells how many times an even part of the traffic we carry: what the other partners send, beside their shares.
+// carry tells how many even parts of the traffic we carry. Clients are dealt out unevenly, and more of them
+// come when other nodes are lost: then the other partners send more than their even parts too.
 func (b *Balancer) carry(of int) float64 {
 	asked, due := 0.0, 0.0
 	for i, p := range b.partners {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -324,6 +324,29 @@
 	}
 }
 
+// zone_loss: nodes that carried twice their part, since others were lost, took half of it for beyond the shares. What
+// the other partner sends tells; only what is beyond that too yields as soon as lookups find no room.
+func TestANodeThatCarriesMoreYieldsLater(t *testing.T) {
+	for _, c := range []struct {
+		others, ease float64
+		want         int
+	}{{0, 1, 60}, {0, 0.7, 30}, {100, 0.7, 60}, {100, 0, 30}} { // in 1.2 s, where the even part is 25 a second
+		f, taken := newFake(1, 4), 0
+		f.b.partners[1].rate, f.b.partners[0].room, f.b.partners[0].most = 25, 0, 0
+		for i := range 60 {
+			f.now += 20 * Millisecond
+			f.b.ease, f.b.partners[1].asked = c.ease, c.others
+			if lkp, asked := f.ask(0, fmt.Sprint(i), false, f.now+5000); len(asked.shots) > 0 {
+				taken++
+				f.settle(lkp, 0, Answered)
+			}
+		}
+		if taken < c.want-1 || taken > c.want+1 {
+			t.Errorf("others send %g, ease %g: %d taken, want %d", c.others, c.ease, taken, c.want)
+		}
+	}
+}
+
 // h1fdc83, ib55e28: lookups lost at a few silent boxes made all nodes turn away what they held for beyond a share.
 func TestASickServerIsNotALackOfRoom(t *testing.T) {
 	for _, c := range []struct {
