--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -64,6 +64,29 @@
 	}
 }
 
+// Load reports and messages from peers decide nothing, whatever they hold.
+func TestReportsAndMessagesAreNone(t *testing.T) {
+	for _, msg := range []string{`{"what":"sampled","server":"10.0.0.1:1","state-code":"S","stats":[-1]}`,
+		`{"what":"sampled","server":"nowhere","stats":"soon"}`, `{"what":"sampled","server":"10.0.0.1:1","stats":[null,{}]}`,
+		`{"what":"note-from","origin-peer":9,"octets":"=="}`, `{"what":"note-from","octets":[7]}`} {
+		replies, told, err := serve(create, `{"now-ms":1002,"batch":3,"parts":[{"node":"node_0","msgs":[`+msg+`]}]}`)
+		if err != nil || told != "" || replies[1] != `{"batch":3,"parts":[]}` {
+			t.Errorf("%s: replies %v, told %q, %v", msg, replies, told, err)
+		}
+	}
+}
+
+// A connect that fails gives back what has idled; nothing has here, so the order itself is looked at.
+func TestHangUpIsOrdered(t *testing.T) {
+	h := &hub{}
+	n := &node{names: []string{"10.0.0.1:1", "10.0.0.2:1"}, out: &orders{w: &h.out, node: "node_0"}}
+	n.HangUp(1)
+	n.out.close()
+	if text, _ := h.out.BuildBytes(); string(text) != `{"node":"node_0","orders":[{"what":"hang-up","server":"10.0.0.2:1"}]}` {
+		t.Errorf("told %s", text)
+	}
+}
+
 func TestALineThatIsNoBatchEndsTheProgram(t *testing.T) {
 	for _, line := range []string{"hello", "[1]", `{"batch":1}`, `{"now-ms":1,"batch":1,"parts":[{"node":`} {
 		if _, _, err := serve(line); err == nil {
