--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,6 +43,7 @@
 	originPart  = 0.6                // share of a target time that fetches in flight may fill at the origin
 	originLeast = 12.0               // fetches of all nodes that are always allowed, to measure the origin by
 	originOwn   = 3.0                // fetches a node may have out while the origin is calm: some come at once
+	originWon   = 0.3                // fetches a quick answer adds up to there: many nodes ask it seldom
 	writeRoom   = 2                  // writes may fill the origin this many times as far as fetches
 	earlyPart   = 0.4                // share of the target time up to which a second try can still be in time
 	returnPart  = 0.1                // share of the target time, and up to as much by chance, to stay away
@@ -562,7 +563,11 @@
 	case slow || code == Full:
 		s.calm = max(calmLeast, s.calm*(1-calmLost))
 	case code == Answered || code == Missing: // a failure may be quick as well
-		s.calm = min(calmMost, s.calm+calmWon)
+		won := calmWon
+		if s.origin && s.calm < originOwn {
+			won = originWon
+		}
+		s.calm = min(calmMost, s.calm+won)
 	}
 	l.missed = l.missed || code == Missing
 	if !l.live {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -400,6 +400,20 @@
 	}
 }
 
+// quiet of the yards: nodes that fetch once a second deferred one miss in eight for the first twenty seconds.
+func TestTheOriginsRoomGrowsWithItsFirstAnswers(t *testing.T) {
+	f := newFake(1, 1)
+	for n := range 4 {
+		lkp, _ := f.ask(0, fmt.Sprint(n), false, f.now+5000)
+		f.settle(lkp, 0, Missing)
+		f.now += 10 * Millisecond
+		f.settle(lkp, 1, Answered)
+	}
+	if calm := f.b.servers[1].calm; calm < originOwn || calm > originOwn+0.5 {
+		t.Errorf("calm room %.1f after four quick answers, want %g or a little more", calm, originOwn)
+	}
+}
+
 // Clients that give up early: a shot that ends with its lookup's little time says nothing of its server.
 func TestAShortTimeIsNoStrike(t *testing.T) {
 	f := newFake(1, 1)
