--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -239,7 +239,7 @@
 		{"no connection, and the origin has room", 2, 0, nil, plain, []Code{Unconnected}, 10, []int{0, 2}},
 		{"no connection, and it has none", 2, 0, []int{0, 0, originLeast / 2}, plain, []Code{Unconnected}, 10, []int{0, 1}},
 		{"the origin has no room", 1, 0, []int{0, originLeast / 2}, plain, []Code{Missing}, 10, []int{0}},
-		// rough-2 of the grown schools: hundreds of nodes with a fetch now and then. Each needs room for chance
+		// Hundreds of nodes with a fetch now and then. Each needs room for chance
 		// while the origin is quick, and none of them a sure one once it is slow.
 		{"the origin's least room", 1, 0, []int{0, 2}, calm(3), []Code{Missing}, 10, []int{0, 1}},
 		{"less time than the origin takes", 1, 0, nil, late, []Code{Missing}, 10, []int{0}},
@@ -293,7 +293,7 @@
 	}
 }
 
-// A crash on the grown schools: hundreds of nodes kept the origin's queue longer than their time limits.
+// A crash before six hundred nodes: together they kept the origin's queue longer than their time limits.
 func TestTimeoutsAtTheOriginEmptyItsRoom(t *testing.T) {
 	f := newFake(1, 1)
 	for n := range 5 {
