--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -414,6 +414,23 @@
 	}
 }
 
+// rough-1 of the videos: segments, which may take 2.5 s, filled the origin and held up playlists, which may take 0.15.
+func TestPatientReadsDontHoldUpTheOrigin(t *testing.T) {
+	f := newFake(1, 1)
+	f.b.spaces[0].target = 2500 * Millisecond // the others have 200 ms
+	o := f.b.servers[1]
+	o.answers, f.b.halved, o.inFlight = 100, f.b.now, 13 // 100 a second, for 0.6 of 200 ms
+	lkp, c := f.ask(0, "k", false, f.now+50000)
+	if f.settle(lkp, 0, Missing); len(c.shots) != 1 || !c.ended {
+		t.Errorf("shots %v, want the origin spared", c.shots)
+	}
+	o.inFlight = 11
+	lkp, c = f.ask(0, "k", false, f.now+50000)
+	if f.settle(lkp, 0, Missing); len(c.shots) != 2 {
+		t.Errorf("shots %v, want one at the origin", c.shots)
+	}
+}
+
 // Clients that give up early: a shot that ends with its lookup's little time says nothing of its server.
 func TestAShortTimeIsNoStrike(t *testing.T) {
 	f := newFake(1, 1)
