--- a/logic/logic.go
+++ b/logic/logic.go
@@ -66,7 +66,7 @@
 	askSpread  = 300 * Millisecond  // nodes that start together spread their first calls over this
 	askLeast   = 500 * Millisecond  // first wait after a failed call
 	askMost    = 4000 * Millisecond // longest wait, and never over half the ask-within limit
-	listHandle = 0                  // the list's alarm; a lookup's handle is odd, a server's even
+	listHandle = 0                  // the list's alarm; a lookup's handle is its index and one
 
 	keepMost  = 30000 * Millisecond // span for which idle connections are kept at first: as good as no bound
 	keepLeast = 50 * Millisecond    // below this one is given back at once: no shot there comes so soon
@@ -102,7 +102,7 @@
 	klDue, cutDue Time
 	halved        Time
 	perCache      float64 // our answers a second from a warm cache
-	ease          float64 // share of the lookups beyond a partner's share that we take: 1 where all goes well
+	ease          float64 // how readily we take lookups beyond a partner's share: 1 where all goes well
 	keep          Time    // how long an idle connection is kept
 	subscribed    bool
 	askWait       Time
