Keep no more connections to the origin than a node needs, and tell a crowded server from a full one

A probe that logged the heads of turned-away answers counted 7,503 that came as the first word on a new connection, ended by the server and without a load report; all were the origin's. The module took them for a full queue and tried the origin up to three times. By a second probe the 300 nodes held 440 connections there, 1.5 each, with 0.3 fetches out: a node that fetches five times a second never finds one idle for 10 s, as transports use the latest first.

Lines at fault: Settled and giveBack in logic.go, which close idle connections only where nothing is out; read in servers/send.go, which knew one reason for a not-run mark.

Change: Host.HangUp says how many may stay; after each shot at the origin that is the mean in flight and its root. A new end and code, Crowded, takes the calm room down to what is out and leaves the server's health alone.

--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -124,7 +124,7 @@
 }
 
 // HangUp does nothing: connections cost nothing here.
-func (n *node) HangUp(int) {}
+func (n *node) HangUp(int, int) {}
 
 // Wake books an alarm.
 func (n *node) Wake(at logic.Time, handle int) {
--- a/internal/net/exchange/bans.go
+++ b/internal/net/exchange/bans.go
@@ -58,7 +58,7 @@
 			p.ban = b
 			// What was kept to it is of no further use: it is restarted meanwhile. This holds for both ways, lest a
 			// shot goes on a connection from before.
-			x.carrier.HangUp(p.nth)
+			x.carrier.HangUp(p.nth, 0)
 			x.told++
 			p.nth = x.told
 			if !p.gone {
--- a/internal/net/exchange/ends.go
+++ b/internal/net/exchange/ends.go
@@ -11,6 +11,7 @@
 	Lacking               // 404: the server has nothing under the key
 	Failing               // 500
 	TurnedAway            // 503 or 504 with the mark that it never ran
+	Crowded               // the same as the first word on a new connection, which the server ends: it holds too many
 	Unclear               // any other status, or such a one without the mark: it may have run
 	Unreached             // refused, or not up within the connect time-out
 	Unwritten             // the connection broke before the last byte was written
@@ -38,6 +39,8 @@
 		return logic.Errored
 	case TurnedAway:
 		return logic.Full
+	case Crowded:
+		return logic.Crowded
 	case Unreached, Unwritten:
 		return logic.Unconnected
 	case Silent:
@@ -49,7 +52,7 @@
 	}
 }
 
-var endNames = [endCount]string{"whole", "lacking", "failing", "turned away", "unclear", "unreached",
+var endNames = [endCount]string{"whole", "lacking", "failing", "turned away", "crowded", "unclear", "unreached",
 	"unwritten", "lost", "cut short", "spoilt", "silent", "passed", "no room", "overtaken", "withdrawn"}
 
 func (e End) String() string { return endNames[e] }
--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -20,8 +20,8 @@
 // Carrier brings shots to the servers; none of its methods may block. Each shot is settled once, by Settle.
 type Carrier interface {
 	Carry(*Shot)
-	// HangUp closes the connections to a place that carry no shot.
-	HangUp(place uint64)
+	// HangUp closes the connections to a place that carry no shot, but for so many.
+	HangUp(place uint64, but int)
 }
 
 // Lister follows the box list once it is told to, and reports by List. Subscribe must not block.
@@ -239,7 +239,7 @@
 func (h host) Subscribe() { h.lister.Subscribe() }
 
 // HangUp is carried out by the side that holds the connections.
-func (h host) HangUp(server int) { h.carrier.HangUp(h.boxes[server].nth) }
+func (h host) HangUp(server, but int) { h.carrier.HangUp(h.boxes[server].nth, but) }
 
 func (h host) Wake(at logic.Time, handle int) { h.wake(at, handle) }
 
--- a/internal/net/servers/dial.go
+++ b/internal/net/servers/dial.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -48,12 +49,23 @@
 	return own, nil
 }
 
-// hangUp closes the connections to a place that carry nothing. One may be taken for a shot in the same moment: then
-// nothing can be written to it any more, and the shot goes on another.
-func (d *dialer) hangUp(place string) {
+// hangUp closes the connections to a place that carry nothing, but for so many, those idle for longest first, as the
+// transport takes the latest. One may be taken for a shot in the same moment: then nothing can be written to it any
+// more, and the shot goes on another.
+func (d *dialer) hangUp(place string, but int) {
 	d.mu.Lock()
-	var idle []*conn
+	var free, idle []*conn
 	for c := range d.kept[place] {
+		if _, busy := c.idleSince(); !busy {
+			free = append(free, c)
+		}
+	}
+	slices.SortFunc(free, func(x, y *conn) int {
+		of, _ := x.idleSince()
+		than, _ := y.idleSince()
+		return of.Compare(than)
+	})
+	for _, c := range free[:max(0, len(free)-but)] {
 		if c.retire() {
 			idle = append(idle, c)
 		}
@@ -138,6 +150,7 @@
 	reading bool      // the transport waits for bytes, so it has none left over
 	gone    bool      // closed on our side, or about to be
 	busy    int       // requests it was taken for that are not over
+	idle    time.Time // when it was made, or the latest of them was over
 	begun   bool      // the present request's first byte is about to be written, or was
 	early   bool      // bytes came before that, so that it must not be written
 	whole   func()    // to be told once what is still in the transport's buffer has been written; nil: nobody
@@ -155,7 +168,7 @@
 
 func newConn(c socket, closed func()) *conn {
 	raw, _ := c.SyscallConn() // fails for a nil connection only
-	own := &conn{Conn: c, raw: raw, closed: closed}
+	own := &conn{Conn: c, raw: raw, closed: closed, idle: time.Now()}
 	own.change.L = &own.mu
 	return own
 }
@@ -297,11 +310,19 @@
 	return true
 }
 
+// idleSince says since when nothing has been on the connection, and whether something is.
+func (c *conn) idleSince() (since time.Time, busy bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idle, c.busy > 0
+}
+
 // release says that a request it was taken for is over.
 func (c *conn) release() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy--
+	c.idle = time.Now()
 }
 
 func (c *conn) Close() error {
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -170,6 +170,9 @@
 	}
 	defer resp.Body.Close()
 	how, answer, err := s.read(resp, until)
+	if how == exchange.TurnedAway && on.written == 0 && resp.Close {
+		how = exchange.Crowded // a full queue turns a shot away and keeps the connection
+	}
 	switch {
 	case on.stray():
 		return exchange.Unwritten, exchange.Answer{}, errStray
--- a/internal/net/servers/servers.go
+++ b/internal/net/servers/servers.go
@@ -73,8 +73,8 @@
 // Resize changes how many descriptors connections to servers may take; idle ones beyond that are closed.
 func (s *Servers) Resize(descriptors int) { s.dialer.resize(descriptors) }
 
-// HangUp closes the connections to a place that carry nothing, without making its caller wait.
-func (s *Servers) HangUp(place uint64) { go s.dialer.hangUp(hostOf(place) + ":80") }
+// HangUp closes the connections to a place that carry nothing, but for so many, without making its caller wait.
+func (s *Servers) HangUp(place uint64, but int) { go s.dialer.hangUp(hostOf(place)+":80", but) }
 
 // Carry sends a shot and settles it, without making its caller wait.
 func (s *Servers) Carry(shot *exchange.Shot) {
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -173,8 +173,11 @@
 	n.out.end()
 }
 
-// HangUp closes idle connections.
-func (n *node) HangUp(server int) {
+// HangUp closes idle connections; the wire has no words for some of them.
+func (n *node) HangUp(server, but int) {
+	if but > 0 {
+		return
+	}
 	n.out.begin("hang-up")
 	n.out.text("server", n.names[server])
 	n.out.end()
--- a/logic/host.go
+++ b/logic/host.go
@@ -21,8 +21,8 @@
 	Abandon(lkp int)
 	// Subscribe asks for the box list and its changes; List tells how it went.
 	Subscribe()
-	// HangUp closes the connections to a server that carry no shot; the next shot there opens one anew.
-	HangUp(server int)
+	// HangUp closes the connections to a server that carry no shot, but for so many; a shot that finds none opens one.
+	HangUp(server, but int)
 	// Wake asks for Alarm with this handle at that time or soon after.
 	Wake(at Time, handle int)
 }
@@ -40,7 +40,7 @@
 // Code says how a shot ended.
 type Code int
 
-// The codes. Full, Unconnected, Unsent and Missing prove that the shot never ran.
+// The codes. Full, Unconnected, Unsent, Missing and Crowded prove that the shot never ran.
 const (
 	Answered    Code = iota
 	Errored          // the server answered with an error
@@ -51,6 +51,7 @@
 	CalledOff        // called off by the host
 	Unsent           // the host had no business sending it
 	Missing          // the server has nothing under this key
+	Crowded          // the server holds as many connections as it takes, and this was one more
 )
 
 // ListKind says what a box list event holds.
@@ -148,7 +149,7 @@
 	fetching bool // its fetch stands for all lookups of its key
 	waiting  bool // for another's fetch
 	work     float64
-	refused  bool // a cache took no connection
+	refused  bool // a server took no connection
 	shots    []shot
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -112,11 +112,8 @@
 	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1,
 		nodes: float64(max(1, term(terms, "nodes", 1))), halved: now, ease: 1,
 		klDue: now + klSpan, fetches: map[uint64][]int{}, askWait: askLeast, keep: keepMost,
-		weight: make([]float64, bins), past: make([]float64, bins)}
+		weight: slices.Repeat([]float64{1.0 / bins}, bins), past: slices.Repeat([]float64{1.0 / bins}, bins)}
 	b.alpha, b.least = b.bounded(1), max(1, min(busyLeast, roomLeast/b.nodes))
-	for i := range b.weight {
-		b.weight[i], b.past[i] = 1.0/bins, 1.0/bins
-	}
 	for _, t := range term(terms, "namespaces", []map[string]any(nil)) {
 		ns := namespace{kind: kindOf[term(t, "repeat", "")], target: term(t, "target time", 1000*Millisecond),
 			memory: term(t, "memory span", Time(0)), groupAll: term(t, "group", "") == "all",
@@ -540,7 +537,7 @@
 	b.clock(now)
 	l := &b.lookups[lkp]
 	t := &l.shots[number]
-	t.out, t.notRun = false, code == Full || code == Unconnected || code == Unsent || code == Missing
+	t.out, t.notRun = false, code == Full || code == Unconnected || code == Unsent || code >= Missing
 	b.servers[t.server].took += (now - t.sent - b.servers[t.server].took) / 8
 	s := b.servers[t.server]
 	// Crowded caches slow down, so the room shrinks until their answers are quick again.
@@ -549,15 +546,20 @@
 		code = CalledOff // the lookup had little time left, which says nothing of the server
 	}
 	b.judge(s, number, code)
-	s.quietAt, s.held = now, code != Unconnected
-	if code == Unconnected {
+	s.held = code != Unconnected && code != Crowded
+	s.quietAt, l.refused = now, l.refused || !s.held
+	switch need := b.rate(s.answers) * seconds(s.took); {
+	case s.origin: // all nodes share it and are always at work there: what one has beyond its need never idles out
+		b.host.HangUp(t.server, 1+int(need+math.Sqrt(need)))
+	case !s.held:
 		b.giveBack()
-	} else if s.inFlight == 0 && b.keep < keepLeast {
+	case s.inFlight == 0 && b.keep < keepLeast:
 		s.held = false
-		b.host.HangUp(t.server)
+		b.host.HangUp(t.server, 0)
 	}
-	l.refused = l.refused || code == Unconnected
 	switch {
+	case code == Crowded: // what it took connections for is what it has room for
+		s.calm = min(s.calm, max(1, float64(s.inFlight)))
 	case slow && code == TimedOut: // all nodes must let go of it before it works for nobody
 		s.calm = max(calmLeast, s.calm*(1-calmStop))
 	case slow || code == Full:
@@ -588,7 +590,7 @@
 	for i, s := range b.servers {
 		if s != nil && s.inFlight == 0 && s.held && b.now >= s.quietAt+b.keep {
 			s.held = false
-			b.host.HangUp(i)
+			b.host.HangUp(i, 0)
 		}
 	}
 }
@@ -607,12 +609,9 @@
 // Alarm comes at or after a time asked for with Wake; a stale one does nothing.
 func (b *Balancer) Alarm(now Time, handle int) {
 	b.clock(now)
-	if handle == listHandle {
-		if !b.subscribed {
-			b.host.Subscribe()
-			b.askWait = min(2*b.askWait, askMost)
-		}
-		return
+	if handle == listHandle && !b.subscribed {
+		b.host.Subscribe()
+		b.askWait = min(2*b.askWait, askMost)
 	}
 	lkp := handle - 1
 	if lkp >= 0 && lkp < len(b.lookups) && b.lookups[lkp].waiting && now >= b.lookups[lkp].giveUp {
@@ -711,7 +710,7 @@
 		if s.answers++; number == 0 {
 			s.firsts++
 		}
-	case Full:
+	case Full, Crowded:
 		s.strikes, s.rest = 0, 0
 	case Unconnected, Broken:
 		b.strike(s, strikesOut)
