--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -507,6 +507,18 @@
 	}
 }
 
+// A hot key at a fleet of few nodes: all its lookups waited for one that went to the origin since its cache was full,
+// and met the cache together when that was back.
+func TestNobodyWaitsForAFetchThatNoMissAskedFor(t *testing.T) {
+	f := newFake(1, 1)
+	lkp, c1 := f.ask(0, "a", false, f.now+5000)
+	f.settle(lkp, 0, Full)
+	_, c2 := f.ask(0, "a", false, f.now+5000)
+	if len(c1.shots) != 2 || c1.shots[1].server != 1 || len(c2.shots) != 1 || c2.shots[0].server != 0 {
+		t.Errorf("shots %v and %v, want one at the origin and one at the cache", c1.shots, c2.shots)
+	}
+}
+
 // overload: told to stay away for long, a client deferred early came back too late to be answered in time.
 func TestRetryAfter(t *testing.T) {
 	f := newFake(1, 1)
