Keep a write from taking over the note of its key's fetch

Cause: since the note is made after a miss only, the condition that it is a read had gone. A write answered 404 went to the origin again, put a new, empty note over that of a fetch under way, and who waited for that one was never let go.

Line at fault: the note in advance. The test settles a write as Missing while a read waits, and fails without the change.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -407,7 +407,7 @@
 		b.finish(lkp)
 		return
 	}
-	if b.servers[to].origin && l.missed && l.key != 0 { // not where the cache was full, and has the value
+	if b.servers[to].origin && l.missed && !l.Write && l.key != 0 { // not where a full cache has the value
 		l.fetching = true
 		b.fetches[l.key] = nil
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -519,6 +519,19 @@
 	}
 }
 
+// A write that a server has nothing for took over the note of its key's fetch, and who waited for that was lost.
+func TestAWriteLeavesTheNoteOfAFetch(t *testing.T) {
+	f := newFake(1, 1)
+	fetch, _ := f.ask(0, "a", false, f.now+5000)
+	f.settle(fetch, 0, Missing)
+	_, waits := f.ask(0, "a", false, f.now+5000)
+	write, _ := f.ask(0, "a", true, f.now+5000)
+	f.settle(write, 0, Missing)
+	if f.settle(fetch, 1, Answered); len(waits.shots) != 1 {
+		t.Error("the lookup that waited was not let go")
+	}
+}
+
 // overload: told to stay away for long, a client deferred early came back too late to be answered in time.
 func TestRetryAfter(t *testing.T) {
 	f := newFake(1, 1)
