Give no connections back for a dial that nobody answered

On sockets a server that holds too many says so (crowded), so that silence tells of a dead or cut-off one, which is short of none.

Line at fault: the case for no connection in Settled, one code for a refused dial and one that nobody answered. Change: end and code Unheard for the latter; it proves as much and strikes as much.

--- a/internal/net/exchange/ends.go
+++ b/internal/net/exchange/ends.go
@@ -13,7 +13,8 @@
 	TurnedAway            // 503 or 504 with the mark that it never ran
 	Crowded               // the same as the first word on a new connection, which the server ends: it holds too many
 	Unclear               // any other status, or such a one without the mark: it may have run
-	Unreached             // refused, or not up within the connect time-out
+	Unreached             // the connection was refused
+	Unheard               // it did not come up within the connect time-out
 	Unwritten             // the connection broke before the last byte was written
 	Lost                  // it broke after that, before the answer
 	CutShort              // the connection broke in the middle of the answer
@@ -43,6 +44,8 @@
 		return logic.Crowded
 	case Unreached, Unwritten:
 		return logic.Unconnected
+	case Unheard:
+		return logic.Unheard
 	case Silent:
 		return logic.TimedOut
 	case NoRoom, Overtaken:
@@ -52,7 +55,7 @@
 	}
 }
 
-var endNames = [endCount]string{"whole", "lacking", "failing", "turned away", "crowded", "unclear", "unreached",
+var endNames = [endCount]string{"whole", "lacking", "failing", "turned away", "crowded", "unclear", "unreached", "unheard",
 	"unwritten", "lost", "cut short", "spoilt", "silent", "passed", "no room", "overtaken", "withdrawn"}
 
 func (e End) String() string { return endNames[e] }
--- a/internal/net/exchange/exchange_test.go
+++ b/internal/net/exchange/exchange_test.go
@@ -58,7 +58,7 @@
 			}
 			end := End(r.Intn(int(endCount)))
 			switch end.Code() {
-			case logic.Full, logic.Unconnected, logic.Unsent, logic.Missing, logic.Crowded:
+			case logic.Full, logic.Unconnected, logic.Unsent, logic.Missing, logic.Crowded, logic.Unheard:
 			default:
 				of[s.ticket].mayHaveRun = true
 			}
@@ -416,7 +416,7 @@
 }
 
 func TestOnlyProofsCountAsNotRun(t *testing.T) {
-	proofs := map[End]bool{Lacking: true, TurnedAway: true, Crowded: true, Unreached: true, Unwritten: true, NoRoom: true, Overtaken: true}
+	proofs := map[End]bool{Lacking: true, TurnedAway: true, Crowded: true, Unreached: true, Unheard: true, Unwritten: true, NoRoom: true, Overtaken: true}
 	for end := range endCount {
 		code := end.Code()
 		notRun := code == logic.Full || code == logic.Unconnected || code == logic.Unsent || code >= logic.Missing
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -228,6 +228,8 @@
 		return exchange.Overtaken
 	case on.conn == nil && errors.Is(err, syscall.ECONNRESET):
 		return exchange.Unwritten // a new connection that is reset: a dead server would refuse it
+	case on.conn == nil && errors.As(err, &dial) && dial.Timeout():
+		return exchange.Unheard
 	case on.conn == nil:
 		return exchange.Unreached
 	case shot.Rest != nil && !shot.Rest.Whole():
--- a/internal/net/servers/servers_test.go
+++ b/internal/net/servers/servers_test.go
@@ -626,7 +626,7 @@
 	if end, _ := s.send(shot(address, "GET", "")); end != exchange.NoRoom {
 		t.Errorf("a second dial to one server: %v", end)
 	}
-	if end := <-first; end != exchange.Unreached || time.Since(began) > 450*time.Millisecond {
+	if end := <-first; end != exchange.Unheard || time.Since(began) > 450*time.Millisecond {
 		t.Errorf("%v after %v", end, time.Since(began))
 	}
 	hurried := shot(address, "GET", "")
--- a/logic/fake_test.go
+++ b/logic/fake_test.go
@@ -197,7 +197,7 @@
 		space := f.rnd.Intn(3)
 		f.ask(space, key, space > 0 && f.rnd.Intn(2) == 0, limit)
 	case r < 80:
-		f.settleAny(Code(f.rnd.Intn(int(Crowded) + 1)))
+		f.settleAny(Code(f.rnd.Intn(int(Unheard) + 1)))
 	case r < 82 && len(f.lkps) > 0:
 		if lkp := f.rnd.Intn(len(f.lkps)); !f.lkps[lkp].ended {
 			f.lkps[lkp].ended = true
--- a/logic/host.go
+++ b/logic/host.go
@@ -40,7 +40,7 @@
 // Code says how a shot ended.
 type Code int
 
-// The codes. Full, Unconnected, Unsent, Missing and Crowded prove that the shot never ran.
+// The codes. Full, Unconnected, Unsent, Missing, Crowded and Unheard prove that the shot never ran.
 const (
 	Answered    Code = iota
 	Errored          // the server answered with an error
@@ -52,6 +52,7 @@
 	Unsent           // the host had no business sending it
 	Missing          // the server has nothing under this key
 	Crowded          // the server holds as many connections as it takes, and this was one more
+	Unheard          // nobody was heard at the server's address while a connection was to come up
 )
 
 // ListKind says what a box list event holds.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -546,12 +546,12 @@
 		code = CalledOff // the lookup had little time left, which says nothing of the server
 	}
 	b.judge(s, number, code)
-	s.held = code != Unconnected && code != Crowded
-	s.quietAt = now
+	none := code == Unconnected || code == Crowded
+	s.held, s.quietAt = !none && code != Unheard, now
 	switch need := b.rate(s.answers) * seconds(s.took); {
 	case s.origin: // all nodes share it and are always at work there: what one has beyond its need never idles out
 		b.host.HangUp(t.server, 1+int(need+math.Sqrt(need)))
-	case !s.held:
+	case none: // not where the server is dead or cut off: then none is short of connections
 		b.giveBack()
 	case s.inFlight == 0 && b.keep < keepLeast:
 		s.held = false
@@ -712,7 +712,7 @@
 		}
 	case Full, Crowded:
 		s.strikes, s.rest = 0, 0
-	case Unconnected, Broken:
+	case Unconnected, Unheard, Broken:
 		b.strike(s, strikesOut)
 	case TimedOut, Errored:
 		b.strike(s, 1)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -187,6 +187,24 @@
 	gave("connects succeed again", 0)
 }
 
+// split: a zone that was cut off took no connection, and nodes gave back what they held at all others.
+func TestSilenceGivesNoConnectionsBack(t *testing.T) {
+	for code, want := range map[Code]int{Unheard: 0, Unconnected: 1, Crowded: 1} {
+		f := newFake(1, 3)
+		lkp, _ := f.ask(0, key(f.b, 0), false, f.now+5000)
+		f.settle(lkp, 0, Answered)
+		f.pass(keepMost)
+		lkp, c := f.ask(0, key(f.b, 1), false, f.now+5000)
+		f.settle(lkp, 0, code)
+		if f.hungUp != want || (f.b.keep < keepMost) != (want > 0) || c.shots[0].mayHaveRun() {
+			t.Errorf("code %d: %d hung up, want %d; kept for %d", code, f.hungUp, want, f.b.keep)
+		}
+		if rests := f.b.servers[1].rest > 0; rests != (code != Crowded) {
+			t.Errorf("code %d: the server rests: %v", code, rests)
+		}
+	}
+}
+
 // calm at full size: each of three hundred nodes held three idle connections to the origin, which took 440, since one
 // that fetches all the time never finds any of them idle for long. It keeps as many as it needs.
 func TestFewConnectionsAreKeptAtTheOrigin(t *testing.T) {
