Let descriptions of experiments vary, and tell the busiest cache's load

Need: what the ranges do on healthy fleets of other shapes had to be played by hand, one edited file each.

--- a/cmd/thistlerudder/emulate.go
+++ b/cmd/thistlerudder/emulate.go
@@ -36,19 +36,21 @@
 		}
 		var all []*emulator.Experiment
 		for _, file := range files {
-			e, err := emulator.Read(file)
+			read, err := emulator.Read(file)
 			if err != nil {
 				return err
 			}
-			if len(*only) > 0 {
-				e.Policies = *only
-			}
-			for _, p := range e.Policies {
-				if !slices.Contains(emulator.Policies(), p) {
-					return fmt.Errorf("policy %q: expected one of %v", p, emulator.Policies())
+			for _, e := range read {
+				if len(*only) > 0 {
+					e.Policies = *only
 				}
 			}
-			all = append(all, e)
+			all = append(all, read...)
+		}
+		for _, p := range *only {
+			if !slices.Contains(emulator.Policies(), p) {
+				return fmt.Errorf("policy %q: expected one of %v", p, emulator.Policies())
+			}
 		}
 		if *checkOnly {
 			cmd.Printf("%d descriptions are sound\n", len(all))
@@ -61,7 +63,7 @@
 
 func play(cmd *cobra.Command, all []*emulator.Experiment, seeds int, out string, after, span int) error {
 	table := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
-	head := "experiment\tpolicy\tseed\trequests\tin time\tworst 10 s\tp50 ms\tp99 ms\tfetches/s\tbroken"
+	head := "experiment\tpolicy\tseed\trequests\tin time\tworst 10 s\tp50 ms\tp99 ms\tfetches/s\tbusiest\tbroken"
 	if after > 0 {
 		head += fmt.Sprintf("\tfetches after %d s", after)
 	}
@@ -92,8 +94,8 @@
 					broken = append(broken, s.Faults...)
 				}
 			}
-			fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%.4f\t%.4f\t%.1f\t%.1f\t%.1f\t%s", s.Experiment, s.Policy, s.Seed, s.Offered,
-				s.Share(), s.Worst(), s.Millis(50), s.Millis(99), s.Fetches(), what)
+			fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%.4f\t%.4f\t%.1f\t%.1f\t%.1f\t%.2f\t%s", s.Experiment, s.Policy, s.Seed, s.Offered,
+				s.Share(), s.Worst(), s.Millis(50), s.Millis(99), s.Fetches(), s.Busiest, what)
 			if after > 0 {
 				fmt.Fprintf(table, "\t%.2f", s.FetchRatio(after, span))
 			}
--- a/internal/emulator/series.go
+++ b/internal/emulator/series.go
@@ -29,6 +29,7 @@
 	Offered            int
 	Broken             map[string]int // rules, and how often
 	Faults             []string
+	Busiest            float64 // shots at the busiest cache that was there all the time, over the mean of those
 
 	times  *hdrhistogram.Histogram // of resolved requests, in ticks
 	worked float64
