Let two shots be out at a calm cache on large fleets too

Cause: emulated (grow without its event, 60 s, shots counted by reason), 40 nodes sent 5,510 of 113,498 lookups to the origin first, a quarter of all fetches: a room of one shot was taken by the lookup before, at a cache two fifths busy. The floor of eight ÷ nodes is one there. Line at fault: room. Change: its floor is two on any fleet; the calm room, which starts at one on large fleets and needs ten quick answers to reach two, still bounds it, so that the sum at a troubled cache stays.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -332,7 +332,7 @@
 // by what keeps it calm.
 func (b *Balancer) room(l *lookup, s *server) float64 {
 	filled := b.rate(s.answers) * roomPart * seconds(b.spaces[l.Namespace].target)
-	return min(s.calm, max(b.least, filled+math.Sqrt(filled)))
+	return min(s.calm, max(busyLeast, filled+math.Sqrt(filled)))
 }
 
 // rate turns a count that is halved into one a second. Halving keeps twice a span's count in the long run.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -239,6 +239,19 @@
 	}
 }
 
+// Forty nodes and more sent a twentieth of their lookups to the origin since one was out at the key's cache. Two may be,
+// once quick answers have shown that the cache is calm.
+func TestTwoShotsMayBeOutAtACalmCache(t *testing.T) {
+	for calm, want := range map[float64]int{2: 0, 1: 2} {
+		f := newFake(1, 2)
+		f.b.least, f.b.servers[0].calm = 1, calm
+		f.ask(0, key(f.b, 0), false, f.now+5000)
+		if _, c := f.ask(0, key(f.b, 0), false, f.now+5000); len(c.shots) != 1 || c.shots[0].server != want {
+			t.Errorf("a calm room of %g: shots %v, want one at %d", calm, c.shots, want)
+		}
+	}
+}
+
 // The yards: of three hundred nodes each has a part of a lookup a second, which never made a whole one.
 func TestASmallPartIsSavedUp(t *testing.T) {
 	f := newFake(1, 4)
