Let the bins remember all that was seen in steady demand, and forget when the latest lookups lie off

Cause: α stood at its cap all the time, so that the bins remembered 4 × ready² lookups; cuts moved with chance, each node's its own way, and keys near them were fetched for two caches. The comparison with the histogram a second ago could not lower α (chance alone diverges) nor raise it. Lines at fault: adapt and bounded.

Change: α is one over the lookups remembered, inside the design's bounds; each 0.1 of KL divergence of the latest lookups, in twenty groups of bins, beyond chance halves those.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -21,7 +21,8 @@
 	bins       = 2000               // bins of the line; the design's figure
 	alphaFloor = 0.000001           // least weight of a lookup; the design's figure
 	klStep     = 0.1                // KL divergence (nats) for each doubling of alpha; the design's figure
-	klSpan     = 1000 * Millisecond // age of the histogram compared with; the design's figure
+	klSpan     = 1000 * Millisecond // between comparisons; the design's figure. Lookups count by halves of it
+	klGroups   = 20                 // groups of bins compared: few, so that some hundred lookups tell a shift from chance
 	fadeFloor  = 1e-9               // renormalise there: far from losing digits, yet rare
 	recutSpan  = 2000 * Millisecond // between recuts: a range moves little in it, and 2000 adds are dear
 
@@ -95,8 +96,8 @@
 	weight        []float64 // the bins, to be multiplied by fade
 	fade          float64
 	alpha         float64
-	level         int       // whole klSteps passed
-	past          []float64 // the bins a klSpan ago
+	seen, lately  float64   // lookups that the bins remember, and the latest,
+	late          []float64 // by group of bins; halved at times
 	cuts          []float64 // upper ends of the ranges, in bins
 	klDue, cutDue Time
 	halved        Time
@@ -112,8 +113,8 @@
 	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1,
 		nodes: float64(max(1, term(terms, "nodes", 1))), halved: now, ease: 1,
 		klDue: now + klSpan, fetches: map[uint64][]int{}, askWait: askLeast, keep: keepMost,
-		weight: slices.Repeat([]float64{1.0 / bins}, bins), past: slices.Repeat([]float64{1.0 / bins}, bins)}
-	b.alpha, b.least = b.bounded(1), max(1, min(busyLeast, roomLeast/b.nodes))
+		weight: slices.Repeat([]float64{1.0 / bins}, bins), late: make([]float64, klGroups)}
+	b.least = max(1, min(busyLeast, roomLeast/b.nodes))
 	for _, t := range term(terms, "namespaces", []map[string]any(nil)) {
 		ns := namespace{kind: kindOf[term(t, "repeat", "")], target: term(t, "target time", 1000*Millisecond),
 			memory: term(t, "memory span", Time(0)), groupAll: term(t, "group", "") == "all",
@@ -217,8 +218,13 @@
 // pointOf maps a key's hash to its point on the line.
 func pointOf(key uint64) float64 { return float64(key>>11) / (1 << 53) * bins }
 
-// learn fades all bins and adds alpha at the lookup's own, lazily.
+// learn fades all bins and adds alpha at the lookup's own, lazily. In steady demand all that was seen weighs alike, so
+// that nodes come to cut alike; by less than the bound on alpha nothing is learned.
 func (b *Balancer) learn(point float64) {
+	n := float64(max(1, len(b.ready)))
+	b.seen, b.lately = b.seen+1, b.lately+1
+	b.alpha = max(alphaFloor, min(1/b.seen, 1/(4*n*n)))
+	b.late[int(point)*klGroups/bins]++
 	b.fade *= 1 - b.alpha
 	b.weight[int(point)] += b.alpha / b.fade
 	if b.fade < fadeFloor {
@@ -229,25 +235,20 @@
 	}
 }
 
-// adapt doubles alpha for each klStep that the divergence from a klSpan ago has newly passed, and
-// halves it for each that it has fallen back.
+// adapt doubles alpha for each klStep by which the latest lookups diverge from the histogram, beyond chance.
 func (b *Balancer) adapt() {
-	kl := 0.0
-	for i, w := range b.weight {
-		p, q := w*b.fade, b.past[i]
-		if p > 0 && q > 0 {
-			kl += p * math.Log(p/q)
+	kl := (1 - klGroups) / max(1, b.lately) // chance alone gives half of that in the mean
+	for g, n := range b.late {
+		p := 0.0
+		for _, w := range b.weight[g*bins/klGroups : (g+1)*bins/klGroups] {
+			p += w * b.fade
+		}
+		if n > 0 && p > 0 { // all of a group may have faded away
+			kl += n / b.lately * math.Log(n/b.lately/p)
 		}
-		b.past[i] = p
+		b.late[g] = n / 2
 	}
-	level := int(max(0, kl) / klStep)
-	b.alpha = b.bounded(math.Ldexp(b.alpha, level-b.level))
-	b.level = level
-}
-
-func (b *Balancer) bounded(alpha float64) float64 {
-	n := float64(max(1, len(b.ready)))
-	return max(alphaFloor, min(alpha, 1/(4*n*n)))
+	b.seen, b.lately = math.Ldexp(b.seen, -int(max(0, kl)/klStep)), b.lately/2
 }
 
 // recut lays the cuts at equal shares of the sum, interpolated inside bins.
@@ -666,7 +667,6 @@
 		}
 	}
 	slices.SortFunc(b.ready, func(x, y int) int { return strings.Compare(b.servers[x].ID, b.servers[y].ID) })
-	b.alpha = b.bounded(b.alpha)
 	b.recut()
 }
 
