Decide leases in a module of its own, all small histories of it explored

Need: tasks that one node does for the whole fleet, with a proof that two holders never act at once.

lease/ has the voters' state (tokens from the log alone, facts behind a door that asks for the latest token), the leader's memory and the claimant's side, all without I/O or a clock. Entries that a leader decided by its memory carry its reign and count in no other.

--- /dev/null
+++ b/lease/keeper_test.go
@@ -0,0 +1,301 @@
+package lease
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// desk is a Keeper whose proposals are applied, and whose rounds are confirmed, when a test says so.
+type desk struct {
+	k        *Keeper
+	s        *State
+	now      Time
+	wake     Time
+	ids      uint64
+	answers  map[uint64]Answer
+	proposed []uint64
+	entries  map[uint64]Entry
+	rounds   []uint64
+}
+
+func (d *desk) Propose(ref uint64, e Entry) {
+	d.proposed = append(d.proposed, ref)
+	d.entries[ref] = e
+}
+func (d *desk) Confirm(round uint64)       { d.rounds = append(d.rounds, round) }
+func (d *desk) Answer(id uint64, a Answer) { d.answers[id] = a }
+func (d *desk) Wake(at Time)               { d.wake = at }
+func (d *desk) ask(a Ask) uint64           { d.ids++; d.k.Ask(d.now, d.ids, a); return d.ids }
+func (d *desk) confirm()                   { r := d.rounds[0]; d.rounds = d.rounds[1:]; d.k.Confirmed(d.now, r, true) }
+func (d *desk) end(after Time)             { d.now += after; d.k.Alarm(d.now); d.apply() }
+func holder(n int) Holder                  { return Holder{Name: fmt.Sprint("h", n), Process: n} }
+func acquire(n int, wait Time) Ask {
+	return Ask{Kind: Acquire, Name: "task", Holder: holder(n), Wait: wait}
+}
+func with(kind string, n int, tk uint64) Ask {
+	return Ask{Kind: kind, Name: "task", Holder: holder(n), Token: tk}
+}
+
+func (d *desk) apply() {
+	for len(d.proposed) > 0 {
+		ref := d.proposed[0]
+		d.proposed = d.proposed[1:]
+		d.k.Applied(d.now, ref, d.s.Apply(d.entries[ref]), false)
+	}
+}
+
+const aLease = 3000 * Millisecond
+
+func newDesk() *desk {
+	d := &desk{s: NewState(), answers: map[uint64]Answer{}, entries: map[uint64]Entry{}}
+	d.s.Apply(Entry{Version: version, Kind: Found, Name: "fleet"})
+	d.k = NewKeeper(d, d.s, aLease, Long(aLease, 0.01))
+	d.k.Led(d.now, d.s.Apply(Entry{Version: version, Kind: Lead, Name: "n1"}).Reign)
+	return d
+}
+
+// Waiters get the lease in the order of their asking, also one that asked again meanwhile; one that went away is passed.
+func TestWaitersAreServedInTheirOrder(t *testing.T) {
+	d := newDesk()
+	first := d.ask(acquire(0, 0))
+	d.apply()
+	token := d.answers[first].Token
+	ids := map[int]uint64{}
+	for n := 1; n <= 4; n++ {
+		ids[n] = d.ask(acquire(n, aLease))
+	}
+	d.now += aLease / gracePart
+	d.k.Alarm(d.now) // their waits are over
+	for n := 1; n <= 4; n++ {
+		if a := d.answers[ids[n]]; !errors.Is(a.Err, ErrWait) || a.Holder != holder(0) {
+			t.Fatalf("%d: %+v", n, a)
+		}
+	}
+	for _, n := range []int{4, 3, 2} { // 1 went away, and the others come again in another order
+		ids[n] = d.ask(acquire(n, aLease))
+	}
+	ids[3] = d.ask(acquire(3, aLease)) // on another connection
+	d.ask(with(Withdraw, 4, 0))
+	d.ask(with(Release, 0, token))
+	d.apply()
+	if a := d.answers[ids[2]]; a.Err != nil || a.Token != token+1 {
+		t.Errorf("the first in line: %+v", a)
+	}
+	d.ask(with(Release, 2, token+1))
+	d.apply()
+	if a := d.answers[ids[3]]; a.Err != nil || a.Token != token+2 {
+		t.Errorf("the next in line: %+v", a)
+	}
+	if a := d.answers[ids[4]]; !errors.Is(a.Err, ErrWithdrawn) {
+		t.Errorf("the one that withdrew: %+v", a)
+	}
+}
+
+// Each case asks of a lease that holder 0 has with token 1.
+func TestAskings(t *testing.T) {
+	for _, c := range []struct {
+		what string
+		do   func(d *desk) uint64
+		want Answer
+	}{
+		{"a renewal confirmed", func(d *desk) uint64 { id := d.ask(with(Renew, 0, 1)); d.confirm(); return id },
+			Answer{Token: 1, Holder: holder(0), Length: aLease}},
+		{"asked for anew by its holder, whose answer was lost", func(d *desk) uint64 { id := d.ask(acquire(0, 0)); d.confirm(); return id },
+			Answer{Token: 1, Holder: holder(0), Length: aLease}},
+		{"a renewal that comes while a round is out waits for the next", func(d *desk) uint64 {
+			d.ask(with(Renew, 0, 1))
+			id := d.ask(with(Renew, 0, 1))
+			d.confirm()
+			if _, early := d.answers[id]; early {
+				return 0
+			}
+			d.confirm()
+			return id
+		}, Answer{Token: 1, Holder: holder(0), Length: aLease}},
+		{"a renewal that isn't confirmed", func(d *desk) uint64 {
+			id := d.ask(with(Renew, 0, 1))
+			d.k.Confirmed(d.now, d.rounds[0], false)
+			return id
+		}, Answer{Err: ErrNotLeader}},
+		{"another's token", func(d *desk) uint64 { return d.ask(with(Renew, 1, 1)) }, Answer{Err: ErrLapsed}},
+		{"a renewal while the release is under way", func(d *desk) uint64 {
+			id := d.ask(with(Renew, 0, 1))
+			d.ask(with(Release, 0, 1))
+			d.confirm()
+			return id
+		}, Answer{Err: ErrLapsed}},
+		{"a release that comes late reaches no later holder", func(d *desk) uint64 {
+			d.end(Long(aLease, 0.01))
+			d.ask(acquire(1, 0))
+			d.apply()
+			return d.ask(with(Release, 0, 1))
+		}, Answer{Err: ErrLapsed}},
+		{"held, and no wish to wait", func(d *desk) uint64 { return d.ask(acquire(1, 0)) },
+			Answer{Token: 1, Holder: holder(0), Err: ErrHeld}},
+		{"granted after its caller has gone: given back, and the next has it", func(d *desk) uint64 {
+			gone, next := d.ask(acquire(1, aLease)), d.ask(acquire(2, aLease))
+			d.ask(with(Release, 0, 1))
+			ref := d.proposed[0]
+			d.proposed = nil
+			d.k.Applied(d.now, ref, d.s.Apply(d.entries[ref]), false)
+			d.k.Gone(d.now, gone)
+			d.apply()
+			return next
+		}, Answer{Token: 3, Holder: holder(2), Length: aLease}},
+		{"an act", func(d *desk) uint64 {
+			a := with(Do, 0, 1)
+			a.Fact, a.Number = "task/x", 1
+			id := d.ask(a)
+			d.apply()
+			return id
+		}, Answer{Token: 1}},
+		{"an act after a later holder has come", func(d *desk) uint64 {
+			d.end(Long(aLease, 0.01))
+			d.ask(acquire(1, 0))
+			d.apply()
+			a := with(Do, 0, 1)
+			a.Fact, a.Number = "task/x", 1
+			id := d.ask(a)
+			d.apply()
+			return id
+		}, Answer{Err: ErrLapsed}},
+		{"nothing is decided by an earlier reign's memory", func(d *desk) uint64 {
+			id := d.ask(with(Release, 0, 1))
+			d.s.Apply(Entry{Version: version, Kind: Lead, Name: "n2"})
+			d.apply()
+			return id
+		}, Answer{Err: ErrNotLeader}},
+		{"after the reign is over", func(d *desk) uint64 { d.k.Deposed(); return d.ask(with(Renew, 0, 1)) }, Answer{Err: ErrNotLeader}},
+		{"a name that can't be one", func(d *desk) uint64 { return d.ask(Ask{Kind: Acquire, Name: "a b", Holder: holder(1)}) },
+			Answer{Err: ErrForm}},
+	} {
+		d := newDesk()
+		d.ask(acquire(0, 0))
+		d.apply()
+		id := c.do(d)
+		if got, answered := d.answers[id]; !answered || fmt.Sprint(got) != fmt.Sprint(c.want) {
+			t.Errorf("%s: %+v, want %+v", c.what, got, c.want)
+		}
+	}
+}
+
+// A flood of claimants is bounded: whoever is beyond the line is refused at once, and those in it are served.
+func TestAFloodIsTurnedAway(t *testing.T) {
+	d := newDesk()
+	d.ask(acquire(0, 0))
+	d.apply()
+	full := 0
+	for n := 1; n <= 2*waitersMost; n++ {
+		if a := d.answers[d.ask(acquire(n, aLease))]; errors.Is(a.Err, ErrFull) {
+			full++
+		}
+	}
+	if full != waitersMost || len(d.k.asks) != waitersMost {
+		t.Errorf("%d refused, %d wait, want %d each", full, len(d.k.asks), waitersMost)
+	}
+	d.ask(with(Release, 0, 1))
+	d.apply()
+	if h := d.s.Leases["task"].Holder; h != holder(1) {
+		t.Errorf("%v holds it", h)
+	}
+}
+
+// A new leader lets no lease end sooner than the one before may have promised.
+func TestANewLeaderCountsFromItsBeginning(t *testing.T) {
+	d := newDesk()
+	d.ask(acquire(0, 0))
+	d.apply()
+	d.now += aLease
+	d.k.Deposed()
+	d.k.Led(d.now, d.s.Apply(Entry{Version: version, Kind: Lead, Name: "n2"}).Reign)
+	d.end(aLease)
+	if len(d.s.Leases) != 1 {
+		t.Error("it ends within a length of the new reign")
+	}
+	d.end(Long(aLease, 0.01) - aLease)
+	if len(d.s.Leases) != 0 {
+		t.Error("it never ends")
+	}
+}
+
+// The state against a plain model, through snapshots: tokens only grow, acts pass under the latest alone and once.
+func TestTheStateAgainstAModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, last, done := NewState(), uint64(0), map[string]uint64{}
+		held := map[string]Lease{}
+		s.Apply(Entry{Version: version, Kind: Found, Name: "fleet"})
+		for range 200 {
+			e := Entry{Version: version, Kind: rapid.SampledFrom([]string{Grant, End, Act, Lead, Found}).Draw(t, "kind"),
+				Name:   rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name"),
+				Holder: holder(rapid.IntRange(0, 2).Draw(t, "holder")), Number: uint64(rapid.IntRange(1, 9).Draw(t, "number")),
+				Token: uint64(max(0, int(last)-rapid.IntRange(0, 2).Draw(t, "age")))}
+			e.Fact = e.Name
+			l, is := held[e.Name]
+			r := s.Apply(e)
+			var want error
+			switch e.Kind {
+			case Found:
+				want = ErrBegun
+			case Grant:
+				if is && l.Holder != e.Holder {
+					want = ErrHeld
+				} else if !is {
+					last++
+					held[e.Name] = Lease{e.Holder, last}
+					if r.Token != last {
+						t.Fatalf("token %d, want %d", r.Token, last)
+					}
+				}
+			case End, Act:
+				switch {
+				case !is || l.Token != e.Token:
+					want = ErrLapsed
+				case e.Kind == End:
+					delete(held, e.Name)
+				case e.Number <= done[e.Name]:
+					want = ErrRepeated
+				default:
+					done[e.Name] = e.Number
+				}
+			}
+			if !errors.Is(r.Err, want) {
+				t.Fatalf("%+v: %v, want %v", e, r.Err, want)
+			}
+			b, err := s.Snapshot()
+			if s = NewState(); err != nil || s.Restore(b) != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+func TestWhatIsMalformedIsRefusedByName(t *testing.T) {
+	s := NewState()
+	s.Apply(Entry{Version: version, Kind: Found, Name: "fleet"})
+	s.Apply(Entry{Version: version, Kind: Grant, Name: "a", Holder: holder(1)})
+	for want, e := range map[string]Entry{
+		"entry version 9": {Version: 9, Kind: Grant, Name: "a"},
+		"name":            {Version: version, Kind: Grant, Name: strings.Repeat("a", nameLength+1)},
+		"unknown kind":    {Version: version, Kind: "budget", Name: "a"},
+		"is not \"a\"":    {Version: version, Kind: Act, Name: "a", Token: 1, Fact: "ab"},
+		"4096 at most":    {Version: version, Kind: Act, Name: "a", Token: 1, Fact: "a", Value: make([]byte, valueMost+1)},
+	} {
+		if r := s.Apply(e); r.Err == nil || !strings.Contains(r.Err.Error(), want) {
+			t.Errorf("%v: want %s", r.Err, want)
+		}
+	}
+	before, _ := s.Snapshot()
+	for text, want := range map[string]string{`{"version":2}`: "snapshot version 2: this program reads version 1", `{`: "snapshot"} {
+		if err := s.Restore([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v: want %s", err, want)
+		}
+	}
+	if after, _ := s.Snapshot(); !slices.Equal(before, after) {
+		t.Error("a refused snapshot changes something")
+	}
+}
--- /dev/null
+++ b/lease/world_test.go
@@ -0,0 +1,428 @@
+package lease
+
+import (
+	"fmt"
+	"hash"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A small fleet for the tests: three voters, any of which may believe that it leads, and claimants. Agreement is taken as
+// given: an entry is in the log at once if a majority hasn't heard of a later term. What is explored is all round it: who
+// asks whom, what is late or lost, who leads when, and how the clocks run.
+
+const (
+	voters   = 3
+	length   = 48 * Millisecond / 10
+	drift    = 0.25
+	trueRate = 24 // units of a clock in a step of time; the others are as far off as the bound allows
+	fastRate = 30
+	slowRate = 18
+)
+
+// The safeguards that can be taken out.
+const (
+	noMargin       = "drift-margin"
+	noConfirmation = "leader-confirmation"
+	noToken        = "door-token"
+	noVote         = "forgotten-vote"
+	fromAnswer     = "count-from-answer"
+	noReign        = "reign"
+)
+
+var safeguards = []string{noMargin, noConfirmation, noToken, noVote, fromAnswer, noReign}
+
+type message struct {
+	from   int // claimant
+	id     uint64
+	ask    Ask
+	sent   Time
+	answer *Answer
+}
+
+type voter struct {
+	w       *fleet
+	n       int
+	term    int // of the vote
+	state   *State
+	applied int
+	keeper  *Keeper
+	reign   int // term in which it believes to lead, 0: it doesn't
+	wakeAt  Time
+	awake   bool
+	round   uint64
+	out     map[uint64]Entry // proposals that are not in the log yet
+	results map[uint64]Result
+}
+
+type claimant struct {
+	w      *fleet
+	n      int
+	claim  *Claim
+	wakeAt Time
+	awake  bool
+	act    uint64 // token of an act that was checked and is not done
+}
+
+type fleet struct {
+	without string
+	later   bool // proposals take time
+	acts    bool // claimants act
+	step    int
+	log     []Entry
+	truth   *State
+	voters  [voters]*voter
+	claims  []*claimant
+	flying  []message
+	ids     uint64
+	number  uint64 // of the door's last act
+	door    uint64 // token of the last act that passed it
+	fault   string
+	crashes int
+	leads   int
+	lost    int
+}
+
+func newFleet(without string, claimants int) *fleet {
+	w := &fleet{without: without, truth: NewState()}
+	for i := range w.voters {
+		w.voters[i] = &voter{w: w, n: i, state: NewState(), out: map[uint64]Entry{}, results: map[uint64]Result{}}
+		w.voters[i].keeper = w.keeper(w.voters[i])
+	}
+	w.append(Entry{Version: version, Kind: Found, Name: "f"})
+	short := Short(length, drift)
+	if without == noMargin {
+		short = length
+	}
+	for i := range claimants {
+		c := &claimant{w: w, n: i}
+		w.claims = append(w.claims, c)
+		c.claim = NewClaim(c, c.now(), "task", Holder{Name: fmt.Sprint("c", i), Process: i}, length, short, uint64(i))
+	}
+	return w
+}
+
+func (w *fleet) keeper(v *voter) *Keeper {
+	long := Long(length, drift)
+	if w.without == noMargin {
+		long = length
+	}
+	return NewKeeper(v, v.state, length, long)
+}
+
+func (w *fleet) append(e Entry) Result {
+	w.log = append(w.log, e)
+	return w.truth.Apply(e)
+}
+
+// catchUp applies what is in the log.
+func (v *voter) catchUp() {
+	for ; v.applied < len(v.w.log); v.applied++ {
+		v.state.Apply(v.w.log[v.applied])
+	}
+}
+
+func (v *voter) now() Time { return Time(v.w.step * fastRate) }
+
+func (c *claimant) now() Time {
+	if c.n == 0 {
+		return Time(c.w.step * slowRate)
+	}
+	return Time(c.w.step * trueRate)
+}
+
+// majority says whether a majority would still follow v.
+func (v *voter) majority() bool {
+	n := 0
+	for _, o := range v.w.voters {
+		if o.term <= v.reign {
+			n++
+		}
+	}
+	return v.reign > 0 && n > voters/2
+}
+
+// A voter is its keeper's host.
+
+func (v *voter) Propose(ref uint64, e Entry) {
+	if v.w.without == noReign {
+		e.Reign = 0
+	}
+	v.out[ref] = e
+}
+
+// commit brings proposals into the log, as far as a majority follows.
+func (v *voter) commit() {
+	for len(v.out) > 0 && v.majority() {
+		ref := slices.Min(slices.Collect(maps.Keys(v.out)))
+		e := v.out[ref]
+		delete(v.out, ref)
+		v.catchUp()
+		v.w.append(e)
+		r := v.state.Apply(e)
+		v.applied = len(v.w.log)
+		v.keeper.Applied(v.now(), ref, r, false)
+	}
+}
+
+func (v *voter) Confirm(round uint64) { v.round = round }
+
+func (v *voter) Answer(id uint64, a Answer) {
+	for i := range v.w.flying {
+		if m := &v.w.flying[i]; m.id == id && m.answer == nil {
+			m.answer = &a
+		}
+	}
+}
+
+func (v *voter) Wake(at Time) { v.wakeAt, v.awake = at, true }
+
+// A claimant is its claim's host.
+
+func (c *claimant) Ask(a Ask) {
+	c.w.ids++
+	c.w.flying = append(c.w.flying, message{from: c.n, id: c.w.ids, ask: a, sent: c.now()})
+}
+func (c *claimant) Held(uint64)  {}
+func (c *claimant) Lost(error)   {}
+func (c *claimant) Wake(at Time) { c.wakeAt, c.awake = at, true }
+
+// move is one thing that may happen.
+type move struct {
+	what string
+	a, b int
+}
+
+// moves gives all that may happen now.
+func (w *fleet) moves(most int) (all []move) {
+	if w.step < most {
+		all = append(all, move{what: "tick"})
+	}
+	for i, m := range w.flying {
+		if m.answer == nil && m.ask.Kind != "" {
+			for _, v := range w.voters {
+				if v.reign > 0 && m.id&(1<<40) == 0 {
+					all = append(all, move{"ask", i, v.n})
+				}
+			}
+		}
+		if m.answer != nil {
+			all = append(all, move{what: "answer", a: i})
+		}
+		if w.lost > 0 && m.ask.Kind != Withdraw {
+			all = append(all, move{what: "lose", a: i})
+		}
+	}
+	for i, v := range w.voters {
+		if v.reign > 0 && v.round != 0 {
+			all = append(all, move{what: "confirm", a: i})
+		}
+		if w.later && v.reign > 0 && len(v.out) > 0 {
+			all = append(all, move{what: "commit", a: i})
+		}
+		if w.crashes > 0 {
+			all = append(all, move{what: "crash", a: i})
+		}
+		if w.leads > 0 && v.reign == 0 {
+			for j, o := range w.voters {
+				if j != i && o.term <= v.term {
+					all = append(all, move{"elect", i, j})
+				}
+			}
+		}
+		if v.reign > 0 && !v.majority() {
+			all = append(all, move{what: "depose", a: i})
+		}
+	}
+	for i, c := range w.claims {
+		if _, may := c.claim.May(c.now(), 0); may && c.act == 0 && w.acts {
+			all = append(all, move{what: "check", a: i})
+		}
+		if c.act != 0 {
+			all = append(all, move{what: "act", a: i})
+		}
+	}
+	return all
+}
+
+// play does one move, and looks at the rules.
+func (w *fleet) play(m move) {
+	switch m.what {
+	case "tick":
+		w.step++
+		for _, v := range w.voters {
+			if v.reign > 0 && v.awake && v.now() >= v.wakeAt {
+				v.awake = false
+				v.keeper.Alarm(v.now())
+			}
+		}
+		for _, c := range w.claims {
+			if c.awake && c.now() >= c.wakeAt {
+				c.awake = false
+				c.claim.Alarm(c.now())
+			}
+		}
+	case "ask":
+		f := &w.flying[m.a]
+		f.id |= 1 << 40 // delivered
+		ask := f.ask
+		w.voters[m.b].keeper.Ask(w.voters[m.b].now(), f.id, ask)
+	case "answer":
+		f := w.flying[m.a]
+		w.flying = slices.Delete(w.flying, m.a, m.a+1)
+		c := w.claims[f.from]
+		sent := f.sent
+		if w.without == fromAnswer {
+			sent = c.now()
+		}
+		c.claim.Answered(c.now(), sent, *f.answer)
+	case "lose":
+		w.lost--
+		f := w.flying[m.a]
+		w.flying = slices.Delete(w.flying, m.a, m.a+1)
+		w.claims[f.from].claim.Unanswered(w.claims[f.from].now())
+		for _, v := range w.voters {
+			v.keeper.Gone(v.now(), f.id)
+		}
+	case "confirm":
+		v := w.voters[m.a]
+		round := v.round
+		v.round = 0
+		v.keeper.Confirmed(v.now(), round, v.majority() || w.without == noConfirmation)
+	case "commit":
+		w.voters[m.a].commit()
+	case "crash":
+		w.crashes--
+		v := w.voters[m.a]
+		v.reign, v.round, v.awake, v.out = 0, 0, false, map[uint64]Entry{}
+		v.keeper.Deposed()
+		v.keeper = w.keeper(v)
+		if w.without == noVote {
+			v.term = 0
+		}
+	case "elect":
+		w.leads--
+		v, o := w.voters[m.a], w.voters[m.b]
+		v.term++
+		o.term, v.reign = v.term, v.term
+		v.catchUp()
+		w.append(Entry{Version: version, Kind: Lead, Name: fmt.Sprint(v.n)})
+		v.catchUp()
+		v.keeper.Led(v.now(), v.state.Reign)
+	case "depose":
+		v := w.voters[m.a]
+		v.reign, v.round, v.awake = 0, 0, false
+		v.keeper.Deposed()
+		if w.without != noReign {
+			v.out = map[uint64]Entry{}
+		}
+	case "check":
+		c := w.claims[m.a]
+		c.act, _ = c.claim.May(c.now(), 0)
+	case "act":
+		c := w.claims[m.a]
+		token := c.act
+		c.act = 0
+		if w.without == noToken {
+			token = w.truth.Leases["task"].Token
+		}
+		w.number++
+		if r := w.append(Entry{Version: version, Kind: Act, Name: "task", Token: token, Fact: "task", Number: w.number}); r.Err == nil {
+			if w.fault == "" && token < w.door || w.without == noToken && w.holds(token) != c.n {
+				w.fault = fmt.Sprintf("claimant %d acts with token %d after token %d", c.n, token, w.door)
+			}
+			w.door = token
+		}
+	}
+	if !w.later {
+		for _, v := range w.voters {
+			v.commit()
+		}
+	}
+	var hold []int
+	for _, c := range w.claims {
+		if _, may := c.claim.May(c.now(), 0); may {
+			hold = append(hold, c.n)
+		}
+	}
+	if len(hold) > 1 && w.fault == "" {
+		w.fault = fmt.Sprintf("claimants %v hold the lease at once", hold)
+	}
+}
+
+// holds gives which claimant has this token.
+func (w *fleet) holds(token uint64) int {
+	if l := w.truth.Leases["task"]; l.Token == token {
+		return l.Holder.Process
+	}
+	return -1
+}
+
+// clone copies the whole fleet.
+func (w *fleet) clone() *fleet {
+	o := *w
+	o.log, o.flying, o.truth = slices.Clone(w.log), slices.Clone(w.flying), w.truth.clone()
+	o.claims = nil
+	for i, v := range w.voters {
+		x, k := *v, *v.keeper
+		x.w, x.state, x.out, x.keeper = &o, v.state.clone(), maps.Clone(v.out), &k
+		k.host, k.state = &x, x.state
+		k.ends, k.moving, k.asks, k.out = maps.Clone(k.ends), maps.Clone(k.moving), maps.Clone(k.asks), maps.Clone(k.out)
+		k.renewals, k.inRound = slices.Clone(k.renewals), slices.Clone(k.inRound)
+		k.lines = map[string][]waiter{}
+		for name, line := range v.keeper.lines {
+			k.lines[name] = slices.Clone(line)
+		}
+		o.voters[i] = &x
+	}
+	for _, c := range w.claims {
+		x, claim := *c, *c.claim
+		x.w, x.claim, claim.claims = &o, &claim, &x
+		o.claims = append(o.claims, &x)
+	}
+	return &o
+}
+
+func (s *State) clone() *State {
+	o := *s
+	o.Leases, o.Facts = maps.Clone(s.Leases), maps.Clone(s.Facts)
+	return &o
+}
+
+// print gives what tells one state from another.
+func (w *fleet) print(h hash.Hash64) uint64 {
+	h.Reset()
+	fmt.Fprint(h, w.step, w.crashes, w.leads, w.lost, w.door, w.truth.Leases, w.truth.Reign)
+	for _, v := range w.voters {
+		fmt.Fprint(h, v.term, v.reign, v.round != 0, v.awake, v.wakeAt, len(w.log)-v.applied)
+		if v.reign > 0 {
+			k := v.keeper
+			fmt.Fprint(h, k.ends, k.moving, len(k.renewals), len(k.inRound), k.reign)
+			for _, w := range k.lines["task"] {
+				fmt.Fprint(h, w.holder.Process, w.id != 0, w.until)
+			}
+			for ref, e := range v.out {
+				fmt.Fprint(h, ref, e)
+			}
+		}
+	}
+	for _, c := range w.claims {
+		k := c.claim
+		fmt.Fprint(h, c.act, c.awake, c.wakeAt, k.token, k.end, k.told, k.out, k.dropped, k.next, k.failed)
+	}
+	var flying []string // in whatever order
+	for _, m := range w.flying {
+		as := fmt.Sprint(m.from, m.ask.Kind, m.ask.Token, m.sent, m.id>>40)
+		if m.answer != nil {
+			as += fmt.Sprint(m.answer.Token, m.answer.Err)
+		}
+		flying = append(flying, as)
+	}
+	slices.Sort(flying)
+	fmt.Fprint(h, flying)
+	return h.Sum64()
+}
+
+func newHash() hash.Hash64 { return xxhash.New() }
