Join nodes to a fleet that agrees on leases, off unless a fleet section tells of it

Need: a node that takes part in its fleet: agreement by a library (hashicorp/raft, bbolt), the leader's service, claims.

internal/net/fellows has one address for votes and askings, a folder with a number of its own (who loses it is another voter), a store that ends the vote and not the process when a write fails, a client that finds the leader, and the roll-up. Commands: fleet found, status, voter add and remove; lease list, show, release and run. A fleet section is checked with each key named.

--- a/cmd/thistlerudder/commands.go
+++ b/cmd/thistlerudder/commands.go
@@ -29,7 +29,8 @@
 		os.Getenv(fileVariable),
 		"the node's configuration file, JSON (default $"+fileVariable+")",
 	)
-	c.AddCommand(serve(file), check(file), emulate(), version())
+	c.AddCommand(serve(file), check(file), emulate(), fleetCommand(file), leases(file), version())
+	c.AddCommand(ofTheRig()...)
 	return c
 }
 
--- /dev/null
+++ b/cmd/thistlerudder/leaserun.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/fellows"
+)
+
+// Exit statuses of `lease run` beside the command's own. They lie where sysexits.h has "try again" and its neighbour.
+const (
+	exitNotHad = 75 // the lease was not had in time: nothing was run
+	exitLost   = 76 // the lease could not be kept: the command was ended
+	exitSignal = 128
+)
+
+// exitStatus is an error that ends the program with a status of its own.
+type exitStatus int
+
+func (e exitStatus) Error() string { return fmt.Sprintf("exit status %d", int(e)) }
+
+const (
+	termPart = 3  // with a third of a lease left, renewals have failed for a third: the command is asked to end,
+	killPart = 10 // and with a tenth left it is ended
+	looks    = 50 // times a lease is looked at in its length
+)
+
+func leaseRun(file *string) *cobra.Command {
+	c := &cobra.Command{Use: "run NAME -- COMMAND [ARG...]", Args: cobra.MinimumNArgs(2),
+		Short: "Run a command while holding a lease, its token in $THISTLERUDDER_TOKEN",
+		Long: "Run a command while holding a lease. $THISTLERUDDER_LEASE and $THISTLERUDDER_TOKEN are in its environment; whatever it\n" +
+			"writes to should refuse a token below one that it has seen. When the lease can't be renewed, the command and all its\n" +
+			"children get SIGTERM with a third of the lease left, and SIGKILL with a tenth left.\n\n" +
+			"Exit status: the command's own; 128 and the signal's number if a signal ended it; 75 if the lease was not had in\n" +
+			"time, so that nothing was run; 76 if the lease could not be kept, so that the command was ended."}
+	wait := c.Flags().Duration("wait", 0, "how long to wait for the lease; 0: until it is had")
+	c.SilenceErrors = true
+	c.RunE = func(cmd *cobra.Command, args []string) (err error) {
+		defer func() {
+			if status := exitStatus(0); err != nil && !errors.As(err, &status) {
+				cmd.PrintErrln("Error:", err)
+			}
+		}()
+		client, f, err := asked(*file)
+		if err != nil {
+			return err
+		}
+		defer client.Close()
+		ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
+		defer stop()
+		waiting, enough := context.WithCancel(ctx)
+		defer enough()
+		if *wait > 0 {
+			late := time.AfterFunc(*wait, enough)
+			defer late.Stop()
+		}
+		result := error(exitStatus(exitNotHad))
+		client.Keep(waiting, args[0], func(_ context.Context, g *fellows.Grip) bool {
+			result = underLease(ctx, cmd, g, f.Lease, args[0], args[1:])
+			return false
+		})
+		return result
+	}
+	return c
+}
+
+// underLease runs the command, and ends it while the lease is still held for sure.
+func underLease(ctx context.Context, cmd *cobra.Command, g *fellows.Grip, length time.Duration, name string, args []string) error {
+	runtime.LockOSThread() // the child's end with ours hangs on the thread that starts it
+	defer runtime.UnlockOSThread()
+	c := exec.Command(args[0], args[1:]...)
+	c.Stdin, c.Stdout, c.Stderr = cmd.InOrStdin(), cmd.OutOrStdout(), cmd.ErrOrStderr()
+	c.Env = append(os.Environ(), "THISTLERUDDER_LEASE="+name, fmt.Sprintf("THISTLERUDDER_TOKEN=%d", g.Token()))
+	c.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if !g.May(length / termPart) {
+		return exitStatus(exitNotHad)
+	}
+	if err := c.Start(); err != nil {
+		return err
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- c.Wait() }()
+	tell := func(s syscall.Signal) { _ = syscall.Kill(-c.Process.Pid, s) }
+	look := time.NewTicker(max(time.Millisecond, length/looks))
+	defer look.Stop()
+	stopped := ctx.Done()
+	lost := false
+	for {
+		select {
+		case err := <-ended:
+			tell(syscall.SIGKILL) // children that it left behind
+			exit := (*exec.ExitError)(nil)
+			switch {
+			case lost:
+				return exitStatus(exitLost)
+			case err == nil:
+				return nil
+			case errors.As(err, &exit) && exit.Sys().(syscall.WaitStatus).Signaled():
+				return exitStatus(exitSignal + int(exit.Sys().(syscall.WaitStatus).Signal()))
+			case errors.As(err, &exit):
+				return exitStatus(exit.ExitCode())
+			}
+			return err
+		case <-stopped: // our own end is asked for: the command's too, and its lease is kept until then
+			stopped = nil
+			tell(syscall.SIGTERM)
+		case <-look.C:
+		}
+		switch {
+		case !g.May(length / killPart):
+			lost = true
+			tell(syscall.SIGKILL)
+		case !lost && !g.May(length/termPart):
+			lost = true
+			tell(syscall.SIGTERM)
+		}
+	}
+}
--- a/cmd/thistlerudder/main.go
+++ b/cmd/thistlerudder/main.go
@@ -1,10 +1,17 @@
 // Command thistlerudder is a real node: a router before a fleet of cache servers.
 package main
 
-import "os"
+import (
+	"errors"
+	"os"
+)
 
 func main() {
-	if root().Execute() != nil {
+	err := root().Execute()
+	if status := exitStatus(0); errors.As(err, &status) {
+		os.Exit(int(status))
+	}
+	if err != nil {
 		os.Exit(1)
 	}
 }
--- /dev/null
+++ b/internal/net/fellows/client.go
@@ -0,0 +1,265 @@
+package fellows
+
+import (
+	"errors"
+	"fmt"
+	"net/rpc"
+	"net/rpc/jsonrpc"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+	"github.com/thistlerudder/thistlerudder/lease"
+)
+
+const (
+	hopsMost  = 4  // voters asked for one asking, as each names another as the leader
+	slowTimes = 6  // delays within which a call that doesn't wait has to be answered: a round to a majority is in it
+	asksMost  = 64 // askings of this process that are out
+)
+
+var errBusy = errors.New("too many askings of this process are out")
+
+// Client asks the fleet's leader, over one connection that it keeps.
+type Client struct {
+	fleet *terms.Fleet
+	dialer
+	log *zap.Logger
+
+	places chan struct{}
+	mu     sync.Mutex
+	conn   *rpc.Client
+	at     string // whom it leads to
+	next   int    // the voter to try, where nobody is known to lead
+	told   time.Duration
+	claims int64
+}
+
+// NewClient makes one; nothing is opened before it is asked something.
+func NewClient(f *terms.Fleet, log *zap.Logger) *Client {
+	return &Client{fleet: f, dialer: dialer{f.Name, f.Node, f.Routes}, log: log, places: make(chan struct{}, asksMost)}
+}
+
+// Close lets the connection go.
+func (c *Client) Close() { c.drop(nil, "") }
+
+// drop closes the connection, if it is still this one, and goes elsewhere next.
+func (c *Client) drop(conn *rpc.Client, elsewhere string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn != nil && c.conn != conn {
+		return
+	}
+	if c.conn != nil {
+		_ = c.conn.Close()
+	}
+	c.conn, c.at = nil, elsewhere
+	if elsewhere == "" {
+		c.next++
+	}
+}
+
+// line gives the connection, opened if need be.
+func (c *Client) line() (*rpc.Client, string, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		return c.conn, c.at, nil
+	}
+	if c.at == "" {
+		c.at = c.fleet.Voters[c.next%len(c.fleet.Voters)].Address
+	}
+	n, err := c.dial(c.at, forAsks, "", c.within())
+	if err != nil {
+		at := c.at
+		c.at = ""
+		c.next++
+		return nil, "", fmt.Errorf("%s: %w", at, err)
+	}
+	c.conn = jsonrpc.NewClient(n)
+	return c.conn, c.at, nil
+}
+
+func (c *Client) within() time.Duration { return slowTimes * c.fleet.Delay }
+
+// call makes one call on a connection; who doesn't answer in time loses it, since the connection may lead nowhere.
+func call(conn *rpc.Client, method string, args, reply any, within time.Duration) error {
+	done := conn.Go(method, args, reply, make(chan *rpc.Call, 1)).Done
+	late := time.NewTimer(within)
+	defer late.Stop()
+	select {
+	case x := <-done:
+		return x.Error
+	case <-late.C:
+		_ = conn.Close()
+		<-done // the reply is written to no more
+		return errors.New("no answer in time")
+	}
+}
+
+// atOnce makes one call to a given address, on a connection of its own.
+func (c *Client) atOnce(address, method string, args, reply any, within time.Duration) error {
+	n, err := c.dial(address, forAsks, "", c.within())
+	if err != nil {
+		return err
+	}
+	conn := jsonrpc.NewClient(n)
+	defer conn.Close()
+	return call(conn, method, args, reply, within)
+}
+
+func (c *Client) once(address, method string, args, reply any) error {
+	return c.atOnce(address, method, args, reply, c.within())
+}
+
+// heard tells whom the last answer named as the leader, and how long ago it came; -1: none ever did.
+func (c *Client) heard() (leader string, agoMs int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.told == 0 {
+		return c.at, -1
+	}
+	return c.at, (boot() - c.told).Milliseconds()
+}
+
+// ask brings one asking to the leader, wherever that is. An error says that nobody knows whether it was heard.
+func (c *Client) ask(a lease.Ask) (lease.Answer, error) {
+	select {
+	case c.places <- struct{}{}:
+		defer func() { <-c.places }()
+	default:
+		return lease.Answer{}, errBusy
+	}
+	args := &Asked{Kind: a.Kind, Name: a.Name, Fact: a.Fact, Holder: a.Holder, Token: a.Token, Number: a.Number,
+		Wait: uint64(a.Wait), Value: a.Value}
+	for range hopsMost {
+		conn, at, err := c.line()
+		if err != nil {
+			return lease.Answer{}, err
+		}
+		var x Answered
+		if err := call(conn, "Fleet.Ask", args, &x, span(a.Wait)+c.within()); err != nil {
+			c.drop(conn, "")
+			return lease.Answer{}, err
+		}
+		got := lease.Answer{Token: x.Token, Holder: x.Holder, Length: lease.Time(x.Length), Err: x.Refusal.err()}
+		if !errors.Is(got.Err, lease.ErrNotLeader) {
+			c.mu.Lock()
+			c.told = boot()
+			c.mu.Unlock()
+			return got, nil
+		}
+		if x.Leader == at || x.Leader == "" { // it leads, but can't show it, or knows of none
+			c.drop(conn, "")
+			return got, nil
+		}
+		c.drop(conn, x.Leader)
+	}
+	return lease.Answer{Err: lease.ErrNotLeader}, nil
+}
+
+// Leader makes one call to the leader, found by asking the voters; for operators.
+func (c *Client) Leader(method string, args, reply any, within time.Duration) error {
+	var faults []error
+	var asked []string
+	next := c.addresses()
+	for len(next) > 0 {
+		at := next[0]
+		next = next[1:]
+		if slices.Contains(asked, at) {
+			continue
+		}
+		asked = append(asked, at)
+		var s Status
+		if err := c.once(at, "Fleet.Status", &struct{}{}, &s); err != nil {
+			faults = append(faults, fmt.Errorf("%s: %w", at, err))
+			continue
+		}
+		if s.Voter && s.Leader == s.ID && s.ID != "" {
+			return c.atOnce(at, method, args, reply, within)
+		}
+		if s.At != "" {
+			next = append([]string{s.At}, next...)
+		}
+	}
+	return errors.Join(append(faults, errors.New("no voter leads, or none that leads can be reached"))...)
+}
+
+func (c *Client) addresses() (all []string) {
+	for _, v := range c.fleet.Voters {
+		all = append(all, v.Address)
+	}
+	return all
+}
+
+// Status asks the leader how the fleet is.
+func (c *Client) Status() (s Status, err error) {
+	return s, c.Leader("Fleet.Status", &struct{}{}, &s, c.within())
+}
+
+// Found begins a fleet with the voters of the configuration. It changes nothing where one of them can't be reached, or has
+// been in a fleet.
+func (c *Client) Found(after uint64) error {
+	var all []Member
+	for _, v := range c.fleet.Voters {
+		var s Status
+		if err := c.once(v.Address, "Fleet.Status", &struct{}{}, &s); err != nil {
+			return fmt.Errorf("fleet.voters: %s at %s: %w", v.Name, v.Address, err)
+		}
+		switch {
+		case s.Node != v.Name:
+			return fmt.Errorf("fleet.voters: %s is node %q, not %q", v.Address, s.Node, v.Name)
+		case s.ID == "":
+			return fmt.Errorf("fleet.voters: %s can't vote: %s", v.Name, s.Broken)
+		case !s.New:
+			return fmt.Errorf("fleet.voters: %s has voted before: %w", v.Name, lease.ErrBegun)
+		}
+		all = append(all, Member{s.ID, v.Address})
+	}
+	if err := c.once(all[0].Address, "Fleet.Bootstrap", &Founding{Voters: all}, &struct{}{}); err != nil {
+		return err
+	}
+	for end := time.Now().Add(20*c.within() + 4*c.fleet.Lease); ; time.Sleep(c.fleet.Delay) {
+		err := c.Leader("Fleet.Found", &Founding{After: after}, &struct{}{}, c.within())
+		if err == nil || strings.Contains(err.Error(), lease.ErrBegun.Error()) {
+			return nil
+		}
+		if time.Now().After(end) {
+			return err
+		}
+	}
+}
+
+// Release takes a lease from whoever holds it with this token.
+func (c *Client) Release(name string, token uint64) error {
+	s, err := c.Status()
+	if err != nil {
+		return err
+	}
+	for _, l := range s.Leases {
+		if l.Name == name && l.Token == token {
+			x, err := c.ask(lease.Ask{Kind: lease.Release, Name: name, Holder: l.Holder, Token: token})
+			return errors.Join(err, x.Err)
+		}
+	}
+	return lease.ErrLapsed
+}
+
+// Change adds or removes a voter.
+func (c *Client) Change(x Change) (id string, err error) {
+	return id, c.Leader("Fleet.Change", &x, &id, changeMost+c.within())
+}
+
+// start tells this process from all others, and each of its claims from the others.
+func (c *Client) start() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.claims++
+	return begun.UnixMilli()*1000 + c.claims
+}
+
+var begun = time.Now()
--- /dev/null
+++ b/internal/net/fellows/fellows.go
@@ -0,0 +1,155 @@
+// Package fellows joins a node to the others of its fleet: the voters' agreement, by a library, on the state of package
+// lease; the service that its leader gives; and the claims of this process. No lookup waits for any of it.
+package fellows
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+)
+
+const addressAgain = 50 * time.Millisecond // until the process whose place we take has let the address go
+
+// Own is what the fleet's tasks need of their node.
+type Own interface {
+	// Figures gives totals by name.
+	Figures() map[string]int64
+}
+
+// Fellows is this process's part in its fleet.
+type Fellows struct {
+	fleet  *terms.Fleet
+	log    *zap.Logger
+	own    Own
+	client *Client
+	paper  paper
+
+	mu     sync.Mutex
+	votes  *Voter
+	broken error
+
+	porch *porch
+	tasks sync.WaitGroup
+	ended chan struct{}
+	stop  context.CancelFunc
+}
+
+// Start joins the fleet in the background, and goes on trying. One address is one node's: while another process has it,
+// as the one whose place we take, it is that one which takes part.
+func Start(f *terms.Fleet, own Own, log *zap.Logger) *Fellows {
+	x := &Fellows{fleet: f, log: log, own: own, client: NewClient(f, log), ended: make(chan struct{})}
+	ctx, stop := context.WithCancel(context.Background())
+	x.stop = stop
+	go x.run(ctx)
+	return x
+}
+
+// Close leaves the fleet: what is held is given back, a vote's place as leader too.
+func (f *Fellows) Close() {
+	f.stop()
+	<-f.ended
+}
+
+func (f *Fellows) run(ctx context.Context) {
+	defer close(f.ended)
+	l := f.listen(ctx)
+	if l == nil {
+		return
+	}
+	f.porch = newPorch(l, f.fleet.Name, f.client.within(), f.id, f.answer)
+	if f.fleet.Folder != "" {
+		f.open()
+	}
+	go f.porch.serve()
+	f.log.Info("takes part in the fleet", zap.String("fleet", f.fleet.Name), zap.String("address", f.fleet.Address),
+		zap.String("voter", f.id()))
+	f.work(ctx)
+	<-ctx.Done()
+	f.tasks.Wait()
+	if v := f.voter(); v != nil {
+		v.close()
+	}
+	f.client.Close()
+	f.porch.close()
+}
+
+// listen takes the address, as soon as it is free.
+func (f *Fellows) listen(ctx context.Context) net.Listener {
+	for told := false; ; {
+		l, err := net.Listen("tcp", f.fleet.Address)
+		if err == nil {
+			return l
+		}
+		if !told {
+			told = true
+			f.log.Warn("fleet.address is not free: until it is, this process takes no part in the fleet", zap.Error(err))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(addressAgain):
+		}
+	}
+}
+
+// open takes part in the agreement, if the folder lets us. A node whose folder can't be used goes on asking.
+func (f *Fellows) open() {
+	p, err := openPaper(f.fleet.Folder, f.fleet.Name, f.fleet.Node)
+	var v *Voter
+	if err == nil {
+		f.mu.Lock()
+		f.paper = p
+		f.mu.Unlock()
+		l := layer{f.porch, dialer{f.fleet.Name, f.fleet.Node, f.fleet.Routes}, string(addressOf(p.ID, f.fleet.Address))}
+		v, err = startVoter(f.fleet, p, l, f.log.Named("voter"))
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.votes = v
+	if err != nil {
+		f.broken = err
+		f.paper = paper{}
+		f.log.Error("no voter, the node serves on and only asks", zap.Error(err))
+	}
+}
+
+// id tells our vote's, empty: none.
+func (f *Fellows) id() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.paper.ID
+}
+
+func (f *Fellows) voter() *Voter {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.votes
+}
+
+// session is the lease of a node's own name: two nodes under one name can't both have it.
+func session(node string) string { return "node/" + node }
+
+// work claims the node's own name, and with it the tasks.
+func (f *Fellows) work(ctx context.Context) {
+	f.tasks.Go(func() {
+		f.client.Keep(ctx, session(f.fleet.Node), func(ctx context.Context, g *Grip) bool {
+			if err := g.Do(session(f.fleet.Node), g.Token(), []byte(f.fleet.Address)); err != nil {
+				f.log.Warn("the fleet was not told of our address", zap.Error(err))
+			}
+			var tasks sync.WaitGroup
+			for _, name := range f.fleet.Tasks {
+				if run := f.task(name); run != nil {
+					tasks.Go(func() { f.client.Keep(ctx, name, run) })
+				}
+			}
+			<-ctx.Done()
+			tasks.Wait()
+			return true
+		})
+	})
+}
--- /dev/null
+++ b/internal/net/fellows/folder.go
@@ -0,0 +1,150 @@
+package fellows
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/raft"
+	raftbolt "github.com/hashicorp/raft-boltdb/v2"
+	"go.etcd.io/bbolt"
+)
+
+const (
+	paperFile     = "voter.json"
+	logFile       = "log.db"
+	openWithin    = time.Second // another process may still have it
+	snapshotsKept = 2
+)
+
+// paper is what a voter's folder says of itself.
+type paper struct {
+	Fleet string `json:"fleet"`
+	Node  string `json:"node"`
+	ID    string `json:"id"` // another one for each folder: who comes back without one is another voter
+}
+
+// open reads the folder's paper, or writes one where the folder is empty. Nothing in it is ever overwritten.
+func openPaper(folder, fleet, node string) (p paper, err error) {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return p, fmt.Errorf("fleet.folder: expected a folder that can be written: %w", err)
+	}
+	path := filepath.Join(folder, paperFile)
+	text, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		if _, err := os.Stat(filepath.Join(folder, logFile)); err == nil {
+			return p, fmt.Errorf("fleet.folder: %s is missing beside %s: whose votes these are can't be known", paperFile, logFile)
+		}
+		p = paper{fleet, node, node + "." + uuid.NewString()[:8]}
+		text, _ = json.Marshal(p)
+		if err := writeWhole(path, text); err != nil {
+			return p, fmt.Errorf("fleet.folder: expected a folder that can be written: %w", err)
+		}
+		return p, nil
+	}
+	if err != nil {
+		return p, fmt.Errorf("fleet.folder: %w", err)
+	}
+	if err := json.Unmarshal(text, &p); err != nil || p.ID == "" {
+		return p, fmt.Errorf("fleet.folder: %s can't be read: %w", path, errors.Join(err, errors.New("expected fleet, node and id")))
+	}
+	if p.Fleet != fleet || p.Node != node {
+		return p, fmt.Errorf("fleet.folder: %s is of node %q in fleet %q, not of node %q in fleet %q", folder, p.Node, p.Fleet, node, fleet)
+	}
+	return p, nil
+}
+
+// writeWhole writes a file that is there whole or not at all.
+func writeWhole(path string, text []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(path), "new-*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name())
+	_, err = f.Write(text)
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return err
+	}
+	if err := os.Rename(f.Name(), path); err != nil {
+		return err
+	}
+	d, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+// look reads all of a log, so that one that was cut short or spoilt is found here, and not by a library that ends the
+// process over it.
+func look(path string) (err error) {
+	if _, err := os.Stat(path); errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true)) // a mapped file that is too short faults
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("fleet.folder: %s is damaged: %v", path, r)
+		}
+	}()
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{ReadOnly: true, Timeout: openWithin})
+	if err != nil {
+		return fmt.Errorf("fleet.folder: %s is damaged or in use: %w", path, err)
+	}
+	defer db.Close()
+	return db.View(func(tx *bbolt.Tx) error {
+		return tx.ForEach(func(_ []byte, b *bbolt.Bucket) error {
+			sum := 0
+			return b.ForEach(func(k, v []byte) error {
+				for _, x := range v {
+					sum += int(x) // each byte is touched
+				}
+				return nil
+			})
+		})
+	})
+}
+
+// store is the library's, but for what the library ends the process over: there this voter ends instead, and its node
+// goes on serving.
+type store struct {
+	*raftbolt.BoltStore
+	broken func(error)
+}
+
+// give ends the library's goroutine that asked, once a write has failed: what would follow is a panic, or a vote that isn't kept.
+func (s store) give(err error) error {
+	if err != nil {
+		s.broken(err)
+		runtime.Goexit()
+	}
+	return nil
+}
+
+func (s store) SetUint64(key []byte, v uint64) error { return s.give(s.BoltStore.SetUint64(key, v)) }
+func (s store) Set(key, v []byte) error              { return s.give(s.BoltStore.Set(key, v)) }
+func (s store) StoreLog(l *raft.Log) error           { return s.StoreLogs([]*raft.Log{l}) }
+func (s store) StoreLogs(l []*raft.Log) error {
+	err := s.BoltStore.StoreLogs(l)
+	if err != nil {
+		s.broken(err)
+	}
+	return err // the library steps down by itself
+}
+
+// once keeps the first reason for which a voter ends.
+type once struct {
+	sync.Once
+	end func(error)
+}
+
+func (o *once) broken(err error) { o.Do(func() { go o.end(err) }) }
--- /dev/null
+++ b/internal/net/fellows/tasks.go
@@ -0,0 +1,127 @@
+package fellows
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+	"github.com/thistlerudder/thistlerudder/lease"
+)
+
+const askedAtOnce = 16 // nodes that a task asks side by side
+
+// task gives what a task does while its lease is held; nil: this build has no such task.
+func (f *Fellows) task(name string) func(context.Context, *Grip) bool {
+	switch name {
+	case terms.TaskRollUp:
+		return f.rollUp
+	case terms.TaskTrial:
+		return f.trial()
+	}
+	return nil
+}
+
+// nodes gives the addresses of those who hold their own names now, as the leader has it.
+func (s *Status) nodes() map[string]string {
+	all := map[string]string{}
+	for _, l := range s.Leases {
+		if node, is := strings.CutPrefix(l.Name, session("")); is {
+			if fact, told := s.Facts[l.Name]; told && fact.Token == l.Token {
+				all[node] = string(fact.Value)
+			}
+		}
+	}
+	return all
+}
+
+// sheet is one period of the roll-up.
+type sheet struct {
+	Nodes   int              `json:"nodes"`
+	Missing []string         `json:"missing,omitempty"` // they hold their names, and didn't answer
+	Sums    map[string]int64 `json:"sums"`              // totals since the start of each
+}
+
+const missingMost = 32 // names that a sheet tells; of more it tells how many
+
+// rollUp writes one line a period for the whole fleet. The fleet itself keeps which period was the last, so none is written
+// twice; one that nobody wrote is told as a gap by who writes next.
+func (f *Fellows) rollUp(ctx context.Context, g *Grip) bool {
+	period := f.fleet.RollUp
+	for {
+		at := time.Now().Truncate(period).Add(period)
+		select {
+		case <-ctx.Done():
+			return true
+		case <-time.After(time.Until(at)):
+		}
+		number := uint64(at.UnixMilli() / period.Milliseconds())
+		s, err := f.client.Status()
+		if err != nil {
+			f.log.Warn("the fleet can't be asked for its nodes, the period may be a gap", zap.Error(err))
+			continue
+		}
+		last := s.Facts[terms.TaskRollUp].Number
+		x := f.gather(s.nodes())
+		text, _ := json.Marshal(x)
+		if len(x.Missing) > missingMost {
+			x.Missing = append(x.Missing[:missingMost], "and others")
+			text, _ = json.Marshal(x)
+		}
+		switch err := g.Do(terms.TaskRollUp, number, text); {
+		case errors.Is(err, lease.ErrRepeated):
+			continue
+		case errors.Is(err, ErrUnknown):
+			if s, asked := f.client.Status(); asked != nil || s.Facts[terms.TaskRollUp].Token != g.Token() ||
+				s.Facts[terms.TaskRollUp].Number != number {
+				f.log.Warn("a period was perhaps not kept, and is not written", zap.Time("until", at), zap.Error(err))
+				continue
+			}
+		case err != nil:
+			f.log.Warn("a period is not written: it is another node's turn", zap.Time("until", at), zap.Error(err))
+			return true
+		}
+		if last != 0 && number > last+1 {
+			f.log.Warn("roll-up: gap", zap.Time("from", time.UnixMilli(int64(last)*period.Milliseconds())),
+				zap.Time("until", at.Add(-period)), zap.Uint64("periods", number-last-1))
+		}
+		f.log.Info("roll-up", zap.Time("until", at), zap.Duration("period", period), zap.Uint64("token", g.Token()),
+			zap.Int("nodes", x.Nodes), zap.Strings("missing", x.Missing), zap.Any("sums", x.Sums))
+	}
+}
+
+// gather asks all nodes for their figures.
+func (f *Fellows) gather(nodes map[string]string) (x sheet) {
+	x.Sums = map[string]int64{}
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	places := make(chan struct{}, askedAtOnce)
+	for _, name := range slices.Sorted(maps.Keys(nodes)) {
+		places <- struct{}{}
+		asking.Go(func() {
+			defer func() { <-places }()
+			var figures map[string]int64
+			err := f.client.once(nodes[name], "Fleet.Figures", &struct{}{}, &figures)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				x.Missing = append(x.Missing, name)
+				return
+			}
+			x.Nodes++
+			for key, n := range figures {
+				x.Sums[key] += n
+			}
+		})
+	}
+	asking.Wait()
+	slices.Sort(x.Missing)
+	return x
+}
--- /dev/null
+++ b/internal/net/fellows/trial_off.go
@@ -0,0 +1,8 @@
+//go:build !faults
+
+package fellows
+
+import "context"
+
+// trial is the rig's task, which no release has.
+func (f *Fellows) trial() func(context.Context, *Grip) bool { return nil }
--- a/internal/net/node/node.go
+++ b/internal/net/node/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,6 +16,7 @@
 	"github.com/thistlerudder/thistlerudder/internal/net/boxlist"
 	"github.com/thistlerudder/thistlerudder/internal/net/clients"
 	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
+	"github.com/thistlerudder/thistlerudder/internal/net/fellows"
 	"github.com/thistlerudder/thistlerudder/internal/net/handover"
 	"github.com/thistlerudder/thistlerudder/internal/net/servers"
 	"github.com/thistlerudder/thistlerudder/internal/terms"
@@ -103,6 +105,11 @@
 		carrier.Resize(l.servers)
 		debug.FreeOSMemory() // the others' part of the memory
 	})
+	leave := func() {}
+	if s.Fleet != nil {
+		leave = sync.OnceFunc(fellows.Start(s.Fleet, fleetSide{x}, log.Named("fleet")).Close)
+	}
+	defer leave() // once, however often it is called; the later call waits for the first
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(listener) }()
 	log.Info("serving", zap.String("listen", s.Listen), zap.Int("client descriptors", l.clients),
@@ -113,6 +120,7 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
+	go leave() // side by side: the next process waits for the fleet's address, and clients for neither
 	log.Info("leaving: connections still come for a while, each ends with its next answer")
 	if err := front.Leave(s.Passed != 0); err != nil {
 		log.Warn("left with lookups unanswered", zap.Error(err), zap.Int("out", x.Out()))
--- a/internal/net/node/operated.go
+++ b/internal/net/node/operated.go
@@ -67,3 +67,19 @@
 func fileName(listen string) string {
 	return "thistlerudder-" + strings.NewReplacer(":", "_", "/", "_").Replace(listen)
 }
+
+// fleetSide is what the fleet's tasks need of this node.
+type fleetSide struct{ exchange *exchange.Exchange }
+
+// Figures gives the totals of all namespaces.
+func (s fleetSide) Figures() map[string]int64 {
+	f := s.exchange.Figures()
+	all := map[string]int64{"shots": f.Written.Load(), "open": f.Open.Load()}
+	for _, name := range f.Namespaces() {
+		ends := f.Of(name)
+		all["resolved"] += ends.Resolved.Load()
+		all["deferred"] += ends.Deferred.Load()
+		all["abandoned"] += ends.Abandoned.Load()
+	}
+	return all
+}
--- /dev/null
+++ b/internal/terms/fleet.go
@@ -0,0 +1,170 @@
+package terms
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/thistlerudder/thistlerudder/internal/faults"
+	"github.com/thistlerudder/thistlerudder/lease"
+)
+
+// Fleet is what a node is told of its fellows. Without it a node has none.
+type Fleet struct {
+	Name    string            // of the fleet
+	Node    string            // ours in it
+	Address string            // where our fellows reach us
+	Voters  []Voter           // whom to ask
+	Folder  string            // what must last if we are to vote; empty: we only ask
+	Lease   time.Duration     // the length of each
+	Drift   float64           // how far the rate of a machine's clock may be from true
+	Delay   time.Duration     // the longest way of a message that is usual
+	Routes  map[string]string // where another address is to be dialled in place of a fellow's own
+	Tasks   []string          // done here, if it is our turn
+	RollUp  time.Duration     // a period of that task
+	Probe   string            // the path at which that task asks a server
+}
+
+// Voter is one of those who agree.
+type Voter struct{ Name, Address string }
+
+// The tasks of a fleet.
+const (
+	TaskProbe  = "probe"
+	TaskRollUp = "roll-up"
+	TaskTrial  = "trial" // for the rig's build alone
+)
+
+const (
+	defaultLease  = 3 * time.Second
+	defaultDrift  = 0.01 // far more than any sound oscillator is off; a virtual machine's may be
+	defaultDelay  = 50 * time.Millisecond
+	defaultRollUp = time.Minute
+	leastDelays   = 20 // delays in a lease: a tenth of it ends a leader's silence, and holds an asking and its answer
+	leastLease    = 200 * time.Millisecond
+	mostLease     = 10 * time.Minute
+	mostDrift     = 0.2
+)
+
+// fleet reads the section, if there is one.
+func fleet(all map[string]any, node string, fault func(key, expected string)) *Fleet {
+	v, found := find(all, "fleet")
+	if !found {
+		return nil
+	}
+	m, ok := v.(map[string]any)
+	if !ok {
+		fault("fleet", "a JSON object")
+		return nil
+	}
+	f := &Fleet{Node: node, Lease: defaultLease, Drift: defaultDrift, Delay: defaultDelay, RollUp: defaultRollUp, Probe: "/up",
+		Routes: map[string]string{}}
+	words := func(key string, into *string, needed bool, sound func(string) bool, expected string) {
+		v, found := find(m, key)
+		s, ok := v.(string)
+		if found || needed {
+			if !ok || !sound(s) {
+				fault("fleet."+key, expected)
+				return
+			}
+			*into = s
+		}
+	}
+	address := func(s string) bool { _, _, err := net.SplitHostPort(s); return err == nil }
+	words("name", &f.Name, true, lease.Sound, "a name of letters, digits and -_./:@")
+	words("address", &f.Address, true, address, "an address as 10.0.0.4:7100")
+	words("folder", &f.Folder, false, func(s string) bool { return s != "" }, "a folder that lasts")
+	words("probe_path", &f.Probe, false, func(s string) bool { return s[:min(1, len(s))] == "/" }, "a path as /up")
+	if !lease.Sound(node) {
+		fault("name", "a name of letters, digits and -_./:@, since the fleet knows the node by it")
+	}
+	spans := func(key string, into *time.Duration, least, most time.Duration) {
+		if v, found := find(m, key); found {
+			x, ok := v.(float64)
+			d := time.Duration(x * float64(time.Millisecond))
+			if !ok || d < least || d > most {
+				fault("fleet."+key, fmt.Sprintf("a time in milliseconds from %d to %d", least.Milliseconds(), most.Milliseconds()))
+				return
+			}
+			*into = d
+		}
+	}
+	spans("delay_ms", &f.Delay, time.Millisecond, 10*time.Second)
+	spans("lease_ms", &f.Lease, leastLease, mostLease)
+	spans("roll_up_ms", &f.RollUp, time.Second, 24*time.Hour)
+	if f.Lease < leastDelays*f.Delay {
+		fault("fleet.lease_ms", fmt.Sprintf("%d delays at least (fleet.delay_ms is %d), so %d or more", leastDelays,
+			f.Delay.Milliseconds(), (leastDelays*f.Delay).Milliseconds()))
+	}
+	if v, found := find(m, "drift"); found {
+		if f.Drift, ok = v.(float64); !ok || f.Drift < 0 || f.Drift > mostDrift {
+			fault("fleet.drift", fmt.Sprintf("a share from 0 to %g", mostDrift))
+		}
+	}
+	names, addresses := map[string]bool{}, map[string]bool{}
+	list, _ := m["voters"].([]any)
+	for i, v := range list {
+		x, _ := v.(map[string]any)
+		name, _ := x["name"].(string)
+		at, _ := x["address"].(string)
+		switch key := fmt.Sprintf("fleet.voters[%d].", i); {
+		case !lease.Sound(name):
+			fault(key+"name", "a name of letters, digits and -_./:@")
+		case names[name]:
+			fault(key+"name", fmt.Sprintf("another name than %q, which a voter before it has", name))
+		case !address(at):
+			fault(key+"address", "an address as 10.0.0.4:7100")
+		case addresses[at]:
+			fault(key+"address", fmt.Sprintf("another address than %q, which a voter before it has", at))
+		case name == node && f.Folder == "":
+			fault("fleet.folder", "a folder that lasts, since this node is one of fleet.voters")
+		case name == node && f.Address != at:
+			fault(key+"address", fmt.Sprintf("%q as in fleet.address, since this is the node itself", f.Address))
+		}
+		names[name], addresses[at] = true, true
+		f.Voters = append(f.Voters, Voter{name, at})
+	}
+	if len(list) != 3 && len(list) != 5 {
+		fault("fleet.voters", "a list of 3 or 5, each with name and address")
+	}
+	if v, found := find(m, "routes"); found {
+		routes, ok := v.(map[string]any)
+		for from, to := range routes {
+			s, _ := to.(string)
+			ok = ok && address(from) && address(s)
+			f.Routes[from] = s
+		}
+		if !ok {
+			fault("fleet.routes", "addresses by address")
+		}
+	}
+	if v, found := find(m, "tasks"); found {
+		tasks, ok := v.([]any)
+		for _, t := range tasks {
+			name, _ := t.(string)
+			ok = ok && (slices.Contains([]string{TaskProbe, TaskRollUp}, name) || faults.On && name == TaskTrial)
+			f.Tasks = append(f.Tasks, name)
+		}
+		if !ok {
+			fault("fleet.tasks", "a list of probe, roll-up")
+		}
+	}
+	return f
+}
+
+// ReadFleet reads only what a file says of the fleet, for commands that ask it and run no node.
+func ReadFleet(path string) (*Fleet, error) {
+	all, err := load(path, "name")
+	if err != nil {
+		return nil, err
+	}
+	var faults []error
+	name, _ := all["name"].(string)
+	f := fleet(all, name, func(key, expected string) { faults = append(faults, fmt.Errorf("%s: expected %s", key, expected)) })
+	if f == nil && len(faults) == 0 {
+		return nil, fmt.Errorf("%s: fleet: expected a section, docs/leases.md has one", path)
+	}
+	return f, errors.Join(faults...)
+}
--- a/internal/terms/station.go
+++ b/internal/terms/station.go
@@ -27,6 +27,7 @@
 	Cores                   float64
 	MemoryMB, Descriptors   int
 	Known                   []byte // the box list as last had, in the discovery service's form
+	Fleet                   *Fleet // nil: the node has no fellows
 	*Terms
 
 	path string
@@ -66,7 +67,7 @@
 
 // Fixed names the keys whose values differ between two readings and can't change while the node runs.
 func (s *Station) Fixed(other *Station) (keys []string) {
-	for _, key := range []string{"listen", adminKey, "limits", "settings"} {
+	for _, key := range []string{"listen", adminKey, "limits", "settings", "fleet"} {
 		if !reflect.DeepEqual(s.all[key], other.all[key]) {
 			keys = append(keys, key)
 		}
@@ -74,8 +75,8 @@
 	return keys
 }
 
-// readUnder lets the variables for these keys come before the file.
-func readUnder(path string, variables ...string) (*Station, error) {
+// load reads the file; the variables for these keys come before it.
+func load(path string, variables ...string) (map[string]any, error) {
 	k := koanf.New(".")
 	defaults := map[string]any{"name": "node", "limits.cores": defaultCores,
 		"limits.memory_mb": float64(defaultMemoryMB), "limits.sockets": float64(defaultDescriptors)}
@@ -96,7 +97,15 @@
 	if err := k.Load(env.Provider(".", own), nil); err != nil {
 		return nil, err
 	}
-	all := k.Raw()
+	return k.Raw(), nil
+}
+
+// readUnder lets the variables for these keys come before the file.
+func readUnder(path string, variables ...string) (*Station, error) {
+	all, err := load(path, variables...)
+	if err != nil {
+		return nil, err
+	}
 	var faults []error
 	fault := func(key, expected string) { faults = append(faults, fmt.Errorf("%s: expected %s", key, expected)) }
 	s := &Station{path: path, all: all}
@@ -128,9 +137,10 @@
 			fault("seed", "up to 16 hexadecimal digits")
 		}
 	}
-	s.Cores, _ = number.read(k.Get("limits.cores")).(float64)
-	s.MemoryMB, _ = whole.read(k.Get("limits.memory_mb")).(int)
-	s.Descriptors, _ = whole.read(k.Get("limits.sockets")).(int)
+	limit := func(key string) any { v, _ := find(all, "limits."+key); return v }
+	s.Cores, _ = number.read(limit("cores")).(float64)
+	s.MemoryMB, _ = whole.read(limit("memory_mb")).(int)
+	s.Descriptors, _ = whole.read(limit("sockets")).(int)
 	if s.Cores <= 0 {
 		fault("limits.cores", "a number above 0")
 	}
@@ -146,6 +156,7 @@
 			fault("known", "a box list")
 		}
 	}
+	s.Fleet = fleet(all, s.Name, fault)
 	settings, ok := all["settings"].(map[string]any)
 	if !ok {
 		fault("settings", "the deployment's settings, a JSON object")
