--- /dev/null
+++ b/cmd/thistlerudder/trial_on.go
@@ -0,0 +1,209 @@
+//go:build faults
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math"
+	"os"
+	"os/signal"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sys/unix"
+
+	"github.com/thistlerudder/thistlerudder/internal/faults"
+	"github.com/thistlerudder/thistlerudder/internal/rig"
+)
+
+// ofTheRig gives the rig's commands.
+func ofTheRig() []*cobra.Command {
+	c := &cobra.Command{Use: "trial", Short: "Play processes under faults, and judge them"}
+	c.AddCommand(trialLeases())
+	return []*cobra.Command{c}
+}
+
+const (
+	coresEach = 2 // for a run of five processes; more at once make them late
+	triesMost = 3 // for a run that was void
+)
+
+func trialLeases() *cobra.Command {
+	c := &cobra.Command{Use: "leases", Args: cobra.NoArgs, Short: "Play leases under faults; exit 0 only if every run kept the rules"}
+	seeds := c.Flags().String("seeds", "1-20", "FROM-TO")
+	processes := c.Flags().Int("processes", 5, "how many, 3 of them voters")
+	without := c.Flags().String("without", "", "a safeguard to take out: the runs should then fail")
+	only := c.Flags().String("only", "", "one kind of fault")
+	keep := c.Flags().String("keep", "", "a folder for the histories of runs that failed")
+	list := c.Flags().Bool("list", false, "name the faults and the safeguards")
+	jobs := c.Flags().Int("jobs", 0, "runs at once; 0: by the cores")
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		kinds := rig.FaultKinds()
+		if *list {
+			for _, k := range kinds {
+				cmd.Printf("fault %s: %s\n", k[0], k[1])
+			}
+			for _, s := range faults.Safeguards {
+				cmd.Printf("safeguard %s\n", s)
+			}
+			return nil
+		}
+		from, to, err := seedsOf(*seeds)
+		if err != nil {
+			return err
+		}
+		switch {
+		case *processes < 3 || *processes > 60:
+			return fmt.Errorf("processes: expected 3 to 60, not %d", *processes)
+		case *without != "" && !slices.Contains(faults.Safeguards, *without):
+			return fmt.Errorf("without: expected one of %v, not %q", faults.Safeguards, *without)
+		case *only != "" && !slices.ContainsFunc(kinds, func(k [2]string) bool { return k[0] == *only }):
+			return fmt.Errorf("only: expected a fault as --list names them, not %q", *only)
+		}
+		program, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		return trial(ctx, cmd, rig.Plan{Program: program, Processes: *processes, Without: *without, Only: *only, Keep: *keep},
+			from, to, *jobs)
+	}
+	return c
+}
+
+func seedsOf(s string) (from, to uint64, err error) {
+	a, b, two := strings.Cut(s, "-")
+	if !two {
+		b = a
+	}
+	from, err1 := strconv.ParseUint(a, 10, 64)
+	to, err2 := strconv.ParseUint(b, 10, 64)
+	if err1 != nil || err2 != nil || to < from {
+		return 0, 0, fmt.Errorf("seeds: expected FROM-TO as 1-20, not %q", s)
+	}
+	return from, to, nil
+}
+
+func trial(ctx context.Context, cmd *cobra.Command, plan rig.Plan, from, to uint64, jobs int) error {
+	if jobs <= 0 {
+		jobs = max(1, unixCores()*5/(coresEach*plan.Processes))
+	}
+	_, err := unix.IoctlGetTermios(int(os.Stderr.Fd()), unix.TCGETS)
+	terminal := err == nil
+	var mu sync.Mutex
+	var failed []string
+	var handings []time.Duration
+	runs, void, acts, door, outside, excused := 0, 0, 0, 0, 0, 0
+	asked, unserved := int64(0), int64(0)
+	struck := map[string]int{}
+	by := map[string][]time.Duration{}
+	places := make(chan int, jobs)
+	for i := range jobs {
+		places <- i
+	}
+	var all sync.WaitGroup
+	for seed := from; seed <= to && ctx.Err() == nil; seed++ {
+		slot := <-places
+		all.Go(func() {
+			defer func() { places <- slot }()
+			p := plan
+			p.Seed, p.Slot = seed, slot
+			var r rig.Run
+			var err error
+			for range triesMost {
+				if r, err = rig.Play(ctx, p); err != nil || r.Void == "" {
+					break
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if ctx.Err() != nil {
+				return
+			}
+			runs++
+			acts, door, outside, excused = acts+r.Acts, door+r.Door, outside+r.Outside, excused+r.Excused
+			asked, unserved = asked+r.Asked, unserved+r.Unserved
+			for k, n := range r.Faults {
+				struck[k] += n
+			}
+			for k, ds := range r.Handings {
+				by[k] = append(by[k], ds...)
+				handings = append(handings, ds...)
+			}
+			what := ""
+			switch {
+			case err != nil:
+				what = err.Error()
+			case len(r.Broken) > 0:
+				what = strings.Join(r.Broken, "; ")
+			case r.Void != "":
+				void++
+				cmd.PrintErrf("seed %d: void: %s\n", seed, r.Void)
+			}
+			if what != "" {
+				again := fmt.Sprintf("thistlerudder trial leases --seeds %d --processes %d", seed, plan.Processes)
+				for flag, v := range map[string]string{"without": plan.Without, "only": plan.Only} {
+					if v != "" {
+						again += " --" + flag + " " + v
+					}
+				}
+				failed = append(failed, fmt.Sprintf("seed %d: %s\n  again: %s; history: %s", seed, what, again, r.Kept))
+			}
+			if terminal {
+				cmd.PrintErrf("\r%d of %d runs, %d failed, %d void ", runs, to-from+1, len(failed), void)
+			}
+		})
+	}
+	all.Wait()
+	if terminal {
+		cmd.PrintErrln()
+	}
+	for _, f := range failed {
+		cmd.PrintErrln(f)
+	}
+	for _, k := range slices.Sorted(maps.Keys(by)) {
+		slices.Sort(by[k])
+		cmd.Printf("handed on after %s: %d times, p50 %v, p99 %v\n", k, len(by[k]), percentile(by[k], 50), percentile(by[k], 99))
+	}
+	slices.Sort(handings)
+	var kinds []string
+	for _, k := range slices.Sorted(maps.Keys(struck)) {
+		kinds = append(kinds, fmt.Sprintf("%s %d", k, struck[k]))
+	}
+	cmd.Printf("runs %d, void %d, failed %d, acts %d, faults: %s; lookups %d, unserved by a running node %d; overlaps at a door %d, "+
+		"overlaps outside %d (excused %d), worst handing on %v\n", runs, void, len(failed), acts, strings.Join(kinds, ", "), asked, unserved,
+		door, outside, excused, percentile(handings, 100))
+	switch {
+	case ctx.Err() != nil:
+		return fmt.Errorf("ended before all runs were played")
+	case len(failed) > 0:
+		return fmt.Errorf("%d runs broke a rule", len(failed))
+	case void > 0:
+		return fmt.Errorf("%d runs show nothing: too few cores", void)
+	}
+	return nil
+}
+
+// percentile of what is in order.
+func percentile(of []time.Duration, p float64) time.Duration {
+	if len(of) == 0 {
+		return 0
+	}
+	return of[max(0, int(math.Ceil(float64(len(of))*p/100))-1)].Round(time.Millisecond)
+}
+
+func unixCores() int {
+	var set unix.CPUSet
+	if unix.SchedGetaffinity(0, &set) != nil {
+		return 1
+	}
+	return set.Count()
+}
--- a/internal/net/fellows/keep.go
+++ b/internal/net/fellows/keep.go
@@ -80,7 +80,7 @@
 func (g *claims) Ask(a lease.Ask) {
 	sent := now()
 	go func() {
-		x, err := g.c.ask(a)
+		x, err := g.c.traced(a)
 		if faults.Without(faults.FromAnswer) {
 			sent = now()
 		}
@@ -90,9 +90,6 @@
 			close(g.freed)
 			g.freed = make(chan struct{})
 		}
-		if trace != nil {
-			trace(g.name, g.holder, a, sent, x, err)
-		}
 		if err != nil {
 			g.c.log.Debug("an asking came to nothing", zap.String("lease", g.name), zap.Error(err))
 			if g.claim != nil {
@@ -111,8 +108,17 @@
 	}()
 }
 
-// trace is told of each asking of this process; only the rig's build sets it.
-var trace func(name string, h lease.Holder, a lease.Ask, sent lease.Time, x lease.Answer, err error)
+// trace is told of each asking of this process before it is sent, and what it gives back of its answer; only the rig's
+// build sets it.
+var trace func(a lease.Ask) func(x lease.Answer, err error)
+
+func (c *Client) traced(a lease.Ask) (x lease.Answer, err error) {
+	if trace != nil {
+		told := trace(a)
+		defer func() { told(x, err) }()
+	}
+	return c.ask(a)
+}
 
 // drop gives it up, and waits until that was heard or a call's time is over.
 func (g *Grip) drop() {
@@ -158,11 +164,7 @@
 	}
 	faults.Point(faults.BeforeAct)
 	a := lease.Ask{Kind: lease.Do, Name: g.name, Holder: g.holder, Token: g.Token(), Fact: fact, Number: number, Value: value}
-	sent := now()
-	x, err := g.c.ask(a)
-	if trace != nil {
-		trace(g.name, g.holder, a, sent, x, err)
-	}
+	x, err := g.c.traced(a)
 	if err != nil || errors.Is(x.Err, lease.ErrNotLeader) {
 		return errors.Join(ErrUnknown, err)
 	}
--- /dev/null
+++ b/internal/rig/script.go
@@ -0,0 +1,257 @@
+package rig
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// fault is one kind: it strikes, and heals before it returns. It says whether it really struck.
+type fault struct {
+	name, what string
+	of         func(w *world, ctx context.Context, p *process) bool
+	voter      bool // it strikes a voter
+}
+
+const (
+	past  = leaseSpan * 13 / 10 // beyond a lease and all that is added to it
+	brief = leaseSpan / 2
+)
+
+var kinds = []fault{
+	{"kill", "SIGKILL, and a start soon after", func(w *world, ctx context.Context, p *process) bool {
+		return w.again(ctx, p, syscall.SIGKILL, brief, nil)
+	}, false},
+	{"kill-holder", "the same for whoever holds the lease", func(w *world, ctx context.Context, p *process) bool {
+		return w.again(ctx, w.holder(p), syscall.SIGKILL, past, nil)
+	}, false},
+	{"term", "SIGTERM, and a start soon after", func(w *world, ctx context.Context, p *process) bool {
+		return w.again(ctx, p, syscall.SIGTERM, brief, nil)
+	}, false},
+	{"stop", "SIGSTOP for longer than a lease, and SIGCONT", func(w *world, _ context.Context, p *process) bool {
+		p = w.holder(p)
+		w.lost("stop", p, past+leaseSpan)
+		return p.stand("", past)
+	}, false},
+	{"stop-before-act", "a stop exactly between the check and the act", func(w *world, _ context.Context, p *process) bool {
+		p = w.holder(p)
+		w.touch(p, pointWithin+past+leaseSpan)
+		return p.stand("before-act", past)
+	}, false},
+	{"stop-in-act", "a stop in the middle of an act that has no door", func(w *world, _ context.Context, p *process) bool {
+		p = w.holder(p)
+		w.touch(p, pointWithin+past+leaseSpan)
+		return p.stand("in-act", past)
+	}, false},
+	{"stop-on-renewal", "a stop of a voter that leads, with renewals in its queues", func(w *world, _ context.Context, p *process) bool {
+		w.touch(p, pointWithin+past+leaseSpan)
+		return p.stand("on-renewal", past)
+	}, true},
+	{"cut", "a process and all others hear nothing of each other", func(w *world, ctx context.Context, p *process) bool {
+		return w.way(ctx, w.holder(p), past, func(f, b *flow, on bool) { f.held.Store(on); b.held.Store(on) })
+	}, false},
+	{"deaf", "a process is heard, and hears nobody", func(w *world, ctx context.Context, p *process) bool {
+		return w.oneWay(ctx, p, past, func(in *flow, on bool) { in.held.Store(on) })
+	}, true},
+	{"slow", "all ways of a process take ten delays more", func(w *world, ctx context.Context, p *process) bool {
+		return w.way(ctx, p, past, func(f, b *flow, on bool) {
+			d := int64(0)
+			if on {
+				d = int64(10 * delaySpan)
+			}
+			f.delay.Store(d)
+			b.delay.Store(d)
+		})
+	}, false},
+	{"reset", "all connections of a process are reset, three times", func(w *world, ctx context.Context, p *process) bool {
+		for range 3 {
+			for at, l := range w.links {
+				if at[0] == p.n || at[1] == p.n {
+					l.resetAll()
+				}
+			}
+			w.sleep(ctx, brief/3)
+		}
+		return true
+	}, false},
+	{"power", "two of three voters lose power together", func(w *world, ctx context.Context, p *process) bool {
+		o := w.processes[(p.n+1)%votersOf]
+		w.touch(o, 3*time.Second)
+		o.end(syscall.SIGKILL)
+		struck := w.again(ctx, p, syscall.SIGKILL, brief, nil)
+		_, _, err := o.start()
+		return struck && err == nil
+	}, true},
+	{"folder-lost", "a voter comes back without its folder, and is replaced by an operator", func(w *world, ctx context.Context, p *process) bool {
+		return w.again(ctx, p, syscall.SIGKILL, brief, func() { _ = os.RemoveAll(p.folder) }) && w.replaced(ctx, p)
+	}, true},
+	{"folder-cut", "a voter's log is cut short while it is down", func(w *world, ctx context.Context, p *process) bool {
+		struck := w.again(ctx, p, syscall.SIGKILL, brief, func() {
+			path := filepath.Join(p.folder, "log.db")
+			if i, err := os.Stat(path); err == nil {
+				_ = os.Truncate(path, i.Size()/3)
+			}
+		})
+		w.sleep(ctx, brief)
+		return struck && w.again(ctx, p, syscall.SIGTERM, brief, func() { _ = os.RemoveAll(p.folder) }) && w.replaced(ctx, p)
+	}, true},
+	{"folder-full", "a voter's files can't grow any more", func(w *world, ctx context.Context, p *process) bool {
+		p.mu.Lock()
+		pid := p.cmd.Process.Pid
+		p.mu.Unlock()
+		if unix.Prlimit(pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: 1, Max: unix.RLIM_INFINITY}, nil) != nil {
+			return false
+		}
+		w.sleep(ctx, past)
+		return w.again(ctx, p, syscall.SIGTERM, brief, nil)
+	}, true},
+	{"upgrade", "a node is replaced by its next process on the passed socket", func(w *world, ctx context.Context, p *process) bool {
+		p = w.holder(p)
+		before, ended, err := p.start()
+		if err != nil {
+			return false
+		}
+		w.sleep(ctx, brief)
+		_ = before.Process.Signal(syscall.SIGTERM)
+		select {
+		case <-ended:
+			return true
+		case <-time.After(endWithin):
+			_ = before.Process.Kill()
+			return false
+		}
+	}, false},
+}
+
+// FaultKinds tells them by name, in order.
+func FaultKinds() (all [][2]string) {
+	for _, k := range kinds {
+		all = append(all, [2]string{k.name, k.what})
+	}
+	return append(all, [2]string{"clock-beyond", "clocks of unlike rate far beyond the bound, all the run; with kills"})
+}
+
+// script strikes one fault after another, each healed before the next.
+func (w *world) script(ctx context.Context) {
+	for range faultsRun {
+		k := kinds[w.rnd.IntN(len(kinds))]
+		at := w.rnd.IntN(w.plan.Processes)
+		if i := slices.IndexFunc(kinds, func(k fault) bool { return k.name == w.plan.Only }); i >= 0 {
+			k = kinds[i]
+		}
+		if w.plan.Only == "clock-beyond" {
+			k = kinds[w.rnd.IntN(2)]
+		}
+		if k.voter {
+			at %= votersOf
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if k.of(w, ctx, w.processes[at]) {
+			w.struck[k.name]++
+		}
+		w.sleep(ctx, brief+time.Duration(w.rnd.Int64N(int64(brief))))
+	}
+	if w.plan.Only == "clock-beyond" {
+		w.struck[w.plan.Only]++
+	}
+}
+
+// holder gives whoever acted last at the door, or the process at hand.
+func (w *world) holder(otherwise *process) *process {
+	who := w.door.holder()
+	for _, p := range w.processes {
+		if p.name == who {
+			return p
+		}
+	}
+	return otherwise
+}
+
+// touch excuses a process from serving its clients for a while.
+func (w *world) touch(p *process, span time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.touched[p.n] = max(w.touched[p.n], boot()+int64(span))
+}
+
+// lost notes that a holder is struck, if it is one.
+func (w *world) lost(kind string, p *process, span time.Duration) {
+	w.touch(p, span)
+	if w.door.holder() == p.name {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.losses = append(w.losses, loss{kind, p.name, boot()})
+	}
+}
+
+// again ends a process, and starts the node's next.
+func (w *world) again(ctx context.Context, p *process, s syscall.Signal, after time.Duration, meanwhile func()) bool {
+	kind := "kill"
+	if s == syscall.SIGTERM {
+		kind = "term"
+	}
+	w.lost(kind, p, after+5*time.Second)
+	p.end(s)
+	w.sleep(ctx, after)
+	if meanwhile != nil {
+		meanwhile()
+	}
+	_, _, err := p.start()
+	return err == nil
+}
+
+// replaced lets an operator remove the voter that was, and add the one that is.
+func (w *world) replaced(ctx context.Context, p *process) bool {
+	w.sleep(ctx, brief)
+	asked := (p.n + 1) % votersOf
+	_, _ = w.command(ctx, asked, "fleet", "voter", "remove", p.name)
+	for range 10 {
+		if _, err := w.command(ctx, asked, "fleet", "voter", "add", p.name, w.ip(p.n+1)+":7100"); err == nil {
+			return true
+		}
+		w.sleep(ctx, brief)
+	}
+	return false
+}
+
+// way changes all ways of a process for a while.
+func (w *world) way(ctx context.Context, p *process, span time.Duration, f func(forth, back *flow, on bool)) bool {
+	all := func(on bool) {
+		for at, l := range w.links {
+			if at[0] == p.n || at[1] == p.n {
+				f(&l.forth, &l.back, on)
+			}
+		}
+	}
+	w.lost("cut", p, 0)
+	all(true)
+	w.sleep(ctx, span)
+	all(false)
+	return true
+}
+
+// oneWay changes all that a process would hear.
+func (w *world) oneWay(ctx context.Context, p *process, span time.Duration, f func(in *flow, on bool)) bool {
+	all := func(on bool) {
+		for at, l := range w.links {
+			if at[1] == p.n {
+				f(&l.forth, on)
+			}
+			if at[0] == p.n {
+				f(&l.back, on)
+			}
+		}
+	}
+	w.lost("deaf", p, 0)
+	all(true)
+	w.sleep(ctx, span)
+	all(false)
+	return true
+}
