--- a/internal/net/fellows/client.go
+++ b/internal/net/fellows/client.go
@@ -45,17 +45,25 @@
 }
 
 // Close lets the connection go.
-func (c *Client) Close() { c.drop(nil, "") }
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
 
 // drop closes the connection, if it is still this one, and goes elsewhere next.
 func (c *Client) drop(conn *rpc.Client, elsewhere string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conn != nil && c.conn != conn {
+	if c.conn != conn {
 		return
 	}
-	if c.conn != nil {
-		_ = c.conn.Close()
+	if c.conn != nil { // other askings may be out on it, and get their answers yet
+		old := c.conn
+		time.AfterFunc(c.fleet.Lease/2, func() { _ = old.Close() })
 	}
 	c.conn, c.at = nil, elsewhere
 	if elsewhere == "" {
--- a/internal/net/fellows/trial_on.go
+++ b/internal/net/fellows/trial_on.go
@@ -29,7 +29,7 @@
 const (
 	actLeast  = 3 * time.Millisecond
 	actSpread = 12 * time.Millisecond
-	actSlack  = 30 * time.Millisecond // for a scheduler that is late with the end of an act
+	actSlack  = 15 * time.Millisecond // for a scheduler that is late with the end of an act
 	restSpan  = 8 * time.Millisecond
 	lateLook  = 10 * time.Millisecond
 	lateLeast = 30 * time.Millisecond
@@ -77,13 +77,33 @@
 	go r.lateness()
 	return func(ctx context.Context, g *Grip) bool {
 		r.write(map[string]any{"what": "held", "at": trueBoot(), "token": g.Token()})
-		for i := range 6 + rand.IntN(30) {
+		over := make(chan struct{})
+		var inside sync.WaitGroup
+		inside.Go(func() { // beside the others: an act inside the fleet waits for an answer, which may never come
+			for {
+				select {
+				case <-over:
+					return
+				case <-time.After(restSpan):
+					if g.Do(terms.TaskTrial, uint64(trueBoot()), nil) != nil {
+						time.Sleep(10 * restSpan)
+					}
+				}
+			}
+		})
+		acts := 10 + rand.IntN(40)
+		if rand.IntN(2) == 0 {
+			acts *= 20 // kept until it is lost
+		}
+		for i := range acts {
 			if ctx.Err() != nil {
 				break
 			}
 			f.act(r, g, i)
-			time.Sleep(restSpan)
+			time.Sleep(restSpan / 4)
 		}
+		close(over)
+		inside.Wait()
 		r.write(map[string]any{"what": "over", "at": trueBoot(), "token": g.Token()})
 		return true
 	}
@@ -105,23 +125,19 @@
 	if !g.May(takes + actSlack) {
 		return
 	}
-	switch i % 3 {
-	case 0:
-		_ = g.Do(terms.TaskTrial, uint64(trueBoot()), nil)
-	case 1:
-		faults.Point(faults.BeforeAct)
+	faults.Point(faults.BeforeAct)
+	if i%4 == 0 {
 		resp, err := http.Post(fmt.Sprintf("http://%s/?token=%d&who=%s", os.Getenv(DoorVariable), g.Token(), r.who), "", nil)
 		if err == nil {
 			_, _ = io.Copy(io.Discard, resp.Body)
 			_ = resp.Body.Close()
 		}
-	case 2:
-		faults.Point(faults.BeforeAct)
-		from := trueBoot()
-		r.write(map[string]any{"what": "begin", "at": from, "token": g.Token()})
-		time.Sleep(takes / 2)
-		faults.Point(faults.InAct)
-		time.Sleep(takes / 2)
-		r.write(map[string]any{"what": "end", "at": trueBoot(), "token": g.Token(), "from": from})
+		return
 	}
+	from := trueBoot()
+	r.write(map[string]any{"what": "begin", "at": from, "token": g.Token()})
+	time.Sleep(takes / 2)
+	faults.Point(faults.InAct)
+	time.Sleep(takes / 2)
+	r.write(map[string]any{"what": "end", "at": trueBoot(), "token": g.Token(), "from": from})
 }
--- a/internal/net/fellows/voter.go
+++ b/internal/net/fellows/voter.go
@@ -149,6 +149,10 @@
 			return
 		case is := <-led:
 			v.mu.Lock()
+			if !is && faults.Without(faults.Confirmation) {
+				v.mu.Unlock()
+				continue // it hasn't noticed
+			}
 			v.leads++
 			v.keeper.Deposed()
 			if is {
--- a/internal/rig/relay.go
+++ b/internal/rig/relay.go
@@ -28,7 +28,16 @@
 	delay atomic.Int64
 }
 
-const holdLook = 2 * time.Millisecond
+// chunk is what came in one read, and when it is to go on.
+type chunk struct {
+	bytes []byte
+	due   time.Time
+}
+
+const (
+	holdLook   = 2 * time.Millisecond
+	chunksMost = 256 // on the way on one connection; beyond, who sends waits
+)
 
 func newLink(at, target string) (*link, error) {
 	l, err := net.Listen("tcp", at)
@@ -79,21 +88,29 @@
 	carry := func(to, from net.Conn, f *flow) {
 		defer to.Close()
 		defer from.Close()
-		buf := make([]byte, 16<<10)
-		for {
-			n, err := from.Read(buf)
-			if d := f.delay.Load(); d > 0 {
-				time.Sleep(time.Duration(d))
+		chunks := make(chan chunk, chunksMost)
+		both.Go(func() {
+			defer close(chunks)
+			for {
+				buf := make([]byte, 16<<10)
+				n, err := from.Read(buf)
+				if n > 0 {
+					chunks <- chunk{buf[:n], time.Now().Add(time.Duration(f.delay.Load()))}
+				}
+				if err != nil {
+					return
+				}
 			}
+		})
+		for x := range chunks {
+			time.Sleep(time.Until(x.due))
 			for f.held.Load() {
 				time.Sleep(holdLook)
 			}
-			if n > 0 {
-				if _, err := to.Write(buf[:n]); err != nil {
-					return
+			if _, err := to.Write(x.bytes); err != nil {
+				_ = from.Close()
+				for range chunks { // until the reader has noticed
 				}
-			}
-			if err != nil {
 				return
 			}
 		}
--- a/internal/rig/script.go
+++ b/internal/rig/script.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -19,8 +20,9 @@
 }
 
 const (
-	past  = leaseSpan * 13 / 10 // beyond a lease and all that is added to it
-	brief = leaseSpan / 2
+	past       = leaseSpan * 13 / 10 // beyond a lease and all that is added to it
+	brief      = leaseSpan / 2
+	lateAnswer = 95 * time.Millisecond // a little less than a call may take
 )
 
 var kinds = []fault{
@@ -53,8 +55,31 @@
 		return p.stand("on-renewal", past)
 	}, true},
 	{"cut", "a process and all others hear nothing of each other", func(w *world, ctx context.Context, p *process) bool {
-		return w.way(ctx, w.holder(p), past, func(f, b *flow, on bool) { f.held.Store(on); b.held.Store(on) })
+		return w.way(ctx, w.holder(p), past+leaseSpan, func(f, b *flow, on bool) { f.held.Store(on); b.held.Store(on) })
 	}, false},
+	{"part", "the leader, and the holder if it doesn't vote, are cut off from all others", func(w *world, ctx context.Context, p *process) bool {
+		out, err := w.command(ctx, p.n, "fleet", "status")
+		holder := w.holder(p)
+		side := map[int]bool{}
+		for _, q := range w.processes {
+			if err == nil && strings.Contains(out, "led by "+q.name+".") || q == holder && q.n >= votersOf {
+				side[q.n] = true
+			}
+		}
+		all := func(on bool) {
+			for at, l := range w.links {
+				if side[at[0]] != side[at[1]] {
+					l.forth.held.Store(on)
+					l.back.held.Store(on)
+				}
+			}
+		}
+		w.lost("part", holder, 0)
+		all(true)
+		w.sleep(ctx, past+2*leaseSpan)
+		all(false)
+		return err == nil
+	}, true},
 	{"deaf", "a process is heard, and hears nobody", func(w *world, ctx context.Context, p *process) bool {
 		return w.oneWay(ctx, p, past, func(in *flow, on bool) { in.held.Store(on) })
 	}, true},
@@ -110,6 +135,44 @@
 		w.sleep(ctx, past)
 		return w.again(ctx, p, syscall.SIGTERM, brief, nil)
 	}, true},
+	{"late-answers", "who doesn't vote hears answers late, and then a holder among them nothing", func(w *world, ctx context.Context, p *process) bool {
+		late := func(span time.Duration) {
+			for at, l := range w.links {
+				if at[0] >= votersOf {
+					l.back.delay.Store(int64(span))
+				}
+			}
+		}
+		late(lateAnswer)
+		w.sleep(ctx, 2*leaseSpan)
+		struck := w.way(ctx, w.holder(p), past, func(f, b *flow, on bool) { f.held.Store(on); b.held.Store(on) })
+		late(0)
+		return struck
+	}, false},
+	{"amnesia", "a voter is behind, one loses its folder, and the third is down: those two must not agree", func(w *world, ctx context.Context, p *process) bool {
+		behind, gone := w.processes[(p.n+1)%votersOf], w.processes[(p.n+2)%votersOf]
+		cut := func(on bool) {
+			for at, l := range w.links {
+				if at[0] == behind.n || at[1] == behind.n {
+					l.forth.held.Store(on)
+					l.back.held.Store(on)
+				}
+			}
+		}
+		cut(true)
+		w.sleep(ctx, past+leaseSpan) // the others go on, and agree on some entries
+		w.touch(gone, 8*time.Second)
+		w.touch(p, 8*time.Second)
+		p.end(syscall.SIGKILL)
+		_ = os.RemoveAll(p.folder)
+		gone.end(syscall.SIGKILL)
+		_, _, err := p.start()
+		cut(false)
+		w.sleep(ctx, past+2*leaseSpan) // room for what must not happen
+		_, _, again := gone.start()
+		w.sleep(ctx, leaseSpan)
+		return err == nil && again == nil && w.replaced(ctx, p)
+	}, true},
 	{"upgrade", "a node is replaced by its next process on the passed socket", func(w *world, ctx context.Context, p *process) bool {
 		p = w.holder(p)
 		before, ended, err := p.start()
@@ -128,25 +191,43 @@
 	}, false},
 }
 
+// The kinds that reign over a whole run: how the clocks go.
+var clocks = []fault{
+	{name: "clock-bound", what: "clocks up to a fifth off, as the configuration allows; with cuts of the holder"},
+	{name: "clock-beyond", what: "clocks of unlike rate far beyond the bound; with kills and stops of the holder"},
+}
+
 // FaultKinds tells them by name, in order.
 func FaultKinds() (all [][2]string) {
-	for _, k := range kinds {
+	for _, k := range slices.Concat(kinds, clocks) {
 		all = append(all, [2]string{k.name, k.what})
 	}
-	return append(all, [2]string{"clock-beyond", "clocks of unlike rate far beyond the bound, all the run; with kills"})
+	return all
+}
+
+func kindOf(name string) (fault, bool) {
+	i := slices.IndexFunc(kinds, func(k fault) bool { return k.name == name })
+	if i < 0 {
+		return fault{}, false
+	}
+	return kinds[i], true
 }
 
-// script strikes one fault after another, each healed before the next.
+// script strikes one fault after another, each healed before the next. Over the seeds the kinds come in turn, so that some
+// runs have them all; whom they strike, and when, is chance.
 func (w *world) script(ctx context.Context) {
-	for range faultsRun {
-		k := kinds[w.rnd.IntN(len(kinds))]
-		at := w.rnd.IntN(w.plan.Processes)
-		if i := slices.IndexFunc(kinds, func(k fault) bool { return k.name == w.plan.Only }); i >= 0 {
-			k = kinds[i]
+	for i := range faultsRun {
+		k := kinds[(int(w.plan.Seed)*faultsRun+i)%len(kinds)]
+		if only, is := kindOf(w.plan.Only); is {
+			k = only
 		}
-		if w.plan.Only == "clock-beyond" {
-			k = kinds[w.rnd.IntN(2)]
+		switch w.plan.Only {
+		case "clock-bound":
+			k, _ = kindOf("cut")
+		case "clock-beyond":
+			k, _ = kindOf([]string{"kill-holder", "stop-before-act", "cut"}[w.rnd.IntN(3)])
 		}
+		at := w.rnd.IntN(w.plan.Processes)
 		if k.voter {
 			at %= votersOf
 		}
@@ -158,8 +239,8 @@
 		}
 		w.sleep(ctx, brief+time.Duration(w.rnd.Int64N(int64(brief))))
 	}
-	if w.plan.Only == "clock-beyond" {
-		w.struck[w.plan.Only]++
+	if w.plan.Only != "" && len(w.struck) > 0 {
+		w.struck[w.plan.Only] = max(1, w.struck[w.plan.Only])
 	}
 }
 
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -31,8 +31,9 @@
 const (
 	votersOf  = 3
 	leaseSpan = 600 * time.Millisecond
-	delaySpan = 15 * time.Millisecond
+	delaySpan = 20 * time.Millisecond
 	driftMost = 0.01
+	driftWide = 0.2 // the widest bound that a configuration takes
 	upWithin  = 15 * time.Second
 	warmSpan  = 500 * time.Millisecond
 	coolSpan  = 1200 * time.Millisecond // after the last fault: two leases
@@ -91,8 +92,13 @@
 	for n := range w.plan.Processes {
 		p := &process{w: w, n: n, name: fmt.Sprint("n", n), ip: w.ip(n + 1), config: filepath.Join(w.folder, fmt.Sprintf("n%d.json", n)),
 			points: filepath.Join(w.folder, fmt.Sprintf("points%d", n)), rate: 1 + (2*w.rnd.Float64()-1)*driftMost*0.9}
-		if w.plan.Only == "clock-beyond" && n%2 == 1 {
-			p.rate = 0.6 // its lease lasts far longer than it thinks
+		drift := driftMost
+		switch w.plan.Only {
+		case "clock-bound":
+			drift = driftWide
+			p.rate = []float64{1 + driftWide*0.95, 1 - driftWide*0.95}[min(1, n/votersOf)] // those who lead are fast, some that hold slow
+		case "clock-beyond":
+			p.rate = []float64{0.6, 1}[n%2] // the lease of a slow one lasts far longer than it thinks
 		}
 		if err := os.Mkdir(p.points, 0o700); err != nil {
 			return err
@@ -110,7 +116,7 @@
 			routes[target] = at
 		}
 		fleet := map[string]any{"name": "trial", "address": fmt.Sprintf("%s:%d", p.ip, fleetPort), "voters": voters, "routes": routes,
-			"lease_ms": leaseSpan.Milliseconds(), "delay_ms": delaySpan.Milliseconds(), "drift": driftMost,
+			"lease_ms": leaseSpan.Milliseconds(), "delay_ms": delaySpan.Milliseconds(), "drift": drift,
 			"tasks": []string{"trial", "roll-up"}, "roll_up_ms": 1000}
 		if n < votersOf {
 			p.folder = filepath.Join(w.folder, fmt.Sprintf("voter%d", n))
