--- a/cmd/thistlerudder/emulate.go
+++ b/cmd/thistlerudder/emulate.go
@@ -99,6 +99,10 @@
 			if after > 0 {
 				fmt.Fprintf(table, "\t%.2f", s.FetchRatio(after, span))
 			}
+			if s.Sick.Silent > 0 {
+				shots, trials, longest, mean := s.AtSilent()
+				fmt.Fprintf(table, "\tat a silent cache %.2f shots/s, %.2f trials/s, back with all after %.2f s, mean %.2f s", shots, trials, longest, mean)
+			}
 			fmt.Fprintln(table)
 			if err := s.Write(&points); err != nil {
 				return err
--- a/internal/emulator/experiment.go
+++ b/internal/emulator/experiment.go
@@ -68,6 +68,7 @@
 	Keep      int     `toml:"keep"` // values that a cache holds; the one used longest ago goes
 	ColdShare float64 `toml:"cold_share"`
 	WarmUp    Span    `toml:"warm_up"`
+	Probe     bool    `toml:"probe"` // one node tries resting caches for all, and the others hear of it
 }
 
 // Network is the way between any two, and how news spreads.
@@ -114,6 +115,8 @@
 	"slow":    func(e Event) string { return either(atLeast("caches", e.Caches, 1), lasting(e)) },
 	"demand":  lasting,
 	"shift":   func(Event) string { return "" },
+	"silent":  func(e Event) string { return either(atLeast("caches", e.Caches, 1), forSome(e)) },
+	"unled":   forSome,
 }
 
 func atLeast(key string, n, least int) string {
@@ -124,10 +127,14 @@
 }
 
 func lasting(e Event) string {
-	switch {
-	case e.Factor <= 0:
+	if e.Factor <= 0 {
 		return fmt.Sprintf("factor: expected a number above 0, not %g", e.Factor)
-	case e.For.Duration <= 0:
+	}
+	return forSome(e)
+}
+
+func forSome(e Event) string {
+	if e.For.Duration <= 0 {
 		return "for: expected a time above 0"
 	}
 	return ""
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -85,6 +85,9 @@
 func (n *node) Shoot(lkp, to int, timeout logic.Time) {
 	w, l := n.w, n.lookups[lkp]
 	s := &shot{server: w.servers[to]}
+	if r, is := n.policy.(rester); is && s.server.silent && r.Rests(to) {
+		w.sick.Own++
+	}
 	w.check.shot(n, l, s)
 	number := len(l.shots)
 	l.shots = append(l.shots, s)
--- a/internal/emulator/series.go
+++ b/internal/emulator/series.go
@@ -29,6 +29,7 @@
 	Offered            int
 	Broken             map[string]int // rules, and how often
 	Faults             []string
+	Sick               sick
 	Busiest            float64 // shots at the busiest cache that was there all the time, over the mean of those
 
 	times  *hdrhistogram.Histogram // of resolved requests, in ticks
@@ -83,6 +84,16 @@
 	return float64(s.sum().Fetches) / float64(max(1, len(s.Points)-1))
 }
 
+// AtSilent is what each silent cache got in a second, shots and trials (nodes' own and the fleet's), and the longest and
+// the mean time from its return until a node that rested it used it again.
+func (s *Series) AtSilent() (shots, trials, longest, mean float64) {
+	for _, t := range s.Sick.Back {
+		longest, mean = max(longest, t), mean+t/float64(len(s.Sick.Back))
+	}
+	per := max(1, s.Sick.Silent)
+	return float64(s.Sick.Shots) / per, float64(s.Sick.Own+s.Sick.Trials) / per, longest, mean
+}
+
 // Share is the part of all requests that were answered in time.
 func (s *Series) Share() float64 {
 	return float64(s.sum().InTime) / float64(max(1, s.Offered))
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -39,6 +39,8 @@
 	arrivals []logic.Time // of late, for the checker
 	jobs     int
 	begun    int
+	silent   bool    // it hears nothing, and is listed as before
+	unheard  int     // shots that came meanwhile
 	worked   float64 // in ticks of slots
 }
 
@@ -60,6 +62,8 @@
 func (s *server) take(j job) {
 	s.jobs++
 	switch {
+	case s.silent:
+		s.unheard++
 	case s.box.State == logic.Gone:
 		j.done(logic.Unconnected)
 	case s.box.State == logic.Draining:
--- /dev/null
+++ b/internal/emulator/sick.go
@@ -0,0 +1,118 @@
+package emulator
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/thistlerudder/thistlerudder/lease"
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+const (
+	tellEvery = 500 * logic.Millisecond // as the nodes on sockets do
+	dueEvery  = 50 * logic.Millisecond
+	trialIn   = 500 * logic.Millisecond
+)
+
+// sick is what was seen of caches that fell silent.
+type sick struct {
+	Silent float64    // seconds of silence, all caches together
+	Shots  int        // lookups' shots that silent caches got,
+	Own    int        // those of them with which a node tried a cache that rested there,
+	Trials int        // and the fleet's trials
+	Back   []float64  // seconds from a cache's return until each node that rested it used it again
+	unled  logic.Time // until when the fleet is silent
+}
+
+// rester is a policy that lets servers rest, and hears of others' trials.
+type rester interface {
+	Rests(server int) bool
+	Tried(now logic.Time, server int, well bool, next logic.Time)
+}
+
+// silence lets caches hear nothing for a while, and looks when the nodes use them again.
+func (w *world) silence(some []*server, span logic.Time) {
+	for _, s := range some {
+		s.silent = true
+		before := s.unheard
+		w.clock.in(span, func() {
+			s.silent = false
+			w.sick.Silent += float64(span) / float64(second)
+			w.sick.Shots += s.unheard - before
+			back := w.clock.now
+			var rest []*node
+			for _, n := range w.nodes {
+				if r, is := n.policy.(rester); is && r.Rests(s.box.Server) {
+					rest = append(rest, n)
+				}
+			}
+			w.until(func() bool {
+				rest = slices.DeleteFunc(rest, func(n *node) bool {
+					used := !n.policy.(rester).Rests(s.box.Server)
+					if used {
+						w.sick.Back = append(w.sick.Back, float64(w.clock.now-back)/float64(second))
+					}
+					return used
+				})
+				return len(rest) == 0 || w.clock.now >= origo+w.e.Length.ticks()
+			})
+		})
+	}
+}
+
+// until looks again and again.
+func (w *world) until(done func() bool) {
+	w.clock.in(dueEvery, func() {
+		if !done() {
+			w.until(done)
+		}
+	})
+}
+
+// probe lets one node try resting caches for all, by the board that a fleet's leader keeps.
+func (w *world) probe() {
+	board := lease.NewBoard()
+	way := w.e.Network.OneWay.ticks()
+	led := func() bool {
+		if w.clock.now < w.sick.unled {
+			board = lease.NewBoard() // the next leader begins with nothing
+			return false
+		}
+		return true
+	}
+	for i := range w.nodes {
+		var tell func()
+		tell = func() {
+			n := w.nodes[i] // another after a restart
+			if r, is := n.policy.(rester); is && led() {
+				for _, server := range slices.Sorted(maps.Keys(n.known)) {
+					if n.known[server].State != logic.Ready || !r.Rests(server) {
+						continue
+					}
+					if news, known := board.Rest(lease.Time(w.clock.now), n.known[server].ID, ""); known {
+						w.clock.in(2*way, func() { r.Tried(w.clock.now, server, news.Well, w.clock.now+logic.Time(news.Next)) })
+					}
+				}
+			}
+			w.clock.in(tellEvery, tell)
+		}
+		w.clock.in(logic.Time(float64(tellEvery)*float64(i)/float64(len(w.nodes))), tell)
+	}
+	var try func()
+	try = func() {
+		if led() {
+			for _, t := range board.Due(lease.Time(w.clock.now), 1) {
+				at := slices.IndexFunc(w.servers, func(s *server) bool { return s.box.ID == t.ID })
+				s, on := w.servers[at], board
+				if s.silent {
+					w.sick.Trials++
+					w.clock.in(trialIn, func() { on.Result(lease.Time(w.clock.now), 1, t.ID, false) })
+				} else {
+					w.clock.in(2*way, func() { on.Result(lease.Time(w.clock.now), 1, t.ID, s.box.State == logic.Ready) })
+				}
+			}
+		}
+		w.clock.in(dueEvery, try)
+	}
+	try()
+}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -34,6 +34,7 @@
 	zipf   *rand.Zipf
 	seeds  *rand.Rand
 	made   int // caches so far
+	sick   sick
 }
 
 const second = 1000 * logic.Millisecond
@@ -64,6 +65,9 @@
 	for _, ev := range e.Events {
 		w.clock.in(ev.At.ticks(), func() { w.happens(ev) })
 	}
+	if e.Fleet.Probe {
+		w.probe()
+	}
 	w.arrive()
 	w.tick()
 	w.clock.run(origo + e.Length.ticks())
@@ -71,6 +75,7 @@
 	w.demand = 0 // what is out ends
 	w.clock.run(w.clock.now + logic.Time(e.Demand.Tries)*(e.Demand.Limit.ticks()+3*e.Demand.Target.ticks()) + second)
 	w.check.close()
+	w.series.Sick = w.sick
 	w.series.Broken, w.series.Faults = w.check.broken, w.check.faults
 	return w.series
 }
@@ -190,6 +195,10 @@
 			// The old process answers what it has; the new one knows the list and nothing else.
 			w.nodes[i] = w.newNode(i, w.seed())
 		}
+	case "silent":
+		w.silence(w.caches(logic.Ready, ev.Caches), ev.For.ticks())
+	case "unled":
+		w.sick.unled = max(w.sick.unled, w.clock.now+ev.For.ticks())
 	case "shift":
 		w.offset += w.e.Demand.Keys / 2
 	}
--- a/internal/net/exchange/exchange_test.go
+++ b/internal/net/exchange/exchange_test.go
@@ -497,3 +497,36 @@
 		t.Error("nobody is there to take it")
 	}
 }
+
+// What the fleet tells of a server reaches the module, by id and address; of another address, or none listed, it doesn't.
+func TestTheFleetsTrials(t *testing.T) {
+	f := &fleet{}
+	x := start(t, f)
+	for range 40 { // each range's cache breaks a connection
+		take(t, x, Lookup{Namespace: "read", Key: fmt.Sprint(traces.Load())}, time.Second)
+		if s := f.take(0); s != nil {
+			s.Settle(Unreached, Answer{})
+		}
+	}
+	resting := x.Resting()
+	if len(resting) == 0 || resting["a"] != "" && resting["a"] != "a:1" {
+		t.Fatalf("%v rest", resting)
+	}
+	for id, address := range resting {
+		x.Tried(id, "elsewhere:1", true, 0)
+		x.Tried("unknown", address, true, 0)
+		x.Tried(id, address, true, 0)
+	}
+	if len(x.Resting()) != len(resting) {
+		t.Error("news alone ends no rest: a lookup of our own has to")
+	}
+	for n := 0; len(x.Resting()) > 0; n++ {
+		if n > 200 {
+			t.Fatalf("%v rest after good news and %d lookups", x.Resting(), n)
+		}
+		take(t, x, Lookup{Namespace: "read", Key: fmt.Sprint(traces.Load())}, time.Second)
+		if s := f.take(0); s != nil {
+			s.Settle(Whole, Answer{Outcome: Resolved})
+		}
+	}
+}
--- a/internal/net/fellows/fellows.go
+++ b/internal/net/fellows/fellows.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,10 @@
 type Own interface {
 	// Figures gives totals by name.
 	Figures() map[string]int64
+	// Resting gives the addresses of servers that rest after failures, by id.
+	Resting() map[string]string
+	// Tried tells how the fleet's trial of one went, and within which time of the next one.
+	Tried(id, address string, well bool, next time.Duration)
 }
 
 // Fellows is this process's part in its fleet.
@@ -136,6 +141,9 @@
 
 // work claims the node's own name, and with it the tasks.
 func (f *Fellows) work(ctx context.Context) {
+	if slices.Contains(f.fleet.Tasks, terms.TaskProbe) {
+		f.tasks.Go(func() { f.hear(ctx) })
+	}
 	f.tasks.Go(func() {
 		f.client.Keep(ctx, session(f.fleet.Node), func(ctx context.Context, g *Grip) bool {
 			if err := g.Do(session(f.fleet.Node), g.Token(), []byte(f.fleet.Address)); err != nil {
--- /dev/null
+++ b/internal/net/fellows/fellows_test.go
@@ -0,0 +1,350 @@
+package fellows
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+	"github.com/thistlerudder/thistlerudder/lease"
+)
+
+type figures map[string]int64
+
+func (f figures) Figures() map[string]int64               { return f }
+func (figures) Resting() map[string]string                { return nil }
+func (figures) Tried(string, string, bool, time.Duration) {}
+
+// fleetOf gives the papers of three voters and more nodes.
+func fleetOf(t testing.TB, nodes int) (all []*terms.Fleet) {
+	t.Helper()
+	var voters []terms.Voter
+	for i := range nodes {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := &terms.Fleet{Name: "f", Node: fmt.Sprint("n", i), Address: l.Addr().String(), Lease: 800 * time.Millisecond,
+			Drift: 0.01, Delay: 40 * time.Millisecond, RollUp: time.Second}
+		_ = l.Close()
+		if i < 3 {
+			f.Folder = filepath.Join(t.TempDir(), "v")
+			voters = append(voters, terms.Voter{Name: f.Node, Address: f.Address})
+		}
+		all = append(all, f)
+	}
+	for _, f := range all {
+		f.Voters = voters
+	}
+	return all
+}
+
+// founded starts them, and founds the fleet.
+func founded(t testing.TB, all []*terms.Fleet) (nodes []*Fellows) {
+	t.Helper()
+	for _, f := range all {
+		n := Start(f, figures{"resolved": 1}, zap.NewNop())
+		nodes = append(nodes, n)
+		t.Cleanup(sync.OnceFunc(n.Close))
+	}
+	c := NewClient(all[0], zap.NewNop())
+	t.Cleanup(c.Close)
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		if err := c.Found(0); err == nil {
+			return nodes
+		} else if time.Now().After(end) {
+			t.Fatal(err)
+		}
+	}
+}
+
+func eventually(t testing.TB, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !is(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// Claimants on all nodes count under one lease: never two at once, each with a token of its own.
+func TestOneHoldsAtATime(t *testing.T) {
+	nodes := founded(t, fleetOf(t, 5))
+	var in, done atomic.Int32
+	var mu sync.Mutex
+	tokens := map[uint64]bool{}
+	ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
+	defer stop()
+	var all sync.WaitGroup
+	for _, n := range nodes {
+		all.Go(func() {
+			n.client.Keep(ctx, "count", func(_ context.Context, g *Grip) bool {
+				if in.Add(1) != 1 {
+					t.Error("two at once")
+				}
+				mu.Lock()
+				if tokens[g.Token()] {
+					t.Errorf("token %d twice", g.Token())
+				}
+				tokens[g.Token()] = true
+				mu.Unlock()
+				if err := g.Do("count", g.Token(), nil); err != nil {
+					t.Error(err)
+				}
+				if err := g.Do("count", g.Token(), nil); !errors.Is(err, lease.ErrRepeated) {
+					t.Errorf("the same again: %v", err)
+				}
+				in.Add(-1)
+				return done.Add(1) < 40
+			})
+			stop()
+		})
+	}
+	all.Wait()
+	if done.Load() < 40 {
+		t.Errorf("held %d times", done.Load())
+	}
+}
+
+// A folder that is of another, or damaged, is named with what was expected, and nothing in it changes.
+func TestFoldersThatCantBeUsed(t *testing.T) {
+	for want, spoil := range map[string]func(folder string) error{
+		`is of node "x" in fleet "f", not of node "n0" in fleet "f"`: func(folder string) error {
+			_, err := openPaper(folder, "f", "x")
+			return err
+		},
+		`is of node "n0" in fleet "g", not of node "n0" in fleet "f"`: func(folder string) error {
+			_, err := openPaper(folder, "g", "n0")
+			return err
+		},
+		"voter.json is missing beside log.db": func(folder string) error {
+			return errors.Join(os.MkdirAll(folder, 0o700), os.WriteFile(filepath.Join(folder, logFile), []byte("x"), 0o600))
+		},
+		"expected fleet, node and id": func(folder string) error {
+			return errors.Join(os.MkdirAll(folder, 0o700), os.WriteFile(filepath.Join(folder, paperFile), []byte("{}"), 0o600))
+		},
+		"log.db is damaged": func(folder string) error {
+			_, err := openPaper(folder, "f", "n0")
+			return errors.Join(err, os.WriteFile(filepath.Join(folder, logFile), make([]byte, 5000), 0o600))
+		},
+		"expected a folder that can be written": func(folder string) error {
+			return os.WriteFile(folder, nil, 0o600)
+		},
+	} {
+		f := fleetOf(t, 3)[0]
+		if err := spoil(f.Folder); err != nil {
+			t.Fatal(err)
+		}
+		before, _ := os.ReadFile(filepath.Join(f.Folder, paperFile))
+		n := Start(f, figures{}, zap.NewNop())
+		eventually(t, want, func() bool { return strings.Contains(n.status().Broken, want) || n.id() != "" })
+		s := n.status()
+		n.Close()
+		if after, _ := os.ReadFile(filepath.Join(f.Folder, paperFile)); s.Voter || string(after) != string(before) {
+			t.Errorf("%s: %+v, and the paper was %q, is %q", want, s, before, after)
+		}
+	}
+}
+
+// A log that was cut at any of many places is either read whole or refused; the process lives either way.
+func TestALogCutShort(t *testing.T) {
+	nodes := founded(t, fleetOf(t, 3))
+	eventually(t, "no leader", func() bool { s, err := nodes[0].client.Status(); return err == nil && len(s.Leases) == 3 })
+	path := filepath.Join(nodes[0].fleet.Folder, logFile)
+	for _, n := range nodes {
+		n.Close()
+	}
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := 0
+	for cut := 0; cut < len(whole); cut += 997 {
+		short := filepath.Join(t.TempDir(), "log")
+		if err := os.WriteFile(short, whole[:cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if look(short) != nil {
+			refused++
+		}
+	}
+	if err := look(path); err != nil || refused < 10 {
+		t.Errorf("the whole log: %v; %d cut ones refused", err, refused)
+	}
+}
+
+// First contact: who is of another fleet, or means a voter that was, is turned away with the reason.
+func TestWhoIsTurnedAway(t *testing.T) {
+	all := fleetOf(t, 3)
+	founded(t, all)
+	for want, d := range map[string]struct{ fleet, purpose, to string }{
+		`fleet.name: this is "f", not "g"`:        {"g", forAsks, ""},
+		"what it was has gone with its folder":    {"f", forVotes, "n0.00000000"},
+		"expected a connection for votes or asks": {"f", "tea", ""},
+	} {
+		_, err := dialer{d.fleet, "x", nil}.dial(all[0].Address, d.purpose, d.to, time.Second)
+		if !errors.Is(err, errRefused) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v: want %s", err, want)
+		}
+	}
+	c := NewClient(all[0], zap.NewNop())
+	if err := c.Found(0); !errors.Is(err, lease.ErrBegun) {
+		t.Errorf("founded again: %v", err)
+	}
+	for want, x := range map[string]Change{"is no voter": {Remove: "n9"}, "is a voter already": {Add: "n1", Address: all[1].Address}} {
+		if _, err := c.Change(x); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%+v: %v, want %s", x, err, want)
+		}
+	}
+}
+
+// Two nodes under one name: the second takes no part until the first has gone.
+func TestTwoNodesOfOneName(t *testing.T) {
+	all := fleetOf(t, 5)
+	all[4].Node = all[3].Node
+	nodes := founded(t, all)
+	holder := func() (h lease.Holder) {
+		s, _ := nodes[0].client.Status()
+		for _, l := range s.Leases {
+			if l.Name == session(all[3].Node) {
+				h = l.Holder
+			}
+		}
+		return h
+	}
+	eventually(t, "nobody has the name", func() bool { return holder().Name != "" })
+	was := holder()
+	time.Sleep(2 * all[0].Lease)
+	if holder() != was {
+		t.Error("both had it in turn")
+	}
+	nodes[3].Close()
+	nodes[4].Close()
+	eventually(t, "it is not given back", func() bool { return holder().Name == "" })
+}
+
+// A voter whose files can't grow ends as a voter; its node goes on, and the others agree without it.
+func TestAFolderThatIsFull(t *testing.T) {
+	nodes := founded(t, fleetOf(t, 3))
+	eventually(t, "no leader", func() bool { s, err := nodes[0].client.Status(); return err == nil && len(s.Leases) == 3 })
+	nodes[0].voter().once.broken(syscall.EFBIG)
+	eventually(t, "it votes on", func() bool { return strings.Contains(nodes[0].status().Broken, "file too large") })
+	eventually(t, "the others don't agree", func() bool {
+		s, err := nodes[1].client.Status()
+		return err == nil && s.Leads && s.Node != nodes[0].fleet.Node
+	})
+}
+
+// sufferer is a node at which one server rests until it hears that it is well.
+type sufferer struct {
+	figures
+	address string
+	bad     atomic.Int32
+	well    atomic.Bool
+}
+
+func (s *sufferer) Resting() map[string]string { return map[string]string{"c": s.address} }
+func (s *sufferer) Tried(id, address string, well bool, next time.Duration) {
+	if id == "c" && address == s.address && next > 0 {
+		if well {
+			s.well.Store(true)
+		} else {
+			s.bad.Add(1)
+		}
+	}
+}
+
+// A server fails, and all nodes rest it: one of them tries it for all, the others hear of it, and of its return.
+func TestOneProbesForAll(t *testing.T) {
+	var hits atomic.Int32
+	var up atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if hits.Add(1); !up.Load() || r.URL.Path != "/up" {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	}))
+	defer server.Close()
+	all := fleetOf(t, 5)
+	var own []*sufferer
+	var nodes []*Fellows
+	for _, f := range all {
+		f.Tasks, f.Probe = []string{terms.TaskProbe}, "/up"
+		s := &sufferer{address: server.Listener.Addr().String()}
+		own, nodes = append(own, s), append(nodes, Start(f, s, zap.NewNop()))
+	}
+	defer func() {
+		for _, n := range nodes {
+			n.Close()
+		}
+	}()
+	c := NewClient(all[0], zap.NewNop())
+	defer c.Close()
+	eventually(t, "not founded", func() bool { return c.Found(0) == nil })
+	heard := func(of func(s *sufferer) bool) func() bool {
+		return func() bool { return !slices.ContainsFunc(own, func(s *sufferer) bool { return !of(s) }) }
+	}
+	eventually(t, "not all hear that it is bad", heard(func(s *sufferer) bool { return s.bad.Load() > 0 }))
+	up.Store(true)
+	tried := hits.Load()
+	eventually(t, "not all hear that it is well", heard(func(s *sufferer) bool { return s.well.Load() }))
+	if tried > 10 {
+		t.Errorf("%d trials of one server", tried)
+	}
+}
+
+// BenchmarkRenewals has 300 holders at three voters in one process, each with a connection, and counts renewals.
+func BenchmarkRenewals(b *testing.B) {
+	all := fleetOf(b, 3)
+	nodes := founded(b, all)
+	eventually(b, "no leader", func() bool { s, err := nodes[0].client.Status(); return err == nil && len(s.Leases) == 3 })
+	before, _ := nodes[0].client.Status()
+	const holders = 300
+	var asks [holders]lease.Ask
+	var clients [holders]*Client
+	for i := range asks {
+		clients[i] = NewClient(all[0], zap.NewNop())
+		h := lease.Holder{Name: fmt.Sprint("h", i), Process: i}
+		x, err := clients[i].ask(lease.Ask{Kind: lease.Acquire, Name: h.Name, Holder: h})
+		if err != nil || x.Err != nil {
+			b.Fatal(err, x.Err)
+		}
+		asks[i] = lease.Ask{Kind: lease.Renew, Name: h.Name, Holder: h, Token: x.Token}
+	}
+	var used [2]syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &used[0])
+	var next atomic.Int64
+	b.ResetTimer()
+	began := time.Now()
+	var all2 sync.WaitGroup
+	for i := range asks {
+		all2.Go(func() {
+			for next.Add(1) <= int64(b.N) {
+				if x, err := clients[i].ask(asks[i]); err != nil || x.Err != nil {
+					b.Error(err, x.Err)
+					return
+				}
+			}
+		})
+	}
+	all2.Wait()
+	took := time.Since(began)
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &used[1])
+	b.ReportMetric(float64(b.N)/took.Seconds(), "renewals/s")
+	b.ReportMetric(float64(used[1].Utime.Nano()+used[1].Stime.Nano()-used[0].Utime.Nano()-used[0].Stime.Nano())/float64(b.N)/1e3, "cpu-µs/renewal")
+	after, _ := nodes[0].client.Status()
+	b.ReportMetric(float64(after.Entries-before.Entries-holders), "entries")
+}
--- a/internal/net/fellows/tasks.go
+++ b/internal/net/fellows/tasks.go
@@ -23,6 +23,8 @@
 	switch name {
 	case terms.TaskRollUp:
 		return f.rollUp
+	case terms.TaskProbe:
+		return f.probe
 	case terms.TaskTrial:
 		return f.trial()
 	}
--- a/internal/net/fellows/voter.go
+++ b/internal/net/fellows/voter.go
@@ -41,6 +41,7 @@
 	mu      sync.Mutex
 	state   *lease.State
 	keeper  *lease.Keeper
+	board   *lease.Board
 	alarm   alarm
 	waits   map[uint64]chan lease.Answer
 	ids     uint64
@@ -62,7 +63,7 @@
 	if err := look(path); err != nil {
 		return nil, err
 	}
-	v := &Voter{log: log, fleet: f, paper: p, state: lease.NewState(), waits: map[uint64]chan lease.Answer{},
+	v := &Voter{log: log, fleet: f, paper: p, state: lease.NewState(), board: lease.NewBoard(), waits: map[uint64]chan lease.Answer{},
 		changed: make(chan struct{}), stop: make(chan struct{})}
 	v.alarm = newAlarm(v.ring)
 	v.once.end = v.end
@@ -174,6 +175,7 @@
 		}
 		if err == nil && r.Err == nil {
 			v.keeper.Led(now(), r.Reign)
+			v.board = lease.NewBoard()
 			v.log.Info("leads the fleet", zap.Uint64("reign", r.Reign))
 			v.mu.Unlock()
 			return
--- a/internal/net/node/operated.go
+++ b/internal/net/node/operated.go
@@ -69,11 +69,11 @@
 }
 
 // fleetSide is what the fleet's tasks need of this node.
-type fleetSide struct{ exchange *exchange.Exchange }
+type fleetSide struct{ *exchange.Exchange }
 
 // Figures gives the totals of all namespaces.
 func (s fleetSide) Figures() map[string]int64 {
-	f := s.exchange.Figures()
+	f := s.Exchange.Figures()
 	all := map[string]int64{"shots": f.Written.Load(), "open": f.Open.Load()}
 	for _, name := range f.Namespaces() {
 		ends := f.Of(name)
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -117,7 +117,7 @@
 		}
 		fleet := map[string]any{"name": "trial", "address": fmt.Sprintf("%s:%d", p.ip, fleetPort), "voters": voters, "routes": routes,
 			"lease_ms": leaseSpan.Milliseconds(), "delay_ms": delaySpan.Milliseconds(), "drift": drift,
-			"tasks": []string{"trial", "roll-up"}, "roll_up_ms": 1000}
+			"tasks": []string{"trial", "roll-up", "probe"}, "roll_up_ms": 1000}
 		if n < votersOf {
 			p.folder = filepath.Join(w.folder, fmt.Sprintf("voter%d", n))
 			fleet["folder"] = p.folder
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -2,8 +2,8 @@
 
 // This file holds every decision of a balancer node. New makes one Balancer per node from the terms (a plain
 // map of names to values) and a Host to act through; host.go has Host and the plain types. Then the caller
-// reports each thing that happens by calling one method: Lookup, Sent, Settled, Left, List or Alarm, each with
-// the clock. Methods act by calling the Host before they return. It is laid out to be read in order: the rules,
+// reports each thing that happens by calling one method: Lookup, Sent, Settled, Tried, Left, List or Alarm,
+// with the clock. Methods act by calling the Host before they return. It is laid out to be read in order: the rules,
 // the line and its ranges, the walk, the origin, what happens. docs/design.md says where all this comes from.
 
 import (
@@ -125,8 +125,8 @@
 	}
 	for _, t := range term(terms, "partners", []map[string]any(nil)) {
 		rate := term(t, "lookups a second", math.Inf(1)) / b.nodes
-		room := rate + shareLeast
-		b.partners = append(b.partners, partner{rate: rate, room: room, most: room, at: now})
+		most := rate + shareLeast
+		b.partners = append(b.partners, partner{rate: rate, room: most, most: most, at: now})
 	}
 	host.Wake(now+Time(b.draw()*float64(askSpread)), listHandle)
 	return b
@@ -394,7 +394,8 @@
 		return
 	}
 	if q, out := b.fetches[l.key]; out && !l.Write && l.key != 0 {
-		b.wait(lkp, q)
+		l.waiting, b.fetches[l.key] = true, append(q, lkp) // until the other's fetch has ended
+		b.host.Wake(l.giveUp, lkp+1)
 		return
 	}
 	to := -1
@@ -440,14 +441,6 @@
 	return best
 }
 
-// wait holds a lookup while another of its key is at the origin.
-func (b *Balancer) wait(lkp int, q []int) {
-	l := &b.lookups[lkp]
-	l.waiting = true
-	b.fetches[l.key] = append(q, lkp)
-	b.host.Wake(l.giveUp, lkp+1)
-}
-
 // release lets those who waited for this lookup's fetch go on.
 func (b *Balancer) release(lkp int) {
 	l := &b.lookups[lkp]
@@ -607,6 +600,15 @@
 // Rests tells that a server is a suspect, and gets a trial at the most.
 func (b *Balancer) Rests(server int) bool { return b.servers[server].rest > 0 }
 
+// Tried tells how another node's trial of a server went, and until when to wait for its next.
+func (b *Balancer) Tried(now Time, server int, well bool, next Time) {
+	if s := b.servers[server]; well {
+		s.restEnd = min(s.restEnd, now)
+	} else if s.rest > 0 {
+		s.restEnd = max(s.restEnd, min(next, now+suspectMost)) // no word from outside holds for long
+	}
+}
+
 // Alarm comes at or after a time asked for with Wake; a stale one does nothing.
 func (b *Balancer) Alarm(now Time, handle int) {
 	b.clock(now)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -490,6 +490,36 @@
 	}
 }
 
+// Another node tries a suspect for all: bad news prolongs its rest, for a bounded time, and good news ends it, so that one
+// lookup of our own tries it. What doesn't rest here is not touched.
+func TestAnothersTrialOfASuspect(t *testing.T) {
+	const bad, good, forever = 2000 * Millisecond, 0, 1 << 40
+	for _, c := range []struct {
+		what  string
+		rests bool
+		next  Time // good: it went well
+		after Time
+		want  int
+	}{{"in silence its own rest counts", true, -1, suspectLeast, 0}, {"bad news", true, bad, bad - 1, 1},
+		{"after bad news, and silence since", true, bad, bad, 0}, {"bad news for ever", true, forever, suspectMost, 0},
+		{"good news", true, good, 1, 0}, {"bad news of a sound one", false, bad, 1, 0}} {
+		f := newFake(1, 2)
+		k := key(f.b, 0)
+		if c.rests {
+			lkp, _ := f.ask(0, k, false, f.now+5000)
+			f.settle(lkp, 0, Broken)
+		}
+		if c.next >= 0 {
+			f.b.Tried(f.now, 0, c.next == good, f.now+c.next)
+		}
+		f.now += c.after
+		f.b.servers[1].inFlight = 0
+		if _, cl := f.ask(0, k, false, f.now+5000); cl.shots[0].server != c.want {
+			t.Errorf("%s: shot at %d, want %d", c.what, cl.shots[0].server, c.want)
+		}
+	}
+}
+
 // One fetch a key: the second lookup waits for the first one's and then asks the cache again.
 // Shots come by chance: where four are in flight in the mean, six often are, and a room of four would defer a third.
 func TestARoomHasTheRootForChance(t *testing.T) {
