Show by a round of our own that a leader leads, since the library's counts early answers

Seen: hashicorp/raft's VerifyLeader is taken as a round begun after the asking. Checked in its source (v1.7.3, replication.go): heartbeat calls AppendEntries, and on its return notifyAll counts for all that wait then, also for who began to wait while the call was out (lines 412 and 437). A leader that was stopped finds such answers in its queues on waking, beside renewals that were sent while another led already; by then the other's count of a full lease may have begun before the asking. Ruled out as cover: its own lease time-out, since lastContact is set on reading the answer.

Change: internal/net/fellows/round.go asks the voters for the latest term in which each may have voted; a majority of words at or below ours shows that no later leader began before the round. Measured: go test ./internal/net/fellows; a word of a later term or of another voter doesn't count.

--- a/internal/net/fellows/client.go
+++ b/internal/net/fellows/client.go
@@ -209,6 +209,11 @@
 	return s, c.Leader("Fleet.Status", &struct{}{}, &s, c.within())
 }
 
+// Watch waits for a change after a revision of the log, half a minute at most, and tells how the fleet is then.
+func (c *Client) Watch(after uint64) (s Status, err error) {
+	return s, c.Leader("Fleet.Watch", &after, &s, watchMost+c.within())
+}
+
 // Found begins a fleet with the voters of the configuration. It changes nothing where one of them can't be reached, or has
 // been in a fleet.
 func (c *Client) Found(after uint64) error {
--- a/internal/net/fellows/fellows_test.go
+++ b/internal/net/fellows/fellows_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/rpc"
+	"net/rpc/jsonrpc"
 	"os"
 	"path/filepath"
 	"slices"
@@ -17,6 +19,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/raft"
 	"go.uber.org/zap"
 
 	"github.com/thistlerudder/thistlerudder/internal/terms"
@@ -306,6 +309,65 @@
 	}
 }
 
+// termed is a voter that tells a word of the test's own.
+type termed struct{ word Word }
+
+func (x *termed) Term(_ *struct{}, w *Word) error {
+	*w = x.word
+	return nil
+}
+
+// A round counts who is the voter that is meant and has voted in no later term; with the leader two of three are enough.
+func TestARoundToAMajority(t *testing.T) {
+	nodes := founded(t, fleetOf(t, 3))
+	var v *Voter
+	eventually(t, "no leader", func() bool {
+		for _, n := range nodes {
+			if x := n.voter(); x != nil && x.raft.State() == raft.Leader {
+				v = x
+			}
+		}
+		return v != nil && len(v.raft.GetConfiguration().Configuration().Servers) == 3
+	})
+	if !v.round() {
+		t.Error("the leader is not confirmed")
+	}
+	for _, c := range []struct {
+		what      string
+		otherID   bool
+		later     [2]uint64
+		confirmed bool
+	}{{"both follow", false, [2]uint64{0, 0}, true}, {"one has voted since", false, [2]uint64{1, 0}, true},
+		{"both have voted since", false, [2]uint64{1, 1}, false}, {"both are other voters", true, [2]uint64{0, 0}, false}} {
+		i := 0
+		v.peers.mu.Lock()
+		for _, s := range v.raft.GetConfiguration().Configuration().Servers {
+			if string(s.ID) == v.paper.ID {
+				continue
+			}
+			w := termed{Word{string(s.ID), v.raft.CurrentTerm() + c.later[i]}}
+			if c.otherID {
+				w.word.ID += "x"
+			}
+			i++
+			here, there := net.Pipe()
+			x := rpc.NewServer()
+			if err := x.RegisterName("Fleet", &w); err != nil {
+				t.Fatal(err)
+			}
+			go x.ServeCodec(jsonrpc.NewServerCodec(there))
+			if before := v.peers.conns[s.ID]; before != nil {
+				_ = before.Close()
+			}
+			v.peers.conns[s.ID] = jsonrpc.NewClient(here)
+		}
+		v.peers.mu.Unlock()
+		if got := v.round(); got != c.confirmed {
+			t.Errorf("%s: %v", c.what, got)
+		}
+	}
+}
+
 // BenchmarkRenewals has 300 holders at three voters in one process, each with a connection, and counts renewals.
 func BenchmarkRenewals(b *testing.B) {
 	all := fleetOf(b, 3)
@@ -348,3 +410,48 @@
 	after, _ := nodes[0].client.Status()
 	b.ReportMetric(float64(after.Entries-before.Entries-holders), "entries")
 }
+
+// BenchmarkRecovery starts a voter on a folder with 16 MB in its log, until it leads by itself again.
+func BenchmarkRecovery(b *testing.B) {
+	f := fleetOf(b, 3)[0]
+	p, err := openPaper(f.Folder, f.Name, f.Node)
+	if err != nil {
+		b.Fatal(err)
+	}
+	start := func() (*Voter, *porch) {
+		l, err := net.Listen("tcp", f.Address)
+		if err != nil {
+			b.Fatal(err)
+		}
+		porch := newPorch(l, f.Name, time.Second, func() string { return p.ID }, nil)
+		go porch.serve()
+		v, err := startVoter(f, p, layer{porch, dialer{f.Name, f.Node, nil}, f.Address}, zap.NewNop())
+		if err != nil {
+			b.Fatal(err)
+		}
+		return v, porch
+	}
+	v, porch := start()
+	alone := raft.Configuration{Servers: []raft.Server{{ID: raft.ServerID(p.ID), Address: addressOf(p.ID, f.Address)}}}
+	if err := v.raft.BootstrapCluster(alone).Error(); err != nil {
+		b.Fatal(err)
+	}
+	eventually(b, "no leader", func() bool { return v.raft.State() == raft.Leader })
+	_, _ = v.apply(lease.Entry{Kind: lease.Found, Name: "f"})
+	_, _ = v.apply(lease.Entry{Kind: lease.Grant, Name: "big"})
+	for i := range 4000 {
+		_, _ = v.apply(lease.Entry{Kind: lease.Act, Name: "big", Token: 1, Fact: "big", Number: uint64(i + 1), Value: make([]byte, 3<<10)})
+	}
+	for b.Loop() {
+		v.end(nil)
+		porch.close()
+		v, porch = start()
+		for !func() bool { v.mu.Lock(); defer v.mu.Unlock(); return v.keeper.Leads() }() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	i, _ := os.Stat(filepath.Join(f.Folder, logFile))
+	b.ReportMetric(float64(i.Size())/(1<<20), "MB")
+	v.end(nil)
+	porch.close()
+}
--- /dev/null
+++ b/internal/net/fellows/round.go
@@ -0,0 +1,129 @@
+package fellows
+
+import (
+	"net/rpc"
+	"net/rpc/jsonrpc"
+	"sync"
+
+	"github.com/hashicorp/raft"
+
+	"github.com/thistlerudder/thistlerudder/lease"
+)
+
+// A round shows that this voter led at some moment after the round began: a majority, itself included, tells that it has
+// voted in no later term. Whoever leads later needs the vote of one of them, which comes after its word here, so that one
+// begins later than the round. The library's VerifyLeader doesn't show that: it counts the answer to a heartbeat that was
+// on its way already (replication.go, heartbeat: notifyAll after AppendEntries returns), and a leader that was stopped and
+// wakes finds such answers in its queues beside askings that came in between.
+
+// Word is what a voter tells in a round.
+type Word struct {
+	ID   string
+	Term uint64
+}
+
+// Term tells the latest term in which this voter has voted, or may have.
+func (l *line) Term(_ *struct{}, w *Word) error {
+	v := l.f.voter()
+	if v == nil {
+		return lease.ErrNotLeader
+	}
+	v.mu.Lock()
+	ended := v.ended != nil
+	v.mu.Unlock()
+	if ended {
+		return lease.ErrNotLeader
+	}
+	*w = Word{v.paper.ID, v.raft.CurrentTerm()}
+	return nil
+}
+
+// peers keeps a connection to each other voter.
+type peers struct {
+	mu    sync.Mutex
+	conns map[raft.ServerID]*rpc.Client
+}
+
+func (v *Voter) peer(s raft.Server) (*rpc.Client, error) {
+	v.peers.mu.Lock()
+	c := v.peers.conns[s.ID]
+	v.peers.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	address, id := partsOf(s.Address)
+	n, err := v.dialer.dial(address, forAsks, id, v.within)
+	if err != nil {
+		return nil, err
+	}
+	c = jsonrpc.NewClient(n)
+	v.peers.mu.Lock()
+	defer v.peers.mu.Unlock()
+	if v.peers.conns == nil {
+		_ = c.Close()
+		return nil, lease.ErrNotLeader
+	}
+	if other := v.peers.conns[s.ID]; other != nil {
+		_ = c.Close()
+		return other, nil
+	}
+	v.peers.conns[s.ID] = c
+	return c, nil
+}
+
+func (v *Voter) part(id raft.ServerID, c *rpc.Client) {
+	_ = c.Close()
+	v.peers.mu.Lock()
+	defer v.peers.mu.Unlock()
+	if v.peers.conns[id] == c {
+		delete(v.peers.conns, id)
+	}
+}
+
+// leave closes the connections for good.
+func (p *peers) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		_ = c.Close()
+	}
+	p.conns = nil
+}
+
+// round asks a majority, and says whether it shows that we lead.
+func (v *Voter) round() bool {
+	term := v.raft.CurrentTerm() // before the state: the library gives the state up before it takes a later term
+	if v.raft.State() != raft.Leader {
+		return false
+	}
+	servers := v.raft.GetConfiguration().Configuration().Servers
+	words := make(chan bool, len(servers))
+	have, need, out := 0, len(servers)/2+1, 0
+	for _, s := range servers {
+		if string(s.ID) == v.paper.ID {
+			have++
+			continue
+		}
+		out++
+		go func() {
+			c, err := v.peer(s)
+			if err != nil {
+				words <- false
+				return
+			}
+			var w Word
+			if err := call(c, "Fleet.Term", &struct{}{}, &w, v.within); err != nil {
+				v.part(s.ID, c)
+				words <- false
+				return
+			}
+			words <- w.ID == string(s.ID) && w.Term <= term
+		}()
+	}
+	for ; out > 0 && have < need; out-- {
+		if <-words {
+			have++
+		}
+	}
+	return have >= need
+}
--- a/internal/net/fellows/service.go
+++ b/internal/net/fellows/service.go
@@ -308,3 +308,20 @@
 	}
 	return s
 }
+
+// Figures gives what operators see of the fleet from here.
+func (f *Fellows) Figures() map[string]any {
+	s := f.status()
+	mine := 0
+	for _, l := range s.Leases {
+		if l.Holder.Name == f.fleet.Node {
+			mine++
+		}
+	}
+	flag := map[bool]int{true: 1}
+	all := map[string]any{"voter": flag[s.Voter], "view_ms": s.ViewMs, "leader": s.At}
+	if s.Voter {
+		all["leads"], all["reign"], all["tokens"], all["leases"], all["held"] = flag[s.Leads], s.Reign, s.Tokens, len(s.Leases), mine
+	}
+	return all
+}
--- a/internal/net/fellows/voter.go
+++ b/internal/net/fellows/voter.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/rpc"
 	"path/filepath"
 	"runtime"
 	"sync"
@@ -37,6 +38,9 @@
 	raft  *raft.Raft
 	logs  *raftbolt.BoltStore
 	trans *raft.NetworkTransport
+	dialer
+	within time.Duration // for a call and its answer
+	peers  peers
 
 	mu      sync.Mutex
 	state   *lease.State
@@ -64,7 +68,8 @@
 		return nil, err
 	}
 	v := &Voter{log: log, fleet: f, paper: p, state: lease.NewState(), board: lease.NewBoard(), waits: map[uint64]chan lease.Answer{},
-		changed: make(chan struct{}), stop: make(chan struct{})}
+		changed: make(chan struct{}), stop: make(chan struct{}), dialer: l.dialer, within: slowTimes * f.Delay,
+		peers: peers{conns: map[raft.ServerID]*rpc.Client{}}}
 	v.alarm = newAlarm(v.ring)
 	v.once.end = v.end
 	long := lease.Long(tenths(f.Lease), f.Drift)
@@ -132,6 +137,7 @@
 	_ = v.raft.Shutdown().Error()
 	_ = v.trans.Close()
 	_ = v.logs.Close()
+	v.peers.leave()
 }
 
 // close ends it with its node; a leader hands on first, so that nobody has to wait for its silence to be noticed.
@@ -298,15 +304,12 @@
 	nth := h.leads
 	go func() {
 		faults.Point(faults.OnRenewal)
-		err := error(nil)
-		if !faults.Without(faults.Confirmation) {
-			err = h.raft.VerifyLeader().Error()
-		}
+		led := faults.Without(faults.Confirmation) || h.round()
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.rounds++
 		if h.leads == nth {
-			h.keeper.Confirmed(now(), round, err == nil)
+			h.keeper.Confirmed(now(), round, led)
 		}
 	}()
 }
--- a/internal/net/fellows/wire.go
+++ b/internal/net/fellows/wire.go
@@ -153,7 +153,7 @@
 		w.Refused = fmt.Sprintf("fleet.name: this is %q, not %q", p.fleet, h.Fleet)
 	case h.For == forVotes && id == "":
 		w.Refused = "no voter: fleet.folder is empty or can't be used"
-	case h.For == forVotes && h.To != id && !faults.Without(faults.Vote):
+	case (h.For == forVotes || h.To != "") && h.To != id && !faults.Without(faults.Vote):
 		// A voter that has lost its folder may have forgotten a vote: it is another one, which no member was told of.
 		w.Refused = fmt.Sprintf("this voter is %s, not %s: what it was has gone with its folder", id, h.To)
 	case h.For != forVotes && h.For != forAsks:
