--- a/cmd/thistlerudder/fleet.go
+++ b/cmd/thistlerudder/fleet.go
@@ -88,7 +88,7 @@
 	c := &cobra.Command{Use: "lease", Short: "See and release leases, and run a job on one machine of the fleet at a time"}
 	list := &cobra.Command{Use: "list", Short: "Say who holds what", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return told(cmd, *file, func(s fellows.Status) error {
+			return told(cmd, *file, false, func(s fellows.Status) error {
 				w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
 				fmt.Fprintln(w, "lease\tholder\ttoken\tleft\twaiting")
 				for _, l := range s.Leases {
@@ -97,25 +97,32 @@
 				return w.Flush()
 			})
 		}}
-	show := &cobra.Command{Use: "show NAME", Short: "Say all that is known of one", Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			return told(cmd, *file, func(s fellows.Status) error {
-				at := slices.IndexFunc(s.Leases, func(l fellows.Held) bool { return l.Name == args[0] })
-				if at < 0 {
-					cmd.Printf("%s is free\n", args[0])
-				} else {
-					l := s.Leases[at]
-					cmd.Printf("%s is held by %s with token %d, for %v yet; %d wait\n", l.Name, l.Holder, l.Token,
-						time.Duration(l.LeftMs)*time.Millisecond, l.Waiting)
-				}
-				for _, name := range slices.Sorted(maps.Keys(s.Facts)) {
-					if f := s.Facts[name]; name == args[0] || len(name) > len(args[0]) && name[:len(args[0])+1] == args[0]+"/" {
-						cmd.Printf("fact %s: number %d, by token %d, %d bytes\n", name, f.Number, f.Token, len(f.Value))
-					}
-				}
+	show := &cobra.Command{Use: "show NAME", Short: "Say all that is known of one", Args: cobra.ExactArgs(1)}
+	watch := show.Flags().Bool("watch", false, "go on, and say it again whenever the holder has changed")
+	show.RunE = func(cmd *cobra.Command, args []string) error {
+		line := ""
+		return told(cmd, *file, *watch, func(s fellows.Status) error {
+			at := slices.IndexFunc(s.Leases, func(l fellows.Held) bool { return l.Name == args[0] })
+			before := line
+			if line = args[0] + " is free"; at >= 0 {
+				line = fmt.Sprintf("%s is held by %s with token %d", args[0], s.Leases[at].Holder, s.Leases[at].Token)
+			}
+			if line == before {
 				return nil
-			})
-		}}
+			}
+			if at >= 0 && s.Leases[at].LeftMs >= 0 {
+				cmd.Printf("%s, for %v yet; %d wait\n", line, time.Duration(s.Leases[at].LeftMs)*time.Millisecond, s.Leases[at].Waiting)
+			} else {
+				cmd.Println(line)
+			}
+			for _, name := range slices.Sorted(maps.Keys(s.Facts)) {
+				if f := s.Facts[name]; name == args[0] || len(name) > len(args[0]) && name[:len(args[0])+1] == args[0]+"/" {
+					cmd.Printf("fact %s: number %d, by token %d, %d bytes\n", name, f.Number, f.Token, len(f.Value))
+				}
+			}
+			return nil
+		})
+	}
 	release := &cobra.Command{Use: "release NAME", Args: cobra.ExactArgs(1),
 		Short: "Take a lease from its holder, who may not notice before it acts next",
 		Long: "Take a lease from its holder. Acts inside the fleet are refused from then on, and so is what carries its token to\n" +
@@ -139,15 +146,19 @@
 	return c
 }
 
-func told(cmd *cobra.Command, file string, f func(fellows.Status) error) error {
+// told gives f the fleet's state, and with watch again after each change.
+func told(cmd *cobra.Command, file string, watch bool, f func(fellows.Status) error) error {
 	client, _, err := asked(file)
 	if err != nil {
 		return err
 	}
 	defer client.Close()
 	s, err := client.Status()
-	if err != nil {
-		return err
+	for err == nil {
+		if err = f(s); err != nil || !watch || cmd.Context().Err() != nil {
+			return err
+		}
+		s, err = client.Watch(s.Revision)
 	}
-	return f(s)
+	return err
 }
--- /dev/null
+++ b/cmd/thistlerudder/fleet_test.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/fellows"
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+)
+
+type noFigures struct{}
+
+func (noFigures) Figures() map[string]int64                 { return nil }
+func (noFigures) Resting() map[string]string                { return nil }
+func (noFigures) Tried(string, string, bool, time.Duration) {}
+
+// founded starts three voters in this process, and founds their fleet by the command.
+func founded(t *testing.T) (config string, nodes []*fellows.Fellows) {
+	t.Helper()
+	var voters []map[string]string
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		voters = append(voters, map[string]string{"name": fmt.Sprint("n", i), "address": l.Addr().String()})
+		_ = l.Close()
+	}
+	for i, v := range voters {
+		config = filepath.Join(t.TempDir(), "node.json")
+		text, _ := json.Marshal(map[string]any{"name": v["name"], "fleet": map[string]any{"name": "f", "address": v["address"],
+			"voters": voters, "folder": filepath.Join(t.TempDir(), "v"), "lease_ms": 1000, "delay_ms": 40}})
+		if err := os.WriteFile(config, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		f, err := terms.ReadFleet(config)
+		if err != nil {
+			t.Fatal(i, err)
+		}
+		nodes = append(nodes, fellows.Start(f, noFigures{}, zap.NewNop()))
+		t.Cleanup(nodes[i].Close)
+	}
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		if out, err := run("fleet", "found", "--config", config); err == nil {
+			return config, nodes
+		} else if time.Now().After(end) {
+			t.Fatal(out)
+		}
+	}
+}
+
+// A job under a lease: its token is in its environment, its status is handed on, another has to wait, and it is ended when
+// the lease can't be kept.
+func TestAJobUnderALease(t *testing.T) {
+	config, nodes := founded(t)
+	job := func(ctx context.Context, args ...string) *exec.Cmd {
+		c := exec.CommandContext(ctx, os.Args[0], append([]string{"lease", "run", "--config", config}, args...)...)
+		c.Env = append(os.Environ(), asProgram+"=1", "GORACE=atexit_sleep_ms=0")
+		c.Stderr = os.Stderr
+		return c
+	}
+	ctx, stop := context.WithTimeout(t.Context(), 30*time.Second)
+	defer stop()
+	for _, c := range []struct {
+		script string
+		want   int
+	}{{"test -n \"$THISTLERUDDER_TOKEN\" -a \"$THISTLERUDDER_LEASE\" = job", 0}, {"exit 7", 7}, {"kill -9 $$", exitSignal + 9}} {
+		x := job(ctx, "job", "--", "sh", "-c", c.script)
+		if _ = x.Run(); x.ProcessState.ExitCode() != c.want {
+			t.Errorf("%s: status %d, want %d", c.script, x.ProcessState.ExitCode(), c.want)
+		}
+	}
+	held := job(ctx, "job", "--", "sh", "-c", "echo has it; exec sleep 20")
+	out, err := held.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := held.Start(); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = out.Read(make([]byte, 10))
+	if said, err := run("lease", "list", "--config", config); err != nil || !strings.Contains(said, "job ") {
+		t.Errorf("%v: %s", err, said)
+	}
+	if said, err := run("lease", "show", "job", "--config", config); err != nil || !strings.Contains(said, "job is held by n2") {
+		t.Errorf("%v: %s", err, said)
+	}
+	late := job(ctx, "job", "--wait", "300ms", "--", "true")
+	if _ = late.Run(); late.ProcessState.ExitCode() != exitNotHad {
+		t.Errorf("status %d while another has it, want %d", late.ProcessState.ExitCode(), exitNotHad)
+	}
+	if said, err := run("lease", "release", "job", "--token", "1", "--config", config); err == nil {
+		t.Errorf("released with an old token: %s", said)
+	}
+	nodes[0].Close()
+	nodes[1].Close() // no majority is left
+	began := time.Now()
+	if _ = held.Wait(); held.ProcessState.ExitCode() != exitLost || time.Since(began) > 5*time.Second {
+		t.Errorf("status %d after %v without a majority, want %d", held.ProcessState.ExitCode(), time.Since(began), exitLost)
+	}
+}
+
+// The example under deploy/ is sound.
+func TestTheExampleOfAFleet(t *testing.T) {
+	if out, err := run("check", "--config", "../../deploy/fleet-node.json"); err != nil || !strings.Contains(out, "n1 listens on") {
+		t.Errorf("%v: %s", err, out)
+	}
+}
--- a/cmd/thistlerudder/trial_on.go
+++ b/cmd/thistlerudder/trial_on.go
@@ -26,10 +26,36 @@
 // ofTheRig gives the rig's commands.
 func ofTheRig() []*cobra.Command {
 	c := &cobra.Command{Use: "trial", Short: "Play processes under faults, and judge them"}
-	c.AddCommand(trialLeases())
+	c.AddCommand(trialLeases(), trialMeasure())
 	return []*cobra.Command{c}
 }
 
+// trialMeasure tells what a fleet in peace costs.
+func trialMeasure() *cobra.Command {
+	c := &cobra.Command{Use: "measure", Args: cobra.NoArgs, Short: "Say what a fleet in peace costs its nodes"}
+	processes := c.Flags().Int("processes", 6, "how many, 3 of them voters, the last without a fleet")
+	span := c.Flags().Duration("for", 20*time.Second, "how long")
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		program, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		m, err := rig.Measure(ctx, rig.Plan{Program: program, Processes: max(4, *processes), Seed: 1}, *span)
+		if err != nil {
+			return err
+		}
+		cmd.Printf("%d lookups in turn; with a fleet %v, without %v; a voter's folder grows by %d KB an hour\n", m.Lookups, m.With, m.Without,
+			m.GrowthAnHour>>10)
+		for _, name := range slices.Sorted(maps.Keys(m.CPU)) {
+			cmd.Printf("%s: %.1f%% of a core\n", name, 100*m.CPU[name])
+		}
+		return nil
+	}
+	return c
+}
+
 const (
 	coresEach = 2 // for a run of five processes; more at once make them late
 	triesMost = 3 // for a run that was void
@@ -44,6 +70,7 @@
 	keep := c.Flags().String("keep", "", "a folder for the histories of runs that failed")
 	list := c.Flags().Bool("list", false, "name the faults and the safeguards")
 	jobs := c.Flags().Int("jobs", 0, "runs at once; 0: by the cores")
+	first := c.Flags().Bool("first", false, "end at the first run that breaks a rule")
 	c.RunE = func(cmd *cobra.Command, _ []string) error {
 		kinds := rig.FaultKinds()
 		if *list {
@@ -74,7 +101,7 @@
 		ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 		defer stop()
 		return trial(ctx, cmd, rig.Plan{Program: program, Processes: *processes, Without: *without, Only: *only, Keep: *keep},
-			from, to, *jobs)
+			from, to, *jobs, *first)
 	}
 	return c
 }
@@ -92,7 +119,9 @@
 	return from, to, nil
 }
 
-func trial(ctx context.Context, cmd *cobra.Command, plan rig.Plan, from, to uint64, jobs int) error {
+func trial(ctx context.Context, cmd *cobra.Command, plan rig.Plan, from, to uint64, jobs int, first bool) error {
+	ctx, enough := context.WithCancel(ctx)
+	defer enough()
 	if jobs <= 0 {
 		jobs = max(1, unixCores()*5/(coresEach*plan.Processes))
 	}
@@ -148,6 +177,9 @@
 				void++
 				cmd.PrintErrf("seed %d: void: %s\n", seed, r.Void)
 			}
+			if r.Unserved > 0 {
+				cmd.PrintErrf("seed %d: %d lookups were not served; the first: %s\n", seed, r.Unserved, r.Why)
+			}
 			if what != "" {
 				again := fmt.Sprintf("thistlerudder trial leases --seeds %d --processes %d", seed, plan.Processes)
 				for flag, v := range map[string]string{"without": plan.Without, "only": plan.Only} {
@@ -156,6 +188,9 @@
 					}
 				}
 				failed = append(failed, fmt.Sprintf("seed %d: %s\n  again: %s; history: %s", seed, what, again, r.Kept))
+				if first {
+					enough()
+				}
 			}
 			if terminal {
 				cmd.PrintErrf("\r%d of %d runs, %d failed, %d void ", runs, to-from+1, len(failed), void)
@@ -182,10 +217,10 @@
 		"overlaps outside %d (excused %d), worst handing on %v\n", runs, void, len(failed), acts, strings.Join(kinds, ", "), asked, unserved,
 		door, outside, excused, percentile(handings, 100))
 	switch {
-	case ctx.Err() != nil:
-		return fmt.Errorf("ended before all runs were played")
 	case len(failed) > 0:
 		return fmt.Errorf("%d runs broke a rule", len(failed))
+	case ctx.Err() != nil:
+		return fmt.Errorf("ended before all runs were played")
 	case void > 0:
 		return fmt.Errorf("%d runs show nothing: too few cores", void)
 	}
--- a/internal/net/admin/admin.go
+++ b/internal/net/admin/admin.go
@@ -7,9 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -37,6 +39,8 @@
 	// TakeOut takes a server out, and PutBack uses it again. Both have happened when they return nil.
 	TakeOut(id string) error
 	PutBack(id string) error
+	// Fleet gives figures of the node's fleet by name; none where it has none.
+	Fleet() map[string]any
 }
 
 // Admin is the operators' address.
@@ -158,5 +162,9 @@
 	}
 	fmt.Fprintf(&b, "relayed=%d\nopen_requests=%d\nregistry_entries=%d\nout_of_rotation=%d\n", a.figures.Written.Load(),
 		a.figures.Open.Load(), a.figures.Listed.Load(), a.figures.Avoided.Load())
+	fleet := a.node.Fleet()
+	for _, name := range slices.Sorted(maps.Keys(fleet)) {
+		fmt.Fprintf(&b, "fleet.%s=%v\n", name, fleet[name])
+	}
 	return b.String()
 }
--- a/internal/net/admin/admin_test.go
+++ b/internal/net/admin/admin_test.go
@@ -43,6 +43,7 @@
 	return ErrUnlisted
 }
 
+func (s *stub) Fleet() map[string]any   { return nil }
 func (s *stub) TakeOut(id string) error { return s.order("out", id) }
 func (s *stub) PutBack(id string) error { return s.order("back", id) }
 
--- a/internal/net/node/node.go
+++ b/internal/net/node/node.go
@@ -85,12 +85,19 @@
 	go list.Run(following)
 	go renew(following, signals, s, list, log.Named("renew"))
 	go report(following, x, front, log.Named("report"))
+	var fleet *fellows.Fellows
+	leave := func() {}
+	if s.Fleet != nil {
+		fleet = fellows.Start(s.Fleet, fleetSide{x}, log.Named("fleet"))
+		leave = sync.OnceFunc(fleet.Close)
+	}
+	defer leave() // once, however often it is called; the later call waits for the first
 	if s.Admin != "" {
 		calls, err := net.Listen("tcp", s.Admin)
 		if err != nil {
 			return fmt.Errorf("admin_addr: expected an address to listen on: %w", err)
 		}
-		desk := admin.New(operated{x, front, book}, x.Figures(), l.operators, log.Named("admin"))
+		desk := admin.New(operated{x, front, book, fleet}, x.Figures(), l.operators, log.Named("admin"))
 		defer desk.Close()
 		go desk.Serve(calls)
 		go census(following, x)
@@ -105,11 +112,6 @@
 		carrier.Resize(l.servers)
 		debug.FreeOSMemory() // the others' part of the memory
 	})
-	leave := func() {}
-	if s.Fleet != nil {
-		leave = sync.OnceFunc(fellows.Start(s.Fleet, fleetSide{x}, log.Named("fleet")).Close)
-	}
-	defer leave() // once, however often it is called; the later call waits for the first
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(listener) }()
 	log.Info("serving", zap.String("listen", s.Listen), zap.Int("client descriptors", l.clients),
--- a/internal/net/node/operated.go
+++ b/internal/net/node/operated.go
@@ -11,6 +11,7 @@
 	"github.com/thistlerudder/thistlerudder/internal/net/bans"
 	"github.com/thistlerudder/thistlerudder/internal/net/clients"
 	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
+	"github.com/thistlerudder/thistlerudder/internal/net/fellows"
 )
 
 const (
@@ -37,6 +38,14 @@
 	exchange *exchange.Exchange
 	front    *clients.Clients
 	bans     *bans.Book
+	fleet    *fellows.Fellows // nil: there is none
+}
+
+func (o operated) Fleet() map[string]any {
+	if o.fleet == nil {
+		return nil
+	}
+	return o.fleet.Figures()
 }
 
 func (o operated) Serves() bool { return o.exchange.Ready() && !o.front.Leaving() }
--- a/internal/rig/stands.go
+++ b/internal/rig/stands.go
@@ -108,6 +108,7 @@
 // client asks one node for something, again and again. Whatever becomes of the fleet, a node that runs answers.
 type client struct {
 	asked, served, failed atomic.Int64
+	why                   atomic.Value // of the first that failed
 }
 
 const askEvery = 25 * time.Millisecond
@@ -134,6 +135,11 @@
 			c.served.Add(1)
 		case !excused(from):
 			c.failed.Add(1)
+			what := fmt.Sprint(err)
+			if err == nil {
+				what = resp.Status
+			}
+			c.why.CompareAndSwap(nil, fmt.Sprintf("%s after %v: %s", address, time.Duration(boot()-from).Round(time.Millisecond), what))
 		}
 	}
 }
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -180,3 +180,43 @@
 		t.Errorf("%v %v", s, err)
 	}
 }
+
+// Each key of the fleet's section that is at fault is named, with what was expected; a sound one is read whole.
+func TestTheFleetsSection(t *testing.T) {
+	const section = `"fleet":{"name":"f","address":"127.0.0.1:7100","folder":"/x","lease_ms":2000.0,"drift":0.02,"delay_ms":40.0,
+"voters":[{"name":"n3","address":"127.0.0.1:7100"},{"name":"n4","address":"127.0.0.2:7100"},{"name":"n5","address":"127.0.0.3:7100"}],
+"tasks":["probe","roll-up"],"routes":{"127.0.0.2:7100":"127.0.0.9:1"}},"settings"`
+	with := func(old, new string) (*Station, error) {
+		if !strings.Contains(section, old) {
+			t.Fatalf("no %s in the section", old)
+		}
+		return read(t, `"settings"`, strings.Replace(section, old, new, 1))
+	}
+	s, err := with("", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f := s.Fleet; f.Name != "f" || f.Node != "n3" || f.Lease != 2*time.Second || f.Drift != 0.02 || f.Delay != 40*time.Millisecond ||
+		len(f.Voters) != 3 || f.Voters[2] != (Voter{"n5", "127.0.0.3:7100"}) || len(f.Tasks) != 2 || f.Routes["127.0.0.2:7100"] == "" {
+		t.Errorf("%+v", f)
+	}
+	for want, c := range map[string][2]string{
+		"fleet.name: expected":                              {`"name":"f"`, `"name":"f f"`},
+		"fleet.address: expected an address":                {`"address":"127.0.0.1:7100","folder"`, `"address":"here","folder"`},
+		"fleet.folder: expected a folder":                   {`"folder":"/x",`, ``},
+		"fleet.lease_ms: expected 20 delays":                {`"lease_ms":2000.0`, `"lease_ms":700.0`},
+		"fleet.lease_ms: expected a time":                   {`"lease_ms":2000.0`, `"lease_ms":"2s"`},
+		"fleet.drift: expected a share":                     {`0.02`, `0.3`},
+		"fleet.voters: expected a list of 3 or 5":           {`,{"name":"n5","address":"127.0.0.3:7100"}`, ``},
+		"fleet.voters[1].name: expected another name":       {`"n4"`, `"n3"`},
+		"fleet.voters[1].address: expected another address": {`127.0.0.2:7100"}`, `127.0.0.1:7100"}`},
+		"fleet.voters[0].address: expected \"127":           {`{"name":"n3","address":"127.0.0.1:7100"}`, `{"name":"n3","address":"127.0.0.8:7100"}`},
+		"fleet.voters[2].name: expected a name":             {`"n5"`, `5`},
+		"fleet.tasks: expected a list of probe, roll-up":    {`"roll-up"`, `"tea"`},
+		"fleet.routes: expected addresses":                  {`"127.0.0.9:1"`, `"there"`},
+	} {
+		if _, err := with(c[0], c[1]); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v: want %s", err, want)
+		}
+	}
+}
