Hold trials to lookups that are served and nodes that end in time, and play replacements whole

Seen: trials told of 6 to 13 lookups of 34,000 that nodes which ran did not answer. Ruled out: the node's time limits, the fleet's part in leaving (no process took over 2.5 s to end).

Change: each process has an operators' port of its own, the first is ended when the next says that it serves; an unserved lookup and a node that takes over 2.5 s to end now break a run.

--- a/cmd/thistlerudder/trial_on.go
+++ b/cmd/thistlerudder/trial_on.go
@@ -177,9 +177,6 @@
 				void++
 				cmd.PrintErrf("seed %d: void: %s\n", seed, r.Void)
 			}
-			if r.Unserved > 0 {
-				cmd.PrintErrf("seed %d: %d lookups were not served; the first: %s\n", seed, r.Unserved, r.Why)
-			}
 			if what != "" {
 				again := fmt.Sprintf("thistlerudder trial leases --seeds %d --processes %d", seed, plan.Processes)
 				for flag, v := range map[string]string{"without": plan.Without, "only": plan.Only} {
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -52,7 +53,7 @@
 	c.Env = append(os.Environ(), fmt.Sprintf("THISTLERUDDER_CLOCK_RATE=%g", p.rate), "THISTLERUDDER_POINTS="+p.points,
 		"THISTLERUDDER_WITHOUT="+p.w.plan.Without, "THISTLERUDDER_TRIAL_DOOR="+p.w.door.address,
 		"THISTLERUDDER_TRIAL_RECORD="+filepath.Join(p.w.folder, fmt.Sprintf("%s.%d.record", p.name, p.began)),
-		"BALANCER_PASSED_SOCKET=3", "TMPDIR="+p.w.folder, "GOMAXPROCS=2")
+		fmt.Sprintf("BALANCER_ADMIN_ADDR=%s:%d", p.ip, p.admin()), "BALANCER_PASSED_SOCKET=3", "TMPDIR="+p.w.folder, "GOMAXPROCS=2")
 	c.Stdout, c.Stderr, c.ExtraFiles = log, log, []*os.File{p.socket}
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // not even when the rig itself is killed does one stay
 	if err := c.Start(); err != nil {
@@ -69,6 +70,24 @@
 	return before, ended, nil
 }
 
+// admin is the operators' port of the present process: another one for each, since two serve side by side meanwhile.
+func (p *process) admin() int { return adminPort + p.began%100 }
+
+// serves waits until the present process says that it serves.
+func (p *process) serves() bool {
+	for end := time.Now().Add(endWithin); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		resp, err := http.Get(fmt.Sprintf("http://%s:%d/status", p.ip, p.admin()))
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
 // signal sends one to the present process.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
@@ -86,16 +105,25 @@
 	if c == nil {
 		return
 	}
+	began := time.Now()
 	_ = c.Process.Signal(s)
 	select {
 	case <-ended:
+		p.w.left(p, time.Since(began))
 	case <-time.After(endWithin):
+		p.w.left(p, time.Since(began))
+		_ = c.Process.Signal(syscall.SIGQUIT) // the log then says where it waits
+		time.Sleep(quitWithin)
 		_ = c.Process.Kill()
 		<-ended
 	}
 }
 
-const endWithin = 5 * time.Second
+const (
+	endWithin  = 5 * time.Second
+	quitWithin = 300 * time.Millisecond
+	leaveMost  = 2500 * time.Millisecond // what a node may take to end: its clients' longest limit, and a second and a half
+)
 
 // stand lets the process stand still for a while. A stop at a point is waited for, and doesn't come if nothing passes it.
 func (p *process) stand(point string, span time.Duration) (struck bool) {
--- a/internal/rig/script.go
+++ b/internal/rig/script.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
@@ -177,11 +178,13 @@
 		if err != nil {
 			return false
 		}
-		w.sleep(ctx, brief)
+		w.touch(p, brief) // until it has the list, the next one defers what it takes from the socket of both
+		serves := p.serves()
 		_ = before.Process.Signal(syscall.SIGTERM)
 		select {
 		case <-ended:
-			return true
+			w.sleep(ctx, brief)
+			return serves
 		case <-time.After(endWithin):
 			_ = before.Process.Kill()
 			return false
@@ -232,9 +235,11 @@
 		if ctx.Err() != nil {
 			return
 		}
+		w.log("%s at n%d", k.name, at)
 		if k.of(w, ctx, w.processes[at]) {
 			w.struck[k.name]++
 		}
+		w.log("%s over", k.name)
 		w.sleep(ctx, brief+time.Duration(w.rnd.Int64N(int64(brief))))
 	}
 	if w.plan.Only != "" && len(w.struck) > 0 {
@@ -242,6 +247,16 @@
 	}
 }
 
+// log writes a line of the rig's own, by the boot clock and the wall's, beside the nodes' logs.
+func (w *world) log(format string, args ...any) {
+	f, err := os.OpenFile(filepath.Join(w.folder, "rig.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return
+	}
+	defer f.Close()
+	fmt.Fprintf(f, "%d %s %s\n", boot(), time.Now().UTC().Format("15:04:05.000"), fmt.Sprintf(format, args...))
+}
+
 // holder gives whoever acted last at the door, or the process at hand.
 func (w *world) holder(otherwise *process) *process {
 	who := w.door.holder()
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -57,9 +57,19 @@
 	mu      sync.Mutex
 	pauses  []pause
 	losses  []loss
+	slow    []string      // nodes that took too long to end
 	touched map[int]int64 // until when a process may fail its clients, by number
 }
 
+// left notes how long a node took to end.
+func (w *world) left(p *process, took time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if took > leaveMost {
+		w.slow = append(w.slow, fmt.Sprintf("%s took %v to end", p.name, took.Round(time.Millisecond)))
+	}
+}
+
 func (w *world) note(p pause) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -270,8 +280,10 @@
 	r.Acts, r.Faults, r.Door, r.Outside, r.Excused = v.acts, w.struck, len(v.door)+len(v.order), len(v.outside), v.excused
 	r.Handings, r.Broken = v.handings, v.broken()
 	r.Asked, r.Unserved = c.asked.Load(), c.failed.Load()
-	r.Why, _ = c.why.Load().(string)
-	r.Broken = append(r.Broken, w.inLogs()...)
+	if r.Why, _ = c.why.Load().(string); r.Unserved > 0 {
+		r.Broken = append(r.Broken, fmt.Sprintf("%d lookups were not served by nodes that ran; the first: %s", r.Unserved, r.Why))
+	}
+	r.Broken = append(append(r.Broken, w.slow...), w.inLogs()...)
 	switch {
 	case v.unjudged:
 		r.Void = "the order of its askings could not be looked through in time"
