--- a/internal/rig/script.go
+++ b/internal/rig/script.go
@@ -57,7 +57,7 @@
 		return p.stand("on-renewal", past)
 	}, true},
 	{"cut", "a process and all others hear nothing of each other", func(w *world, ctx context.Context, p *process) bool {
-		return w.way(ctx, w.holder(p), past+leaseSpan, func(f, b *flow, on bool) { f.held.Store(on); b.held.Store(on) })
+		return w.way(ctx, "cut", w.holder(p), past+leaseSpan, func(f, b *flow, on bool) { f.held.Store(on); b.held.Store(on) })
 	}, false},
 	{"part", "the leader, and the holder if it doesn't vote, are cut off from all others", func(w *world, ctx context.Context, p *process) bool {
 		leader, holder := w.leader(ctx, p), w.holder(p)
@@ -73,7 +73,9 @@
 				}
 			}
 		}
-		w.lost("part", holder, 0)
+		if side[holder.n] {
+			w.lost("part", holder, 0)
+		}
 		all(true)
 		w.sleep(ctx, past+2*leaseSpan)
 		all(false)
@@ -83,7 +85,7 @@
 		return w.oneWay(ctx, p, past, func(in *flow, on bool) { in.held.Store(on) })
 	}, true},
 	{"slow", "all ways of a process take ten delays more", func(w *world, ctx context.Context, p *process) bool {
-		return w.way(ctx, p, past, func(f, b *flow, on bool) {
+		return w.way(ctx, "", p, past, func(f, b *flow, on bool) {
 			d := int64(0)
 			if on {
 				d = int64(10 * delaySpan)
@@ -144,7 +146,7 @@
 		}
 		late(lateAnswer)
 		w.sleep(ctx, 2*leaseSpan)
-		struck := w.way(ctx, w.holder(p), past, func(f, b *flow, on bool) { f.held.Store(on); b.held.Store(on) })
+		struck := w.way(ctx, "cut", w.holder(p), past, func(f, b *flow, on bool) { f.held.Store(on); b.held.Store(on) })
 		late(0)
 		return struck
 	}, false},
@@ -326,8 +328,8 @@
 	return false
 }
 
-// way changes all ways of a process for a while.
-func (w *world) way(ctx context.Context, p *process, span time.Duration, f func(forth, back *flow, on bool)) bool {
+// way changes all ways of a process for a while. With a kind it is a loss, if the process holds the lease.
+func (w *world) way(ctx context.Context, kind string, p *process, span time.Duration, f func(forth, back *flow, on bool)) bool {
 	all := func(on bool) {
 		for at, l := range w.links {
 			if at[0] == p.n || at[1] == p.n {
@@ -335,7 +337,9 @@
 			}
 		}
 	}
-	w.lost("cut", p, 0)
+	if kind != "" {
+		w.lost(kind, p, 0)
+	}
 	all(true)
 	w.sleep(ctx, span)
 	all(false)
