--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -139,6 +139,9 @@
 			"settings": map[string]any{"models": []string{"box", "origin"}, "domain": map[string]any{"mode": "aside", "origin-kind": 1},
 				"permissions": map[string]any{"most-shots": 3},
 				"namespaces":  []map[string]any{{"name": "read", "repeat": "safe", "target-time-ms": 400, "time-limit-ms": 900}}}}
+		if w.plan.plain {
+			fleet["tasks"] = []string{"roll-up", "probe"}
+		}
 		if w.plan.plain && n == w.plan.Processes-1 {
 			delete(papers, "fleet")
 		}
