Let a voter end though a way of the library's to another one is stuck

Ruled out: claims and tasks (ended), the node's own leaving (done).

Change: end waits 0.5 s for the library, whose voting goroutine is gone by then, and leaves the rest.

--- a/internal/net/fellows/voter.go
+++ b/internal/net/fellows/voter.go
@@ -27,7 +27,8 @@
 	snapshotAfter = 4096 // entries, some hundred bytes each
 	trailing      = 1024 // entries kept behind a snapshot, for a voter that was away for a moment
 	restartAgain  = 100 * time.Millisecond
-	leadsKept     = 64 // changes of leadership that may wait to be looked at; the library waits beyond
+	downWithin    = 500 * time.Millisecond // for the library to end; a node has its own time to leave
+	leadsKept     = 64                     // changes of leadership that may wait to be looked at; the library waits beyond
 )
 
 // Voter is this process's part in the agreement: the library, the state that it agrees on, and the leader's memory.
@@ -134,9 +135,21 @@
 	v.keeper.Deposed()
 	close(v.stop)
 	v.mu.Unlock()
-	_ = v.raft.Shutdown().Error()
-	_ = v.trans.Close()
-	_ = v.logs.Close()
+	// The library waits for each of its goroutines, and one that has filled its way to a voter that is cut off waits for
+	// that one. Its main goroutine, which votes, ends at once, so what is left over can be left behind.
+	down := make(chan struct{})
+	go func() {
+		_ = v.raft.Shutdown().Error()
+		close(down)
+	}()
+	select {
+	case <-down:
+		_ = v.trans.Close()
+		_ = v.logs.Close()
+	case <-time.After(downWithin):
+		v.log.Warn("a way to another voter is stuck, and left so")
+		_ = v.trans.Close() // not the log: whoever is left reads it yet
+	}
 	v.peers.leave()
 }
 
