--- /dev/null
+++ b/internal/net/node/fleet_test.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+)
+
+// goroutines gives all stacks.
+func goroutines() string {
+	b := make([]byte, 1<<20)
+	return string(b[:runtime.Stack(b, true)])
+}
+
+// Without a fleet section nothing of a fleet runs; with one a node serves and tells figures though no fellow can be
+// reached, and ends in time.
+func TestANodeWithAndWithoutAFleet(t *testing.T) {
+	const fleets = "internal/net/fellows"
+	w := newWorld(t, nil, "a")
+	s := w.station(256)
+	end := run(t, s)
+	if ask(s.Listen, "GET /read/k", "X-Trace-Id: t1", "X-Expires-In: 900m"); strings.Contains(goroutines(), fleets) {
+		t.Error("a fleet's goroutine runs")
+	}
+	if _, page := operator(s.Admin, "GET", "/status/metrics"); strings.Contains(page, "fleet.") {
+		t.Errorf("figures of no fleet:\n%s", page)
+	}
+	end()
+	s = w.station(256)
+	s.Fleet = &terms.Fleet{Name: "f", Node: "n", Address: free(t), Folder: filepath.Join(t.TempDir(), "v"), Lease: time.Second,
+		Drift: 0.01, Delay: 20 * time.Millisecond, Tasks: []string{terms.TaskProbe, terms.TaskRollUp}, RollUp: time.Second,
+		Voters: []terms.Voter{{Name: "n", Address: "127.0.0.1:1"}, {Name: "o", Address: "127.0.0.1:2"}, {Name: "p", Address: "127.0.0.1:3"}}}
+	end = run(t, s)
+	for by := time.Now().Add(5 * time.Second); figure(s.Admin, "fleet.voter") != 1; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatal("its figures don't tell that it may vote")
+		}
+	}
+	if status, body := ask(s.Listen, "GET /read/k", "X-Trace-Id: t2", "X-Expires-In: 900m"); status != 200 || body != "value" {
+		t.Errorf("alone in its fleet: %d %q", status, body)
+	}
+	if _, err := os.Stat(filepath.Join(s.Fleet.Folder, "voter.json")); err != nil {
+		t.Error(err)
+	}
+	end()
+}
