--- a/internal/net/fellows/service.go
+++ b/internal/net/fellows/service.go
@@ -45,23 +45,23 @@
 
 // Status is how the fleet looks from one of its nodes.
 type Status struct {
-	Node, ID     string
-	Voter        bool
-	Broken       string // why it is no voter, though it has a folder
-	Leader       string // name or id, empty: none is known
-	At           string // the leader's address
-	Leads        bool
-	Reign        uint64
-	ViewMs       int64 // since the last entry or word of the leader, -1: never
-	Fleet        string
-	Tokens       uint64
-	Voters       []Member
-	Leases       []Held
-	Facts        map[string]lease.Fact
-	Entries      int // applied, since the start
-	Rounds       int // to a majority, since the start
-	Founded, New bool
-	Revision     uint64 // of the log
+	Node, ID string
+	Voter    bool
+	Broken   string // why it is no voter, though it has a folder
+	Leader   string // name or id, empty: none is known
+	At       string // the leader's address
+	Leads    bool
+	Reign    uint64
+	ViewMs   int64 // since the last entry or word of the leader, -1: never
+	Fleet    string
+	Tokens   uint64
+	Voters   []Member
+	Leases   []Held
+	Facts    map[string]lease.Fact
+	Entries  int // applied, since the start
+	Rounds   int // to a majority, since the start
+	New      bool
+	Revision uint64 // of the log
 }
 
 // Member is a voter, as the members know it.
@@ -295,7 +295,7 @@
 		s.Voter, s.ID, s.Broken = false, "", v.ended.Error()
 	}
 	s.Leads, s.Reign, s.Fleet, s.Tokens = v.keeper.Leads(), v.state.Reign, v.state.Fleet, v.state.Tokens
-	s.Founded, s.Entries, s.Rounds = v.state.Fleet != "", v.entries, v.rounds
+	s.Entries, s.Rounds = v.entries, v.rounds
 	s.Facts = maps.Clone(v.state.Facts)
 	for _, name := range slices.Sorted(maps.Keys(v.state.Leases)) {
 		l := v.state.Leases[name]
