--- /dev/null
+++ b/budget/divider.go
@@ -0,0 +1,542 @@
+package budget
+
+import (
+	"cmp"
+	"errors"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/thistlerudder/thistlerudder/lease"
+)
+
+// Time is the clock that leases are counted by.
+type Time = lease.Time
+
+const (
+	divideEvery  = 20 * lease.Millisecond  // between two divisions: what came meanwhile goes into one entry
+	entriesEach  = 0.05                    // entries of the log that each node may cost a second in the long run,
+	entriesLeast = 0.5                     // however few they are,
+	entriesSaved = 12.0                    // and that may be saved up for when demand moves
+	turnSpan     = 500 * lease.Millisecond // for which a node has a unit, where there are fewer than nodes that want one
+	reservePart  = 20                      // a twentieth of what can be lent waits for nodes that have none,
+	reserveEach  = 2                       // where each could have two units besides
+	asksMost     = 4096                    // askings out at a leader
+	waitMost     = 10000 * lease.Millisecond
+)
+
+// Hold is what a node says of one budget.
+type Hold struct {
+	Budget   string
+	Token    uint64 // of the part that it knows, 0: none
+	Units    int    // of it that it acts on at the most, from before this was sent on
+	Want     int    // all that it could use now
+	Keep     int    // what it was last asked to come down to, -1: nothing
+	Revision uint64 // of the terms that it knows
+}
+
+// Ask is a node's word: what it holds and wants, under the lease of its name. It is answered once there is news.
+type Ask struct {
+	Lease    string
+	Token    uint64
+	Weight   float64 // beside the others', 0: 1
+	Wait     Time
+	Holds    []Hold
+	Declares map[string]lease.Terms // as its own papers have them, where the fleet has none yet
+}
+
+// News is what a node is told of one budget.
+type News struct {
+	Budget string
+	Terms  lease.Terms
+	Part   lease.Part
+	Keep   int // what it is to come down to, as soon as it can; -1: nothing
+}
+
+// Answer is what an asking comes to.
+type Answer struct {
+	News []News
+	Err  error
+}
+
+// Host is all that a Divider can do. None of the methods may block or call back.
+type Host interface {
+	// Propose brings an entry to the log; Applied tells how it went.
+	Propose(ref uint64, e lease.Entry)
+	// Answer ends an asking.
+	Answer(id uint64, a Answer)
+	// Wake asks for Alarm at that time or soon after.
+	Wake(at Time)
+}
+
+// Unsafe takes a safeguard out, to show that the checks would see it.
+type Unsafe struct {
+	Reuse  bool // what is asked back counts as free before its holder has given it
+	Forget bool // a new leader takes all parts to be free
+	Words  bool // an old word about a part counts for the one now
+}
+
+// member is a node in touch.
+type member struct {
+	token  uint64
+	weight float64
+	holds  map[string]Hold
+	keep   map[string]int // what it is to come down to
+	ask    uint64         // its asking, 0: none is out
+	until  Time
+}
+
+// turn is when a node last came to have units of a budget, and last had none left.
+type turn struct {
+	got, lost Time
+	has       bool
+}
+
+// Divider is the leader's memory of what the nodes want. A new leader begins with the parts alone, which are in the State:
+// who hasn't spoken yet keeps what it has. It is not safe for concurrent use.
+type Divider struct {
+	host   Host
+	state  *lease.State
+	unsafe Unsafe
+
+	leads   bool
+	reign   uint64
+	members map[string]*member // by lease
+	turns   map[string]map[string]turn
+	refs    uint64
+	out     map[uint64]lease.Entry // proposals that are out
+	moving  bool                   // one of moves is among them
+	stale   bool                   // something has changed since the last division
+	due     Time                   // of the next one
+	saved   float64                // entries that may be made
+	savedAt Time
+}
+
+// NewDivider makes one that doesn't lead.
+func NewDivider(host Host, state *lease.State, u Unsafe) *Divider {
+	d := &Divider{host: host, state: state, unsafe: u}
+	d.Deposed()
+	return d
+}
+
+// Led tells that this process leads, from an entry of this reign on that is applied.
+func (d *Divider) Led(now Time, reign uint64) {
+	d.Deposed()
+	d.leads, d.reign, d.saved, d.savedAt = true, reign, entriesSaved, now
+	if d.unsafe.Forget {
+		var all []lease.Move
+		for name, b := range d.state.Budgets {
+			for l, p := range b.Parts {
+				all = append(all, lease.Move{Budget: name, Lease: l, Token: d.state.Leases[l].Token, Under: p.Token})
+			}
+		}
+		d.propose(lease.Entry{Kind: lease.Parts, Moves: all})
+	}
+	d.Changed(now)
+}
+
+// Deposed tells that it leads no more, or may not: all that was kept in mind is void.
+func (d *Divider) Deposed() {
+	for _, name := range slices.Sorted(maps.Keys(d.members)) {
+		d.reply(d.members[name], Answer{Err: lease.ErrNotLeader})
+	}
+	d.leads, d.moving, d.stale = false, false, false
+	d.members, d.turns, d.out = map[string]*member{}, map[string]map[string]turn{}, map[uint64]lease.Entry{}
+}
+
+// Leads says whether it leads, as far as it knows.
+func (d *Divider) Leads() bool { return d.leads }
+
+// Wants gives what all nodes in touch want of a budget, and what is being held back for those who have none.
+func (d *Divider) Wants(name string) (want, reserve int) {
+	for _, m := range d.members {
+		want += m.holds[name].Want
+	}
+	if b := d.state.Budgets[name]; b != nil {
+		reserve = reserveOf(b, len(d.leasesOf(b)))
+	}
+	return want, reserve
+}
+
+// Ask takes an asking, under a number above 0 that is not out.
+func (d *Divider) Ask(now Time, id uint64, a Ask) {
+	held, is := d.state.Leases[a.Lease]
+	switch {
+	case !d.leads:
+		d.host.Answer(id, Answer{Err: lease.ErrNotLeader})
+		return
+	case !is || held.Token != a.Token:
+		d.host.Answer(id, Answer{Err: lease.ErrLapsed})
+		return
+	case len(d.members) >= asksMost && d.members[a.Lease] == nil:
+		d.host.Answer(id, Answer{Err: lease.ErrFull})
+		return
+	case a.Weight < 0 || a.Weight > 1e6:
+		d.host.Answer(id, Answer{Err: lease.ErrForm})
+		return
+	}
+	m := d.members[a.Lease]
+	if m == nil || m.token != a.Token {
+		if m != nil {
+			d.reply(m, Answer{Err: lease.ErrWithdrawn})
+		}
+		m = &member{token: a.Token, holds: map[string]Hold{}, keep: map[string]int{}}
+		d.members[a.Lease] = m
+		d.stale = true
+	}
+	d.reply(m, Answer{Err: lease.ErrWithdrawn}) // the same node asks anew
+	m.ask, m.until, m.weight = id, now+min(max(a.Wait, 0), waitMost), cmp.Or(a.Weight, 1)
+	for _, h := range a.Holds {
+		was, known := m.holds[h.Budget]
+		b := d.state.Budgets[h.Budget]
+		d.stale = d.stale || !known || was.Want != h.Want || b != nil && b.Parts[a.Lease].Units > h.Units
+		m.holds[h.Budget] = h
+	}
+	for _, name := range slices.Sorted(maps.Keys(a.Declares)) {
+		t := a.Declares[name]
+		if t.Revision = 0; d.state.Budgets[name] == nil && !d.declares(name) {
+			d.propose(lease.Entry{Kind: lease.Whole, Name: name, Budget: &t})
+		}
+	}
+	d.tell(a.Lease)
+	d.wake(now)
+}
+
+func (d *Divider) declares(name string) bool {
+	for _, e := range d.out {
+		if e.Kind == lease.Whole && e.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Set changes a whole, for an operator; the revision is of what it is to replace.
+func (d *Divider) Set(name string, units int, revision uint64) error {
+	b := d.state.Budgets[name]
+	if b == nil {
+		return errors.New("no such budget: a node's configuration declares it")
+	}
+	t := b.Terms
+	t.Units, t.Revision = units, revision
+	if err := t.Check(); err != nil {
+		return err
+	}
+	if !d.leads {
+		return lease.ErrNotLeader
+	}
+	d.propose(lease.Entry{Kind: lease.Whole, Name: name, Budget: &t})
+	return nil
+}
+
+// Gone tells that the caller of an asking has gone; its node may be there yet.
+func (d *Divider) Gone(id uint64) {
+	for _, m := range d.members {
+		if m.ask == id {
+			m.ask = 0
+		}
+	}
+}
+
+// Changed tells that the State has changed, by whatever entry.
+func (d *Divider) Changed(now Time) {
+	if d.leads {
+		d.stale = true
+		d.wake(now)
+	}
+}
+
+// Applied tells what one of our proposals came to. lost says that it may yet be applied or not.
+func (d *Divider) Applied(now Time, ref uint64, lost bool) {
+	e, ours := d.out[ref]
+	if !ours {
+		return
+	}
+	delete(d.out, ref)
+	if e.Kind == lease.Parts {
+		d.moving = false
+		if lost {
+			d.due = now + divideEvery // whatever became of it, the State tells
+		}
+	}
+	d.stale = true
+	for _, name := range slices.Sorted(maps.Keys(d.members)) {
+		d.tell(name)
+	}
+	d.wake(now)
+}
+
+func (d *Divider) propose(e lease.Entry) {
+	if e.Reign = d.reign; e.Kind == lease.Parts {
+		e.Name, d.moving = "parts", true
+	}
+	e.Version = 2
+	d.refs++
+	d.out[d.refs] = e
+	d.host.Propose(d.refs, e)
+}
+
+func (d *Divider) reply(m *member, a Answer) {
+	if m.ask != 0 {
+		id := m.ask
+		m.ask = 0
+		d.host.Answer(id, a)
+	}
+}
+
+// tell answers a node's asking, if there is news for it.
+func (d *Divider) tell(name string) {
+	m := d.members[name]
+	if m == nil || m.ask == 0 {
+		return
+	}
+	news := false
+	var all []News
+	for _, budget := range slices.Sorted(maps.Keys(m.holds)) {
+		b, h := d.state.Budgets[budget], m.holds[budget]
+		if b == nil {
+			continue
+		}
+		n := News{Budget: budget, Terms: b.Terms, Part: b.Parts[name], Keep: -1}
+		if keep, asked := m.keep[budget]; asked && keep < n.Part.Units {
+			n.Keep = keep
+		}
+		news = news || n.Part.Token > h.Token || n.Keep != h.Keep && n.Part.Token == h.Token || b.Revision != h.Revision
+		all = append(all, n)
+	}
+	if news {
+		d.reply(m, Answer{News: all})
+	}
+}
+
+// Alarm comes at or after a time asked for with Wake.
+func (d *Divider) Alarm(now Time) {
+	if !d.leads {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.members)) {
+		m := d.members[name]
+		if held, is := d.state.Leases[name]; !is || held.Token != m.token {
+			d.reply(m, Answer{Err: lease.ErrLapsed})
+			delete(d.members, name)
+			d.stale = true
+		} else if m.ask != 0 && now >= m.until {
+			d.reply(m, Answer{Err: lease.ErrWait})
+		}
+	}
+	if d.stale && !d.moving && now >= d.due && d.may(now) {
+		d.divide(now)
+	}
+	d.wake(now)
+}
+
+// may says whether another entry may be made: in steady demand there are few, and what moves finds some saved up.
+func (d *Divider) may(now Time) bool {
+	each := max(entriesLeast, entriesEach*float64(len(d.members)))
+	d.saved = min(entriesSaved, d.saved+each*float64(now-d.savedAt)/float64(1000*lease.Millisecond))
+	d.savedAt = now
+	if d.saved < 1 {
+		d.due = now + 1 + Time((1-d.saved)/each*float64(1000*lease.Millisecond))
+	}
+	return d.saved >= 1
+}
+
+func (d *Divider) wake(now Time) {
+	at := Time(math.MaxInt64)
+	if d.stale && !d.moving {
+		at = d.due
+	}
+	for _, m := range d.members {
+		if m.ask != 0 {
+			at = min(at, m.until)
+		}
+	}
+	if at < math.MaxInt64 {
+		d.host.Wake(max(at, now))
+	}
+}
+
+// leasesOf gives the leases of all who have or may have a part of a budget, in order.
+func (d *Divider) leasesOf(b *lease.Budget) []string {
+	all := map[string]bool{}
+	for name := range b.Parts {
+		all[name] = true
+	}
+	for name := range d.members {
+		all[name] = true
+	}
+	return slices.Sorted(maps.Keys(all))
+}
+
+func reserveOf(b *lease.Budget, nodes int) int {
+	if lendable := b.Lendable(); lendable >= reserveEach*nodes+reservePart {
+		return lendable / reservePart
+	}
+	return 0
+}
+
+// divide looks at all budgets, and brings one entry for what has to move.
+func (d *Divider) divide(now Time) {
+	d.stale, d.due = false, now+divideEvery
+	var moves []lease.Move
+	for _, name := range slices.Sorted(maps.Keys(d.state.Budgets)) {
+		moves = append(moves, d.of(now, name, d.state.Budgets[name])...)
+	}
+	if len(moves) > 0 {
+		d.saved--
+		d.propose(lease.Entry{Kind: lease.Parts, Moves: moves})
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.members)) {
+		d.tell(name)
+	}
+}
+
+// of divides one budget: what its nodes have given back is taken off them, what is free is given to who should have
+// more, and who has too much is asked to come down.
+func (d *Divider) of(now Time, name string, b *lease.Budget) (moves []lease.Move) {
+	leases := d.leasesOf(b)
+	claims := make([]claim, len(leases))
+	reserve := reserveOf(b, len(leases))
+	units := b.Lendable() - reserve
+	least := 0
+	if b.Apart == 0 && units >= len(leases) {
+		least = 1
+	}
+	wanting := 0
+	for i, l := range leases {
+		p, m := b.Parts[l], d.members[l]
+		claims[i] = claim{want: p.Units, weight: 1, has: p.Units}
+		if m != nil {
+			h := m.holds[name]
+			claims[i].want, claims[i].weight = max(h.Want-b.Apart, least), m.weight
+			if p.Token != 0 && (h.Token == p.Token || d.unsafe.Words) && h.Units < p.Units {
+				claims[i].has = max(0, h.Units)
+				moves = append(moves, lease.Move{Budget: name, Lease: l, Token: m.token, Under: p.Token, Units: claims[i].has})
+			}
+		}
+		if claims[i].want > 0 {
+			wanting++
+		}
+	}
+	target := d.targets(now, name, units, wanting, leases, claims)
+	free := b.Lendable()
+	for _, c := range claims {
+		free -= c.has
+	}
+	for i, l := range leases {
+		if m := d.members[l]; m != nil {
+			if delete(m.keep, name); target[i] < claims[i].has {
+				m.keep[name] = target[i]
+				if d.unsafe.Reuse {
+					free += claims[i].has - target[i]
+					moves = append(moves, lease.Move{Budget: name, Lease: l, Token: m.token, Under: b.Parts[l].Token, Units: target[i]})
+				}
+			}
+		}
+	}
+	order := make([]int, len(leases))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(x, y int) int {
+		return cmp.Or(cmp.Compare(min(1, claims[x].has), min(1, claims[y].has)), cmp.Compare(claims[x].rank, claims[y].rank))
+	})
+	for _, i := range order { // who has nothing comes first, and may have of the reserve
+		m, c := d.members[leases[i]], claims[i]
+		may := free
+		if c.has > 0 {
+			may -= reserve
+		}
+		more := min(target[i]-c.has, may)
+		if m == nil || more <= 0 || len(moves) > 0 && moves[len(moves)-1].Lease == leases[i] {
+			continue
+		}
+		if given := slices.ContainsFunc(moves, func(x lease.Move) bool { return x.Lease == leases[i] }); given {
+			continue // it has just come down: the next division
+		}
+		free -= more
+		moves = append(moves, lease.Move{Budget: name, Lease: leases[i], Token: m.token, Under: b.Parts[leases[i]].Token, Units: c.has + more})
+	}
+	return moves
+}
+
+// targets says how many units each should have. Where there are fewer than nodes that want one, they go round in turns:
+// who has waited longest comes first, and who has had its turn last.
+func (d *Divider) targets(now Time, name string, units, wanting int, leases []string, claims []claim) []int {
+	turns := d.turns[name]
+	if turns == nil {
+		turns = map[string]turn{}
+		d.turns[name] = turns
+	}
+	for i, l := range leases {
+		t, known := turns[l]
+		has := claims[i].has > 0
+		switch {
+		case has && !t.has:
+			t.got = now
+		case !has && t.has || !known:
+			t.lost = now
+		}
+		t.has = has
+		turns[l] = t
+		claims[i].rank = i
+	}
+	maps.DeleteFunc(turns, func(l string, _ turn) bool { _, there := slices.BinarySearch(leases, l); return !there })
+	if units < wanting {
+		next := Time(math.MaxInt64)
+		order := make([]int, len(leases))
+		for i := range order {
+			order[i] = i
+		}
+		class := func(i int) int {
+			switch t := turns[leases[i]]; {
+			case t.has && now < t.got+turnSpan:
+				next = min(next, t.got+turnSpan)
+				return 0
+			case !t.has:
+				return 1
+			}
+			return 2
+		}
+		slices.SortStableFunc(order, func(x, y int) int {
+			a, b := turns[leases[x]], turns[leases[y]]
+			switch byClass := cmp.Compare(class(x), class(y)); {
+			case byClass != 0:
+				return byClass
+			case a.has:
+				return cmp.Compare(b.got, a.got)
+			}
+			return cmp.Compare(a.lost, b.lost)
+		})
+		for rank, i := range order {
+			claims[i].rank = rank
+		}
+		if next < math.MaxInt64 { // someone's turn ends, and others wait
+			d.stale, d.due = true, max(d.due, next)
+		} else {
+			d.stale, d.due = true, now+turnSpan/2
+		}
+		for i := range claims {
+			claims[i].want = min(claims[i].want, 1)
+		}
+		return shares(units, claims)
+	}
+	base, rest := make([]int, len(claims)), slices.Clone(claims)
+	for i := range rest { // one for all that want some, whatever their weight
+		base[i] = min(1, rest[i].want)
+		rest[i].want -= base[i]
+		units -= base[i]
+	}
+	target := shares(units, rest)
+	for i := range target {
+		target[i] += base[i]
+	}
+	for _, n := range base {
+		units += n
+	}
+	steady(units, claims, target)
+	for i := range target {
+		target[i] = min(target[i], max(claims[i].want, claims[i].has))
+	}
+	return target
+}
--- /dev/null
+++ b/budget/purse.go
@@ -0,0 +1,292 @@
+package budget
+
+import (
+	"errors"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/thistlerudder/thistlerudder/lease"
+)
+
+const (
+	lookEvery  = 100 * lease.Millisecond  // between two looks at what was asked for
+	quickSpan  = 400 * lease.Millisecond  // demand that rises is believed within that,
+	slowSpan   = 2000 * lease.Millisecond // and one that fell once it has been less for that long
+	headPart   = 0.2                      // wanted beyond the mean, since demand isn't even,
+	headLeast  = 0.5                      // and of a unit, so that little demand wants one
+	headChance = 1.5                      // and roots of a mean number at a time
+	stepPart   = 6                        // wants are told in steps of a sixth and one
+	askLeast   = 30 * lease.Millisecond   // between two askings of a node
+	askAgain   = 100 * lease.Millisecond  // after one that came to nothing
+	askWait    = 1000 * lease.Millisecond // how long one may wait for news
+	lendSpan   = 300 * lease.Millisecond  // for which the next process of a node has its half: it asks thrice in that
+)
+
+// Use is what was asked of one bound since the last look.
+type Use struct {
+	Asked float64 // acts that were wanted, done or not
+	Done  float64
+	Out   int     // acts of a number at a time that go on
+	Took  float64 // seconds that one takes in the mean, 0: not known
+}
+
+// Acts is what a Purse acts through. None of the methods may call back.
+type Acts interface {
+	// Set tells how many units may be acted on until a time, and how many after it. It gives what was asked since the last
+	// time. Acts of a number at a time that go on count until they end.
+	Set(name string, t lease.Terms, units, apart int, until Time) Use
+	// Ask sends an asking; Answered or Unanswered tells how it went, if no other was sent since.
+	Ask(a Ask)
+	// Wake asks for Alarm at that time or soon after.
+	Wake(at Time)
+}
+
+// share is a node's side of one budget.
+type share struct {
+	name     string
+	terms    lease.Terms
+	told     bool   // by the fleet, not by our own papers alone
+	token    uint64 // of the part
+	units    int    // that we may begin to act on,
+	held     int    // and that we act on at the most: acts that go on count
+	keep     int    // what we were asked to come down to, -1: nothing
+	want     int
+	mean     float64 // acts wanted a second, lately,
+	took     float64 // and what one takes
+	lessFrom Time    // since when less would do, 0: not
+	lent     int     // of the units, to the next process of this node,
+	lentOf   int     // and of those apart
+	out      int     // acts that go on
+}
+
+// Purse is a node's side, as long as it holds the lease of its name: what it may act on, what it wants, what it gives back.
+// It is not safe for concurrent use.
+type Purse struct {
+	acts   Acts
+	lease  string
+	token  uint64
+	weight float64
+	shares []*share
+
+	end     Time // of the lease
+	looked  Time
+	out     bool
+	asked   Time
+	next    Time // when an asking may follow
+	news    bool // there is something to say
+	lentEnd Time // until when the next process has its half
+	closed  bool
+}
+
+// NewPurse makes one that holds nothing yet. Its terms are those of the node's own papers, by name.
+func NewPurse(acts Acts, now Time, lease string, token uint64, weight float64, terms map[string]lease.Terms, end Time) *Purse {
+	p := &Purse{acts: acts, lease: lease, token: token, weight: weight, end: end, looked: now, news: true, next: now}
+	for _, name := range slices.Sorted(maps.Keys(terms)) {
+		p.shares = append(p.shares, &share{name: name, terms: terms[name], keep: -1})
+	}
+	p.set(now)
+	p.ask(now)
+	return p
+}
+
+// Extend tells until when the lease is held now, as its holder counts it.
+func (p *Purse) Extend(end Time) { p.end = max(p.end, end) }
+
+// set tells the module what holds, and learns what was asked of it.
+func (p *Purse) set(now Time) {
+	span := float64(max(1, now-p.looked)) / float64(1000*lease.Millisecond)
+	p.looked = now
+	for _, s := range p.shares {
+		if now >= p.lentEnd {
+			s.lent, s.lentOf = 0, 0
+		}
+		part, units, apart := s.held, s.units, s.terms.Apart
+		if p.closed {
+			units, apart = 0, 0
+		}
+		own := max(0, units-s.lent)
+		apart = max(0, apart-s.lentOf)
+		u := p.acts.Set(s.name, s.terms, own+apart, apart, p.end)
+		s.out = u.Out
+		if s.held = max(units, s.lent); s.terms.Kind == lease.NumberKind { // it comes down only as what goes on ends
+			s.held = max(s.held, min(part, s.lent+max(0, u.Out-apart)))
+		}
+		if u.Took > 0 {
+			s.took = u.Took
+		}
+		weight := min(1, span/(float64(quickSpan)/float64(1000*lease.Millisecond)))
+		s.mean += (u.Asked/span - s.mean) * weight
+		p.wish(now, s)
+	}
+}
+
+// Lent is what the next process of this node may act on for a while.
+type Lent struct {
+	Name  string
+	Units int
+	Terms lease.Terms
+}
+
+// Lend lets the next process of this node have half of all that isn't in use, for a short time that each call begins anew.
+func (p *Purse) Lend(now Time) (all []Lent, span Time) {
+	if p.closed && now >= p.lentEnd {
+		return nil, 0
+	}
+	if !p.closed {
+		p.lentEnd = min(now+lendSpan, p.end)
+	}
+	for _, s := range p.shares {
+		if !p.closed {
+			idle := s.units + s.terms.Apart
+			if s.terms.Kind == lease.NumberKind {
+				idle -= min(idle, s.out)
+			}
+			s.lentOf = max(s.lentOf, min(s.terms.Apart/2, idle))
+			s.lent = max(s.lent, min(s.units/2, idle-s.lentOf)) // never less while it may be acted on there
+		}
+		all = append(all, Lent{s.name, s.lent + s.lentOf, s.terms})
+	}
+	p.set(now)
+	return all, max(0, p.lentEnd-now)
+}
+
+// wish says how much of a budget could be used.
+func (p *Purse) wish(now Time, s *share) {
+	mean := 0.0
+	if s.terms.Kind == lease.RateKind {
+		mean = s.mean / s.terms.Each
+	} else {
+		mean = s.mean * s.took
+		mean += headChance * math.Sqrt(mean)
+	}
+	want := 0
+	if s.mean > 1e-3 {
+		want = step(int(math.Ceil(mean*(1+headPart) + headLeast)))
+	}
+	want = min(want, s.terms.Units)
+	switch {
+	case want > s.want:
+		s.want, s.lessFrom, p.news = want, 0, true
+	case want == s.want:
+		s.lessFrom = 0
+	case s.lessFrom == 0:
+		s.lessFrom = now
+	case now-s.lessFrom >= slowSpan:
+		s.want, s.lessFrom, p.news = want, 0, true
+	}
+}
+
+// step rounds up to the next of few sizes, so that a want isn't told for each small change.
+func step(n int) int {
+	at := 0
+	for at < n {
+		at += 1 + at/stepPart
+	}
+	return at
+}
+
+// Holds gives what is held now, for who has to say so.
+func (p *Purse) holds() (all []Hold) {
+	for _, s := range p.shares {
+		all = append(all, Hold{s.name, s.token, s.held, s.want, s.keep, s.revision()})
+	}
+	return all
+}
+
+func (s *share) revision() uint64 {
+	if !s.told {
+		return 0
+	}
+	return s.terms.Revision
+}
+
+func (p *Purse) ask(now Time) {
+	declares := map[string]lease.Terms{}
+	for _, s := range p.shares {
+		if !s.told {
+			declares[s.name] = s.terms
+		}
+	}
+	p.out, p.news, p.asked, p.next = true, false, now, now+askLeast
+	p.acts.Ask(Ask{Lease: p.lease, Token: p.token, Weight: p.weight, Wait: askWait, Holds: p.holds(), Declares: declares})
+	p.acts.Wake(p.looked + lookEvery)
+}
+
+// Told gives the names of budgets whose whole the fleet has otherwise than our papers say, as it comes to be known.
+type Told struct {
+	Name        string
+	Ours, Fleet lease.Terms
+}
+
+// Answered tells what came of the asking that was sent last.
+func (p *Purse) Answered(now Time, a Answer) (differ []Told) {
+	p.out = false
+	if a.Err != nil && !errors.Is(a.Err, lease.ErrWait) {
+		p.next = now + askAgain
+	}
+	p.news = true // the next asking waits for what comes after this
+	for _, n := range a.News {
+		at := slices.IndexFunc(p.shares, func(s *share) bool { return s.name == n.Budget })
+		if at < 0 {
+			continue
+		}
+		s := p.shares[at]
+		if !s.told {
+			ours, fleets := s.terms, n.Terms
+			if fleets.Revision = 0; ours != fleets {
+				differ = append(differ, Told{n.Budget, s.terms, n.Terms})
+			}
+		}
+		s.terms, s.told = n.Terms, true
+		if n.Part.Token > s.token { // an earlier one, or the one known, never raises what we came down to
+			s.token, s.units, s.keep = n.Part.Token, n.Part.Units, -1
+		}
+		if s.keep = -1; n.Part.Token == s.token && n.Keep >= 0 && n.Keep < s.units {
+			s.keep, s.units = n.Keep, n.Keep
+		} else if n.Part.Token == s.token && n.Keep >= 0 {
+			s.keep = n.Keep
+		}
+	}
+	p.set(now)
+	p.Alarm(now)
+	return differ
+}
+
+// Unanswered tells that the asking that was sent last came to nothing: nobody knows whether it was heard.
+func (p *Purse) Unanswered(now Time) {
+	p.out, p.news, p.next = false, true, now+askAgain
+	p.acts.Wake(p.next)
+}
+
+// Alarm comes at or after a time asked for with Wake.
+func (p *Purse) Alarm(now Time) {
+	if now >= p.looked+lookEvery {
+		was := p.holds()
+		p.set(now)
+		for i, h := range p.holds() { // acts have ended, so that more can be given back
+			p.news = p.news || h.Units < was[i].Units
+		}
+	}
+	if p.news && now >= p.next {
+		p.ask(now)
+		return
+	}
+	at := p.looked + lookEvery
+	if p.news {
+		at = min(at, p.next)
+	}
+	p.acts.Wake(max(at, now+1))
+}
+
+// Close lets nothing more begin. The parts end with the lease; it may be given back once Idle.
+func (p *Purse) Close(now Time) {
+	p.closed = true
+	p.set(now)
+}
+
+// Idle says whether nothing goes on any more, here or at the process that half of it was lent to.
+func (p *Purse) Idle(now Time) bool {
+	p.set(now)
+	return now >= p.lentEnd && !slices.ContainsFunc(p.shares, func(s *share) bool { return s.out > 0 || s.held > 0 })
+}
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -295,7 +295,7 @@
 }
 
 func (k *Keeper) propose(e Entry, id uint64) {
-	e.Version = version
+	e.Version = versionOf(e.Kind)
 	k.refs++
 	k.out[k.refs] = proposal{e, id}
 	k.host.Propose(k.refs, e)
--- a/lease/state.go
+++ b/lease/state.go
@@ -19,7 +19,8 @@
 const Millisecond Time = 10
 
 const (
-	version    = 1       // of entries and snapshots
+	version    = 1       // of entries and snapshots,
+	divided    = 2       // and of those that tell of budgets: a program that knows none refuses them by name
 	namesMost  = 4096    // leases held at once
 	factsMost  = 16384   // effects that are remembered, all tasks together
 	valueMost  = 4 << 10 // bytes of one; the log is no store for data
@@ -57,6 +58,8 @@
 	Grant = "grant" // Name to Holder
 	End   = "end"   // Name is free, if it is held with Token
 	Act   = "act"   // an effect on Fact, if Name is held with Token
+	Whole = "whole" // a budget by Name: declared, or another whole of it
+	Parts = "parts" // moves of parts; Name is who proposes
 )
 
 // Entry is what is proposed. Reign, where it isn't 0, is the reign under which it was proposed: an entry that its leader
@@ -71,6 +74,8 @@
 	Fact    string `json:"fact,omitempty"`
 	Number  uint64 `json:"number,omitempty"`
 	Value   []byte `json:"value,omitempty"`
+	Budget  *Terms `json:"budget,omitempty"`
+	Moves   []Move `json:"moves,omitempty"`
 }
 
 // Refusals, as an entry or an asking may meet them.
@@ -100,16 +105,20 @@
 	Tokens uint64 // the last one given: one counter for all names, so that names need not be remembered
 	Leases map[string]Lease
 	Facts  map[string]Fact
+
+	Budgets map[string]*Budget
 }
 
 // NewState gives one of a fleet that isn't founded.
-func NewState() *State { return &State{Leases: map[string]Lease{}, Facts: map[string]Fact{}} }
+func NewState() *State {
+	return &State{Leases: map[string]Lease{}, Facts: map[string]Fact{}, Budgets: map[string]*Budget{}}
+}
 
 // Apply takes the next entry of the log. What it refuses changes nothing.
 func (s *State) Apply(e Entry) Result {
 	switch {
-	case e.Version != version:
-		return Result{Err: fmt.Errorf("%w: entry version %d, this program reads %d", ErrForm, e.Version, version)}
+	case e.Version != versionOf(e.Kind):
+		return Result{Err: fmt.Errorf("%w: version %d of a %.50q entry, this program reads %d", ErrForm, e.Version, e.Kind, versionOf(e.Kind))}
 	case !sound(e.Name):
 		return Result{Err: fmt.Errorf("%w: name %.150q", ErrForm, e.Name)}
 	case e.Kind == Found && s.Fleet != "":
@@ -144,8 +153,13 @@
 			return Result{Err: ErrLapsed}
 		}
 		delete(s.Leases, e.Name)
+		s.drop(e.Name)
 	case Act:
 		return s.act(e, held, is)
+	case Whole:
+		return s.whole(e)
+	case Parts:
+		return s.move(e.Moves)
 	default:
 		return Result{Err: fmt.Errorf("%w: unknown kind %.50q", ErrForm, e.Kind)}
 	}
@@ -183,10 +197,18 @@
 
 // Encode gives an entry as it stands in the log.
 func (e Entry) Encode() ([]byte, error) {
-	e.Version = version
+	e.Version = versionOf(e.Kind)
 	return json.Marshal(e)
 }
 
+// versionOf gives the version of a kind of entry: those who vote must read all that is in the log.
+func versionOf(kind string) int {
+	if kind == Whole || kind == Parts {
+		return divided
+	}
+	return version
+}
+
 // Decode reads one.
 func Decode(b []byte) (e Entry, err error) {
 	if err := json.Unmarshal(b, &e); err != nil {
@@ -203,11 +225,17 @@
 	Tokens  uint64           `json:"tokens"`
 	Leases  map[string]Lease `json:"leases"`
 	Facts   map[string]Fact  `json:"facts"`
+
+	Budgets map[string]*Budget `json:"budgets,omitempty"`
 }
 
 // Snapshot gives all of it.
 func (s *State) Snapshot() ([]byte, error) {
-	return json.Marshal(snapshot{version, s.Fleet, s.Leader, s.Reign, s.Tokens, s.Leases, s.Facts})
+	of := version
+	if len(s.Budgets) > 0 {
+		of = divided
+	}
+	return json.Marshal(snapshot{of, s.Fleet, s.Leader, s.Reign, s.Tokens, s.Leases, s.Facts, s.Budgets})
 }
 
 // Restore takes a snapshot's place. A faulty one changes nothing; one of an unknown version is refused by name.
@@ -216,12 +244,15 @@
 	if err := json.Unmarshal(b, &from); err != nil {
 		return fmt.Errorf("snapshot: %w: %w", ErrForm, err)
 	}
-	if from.Version != version {
-		return fmt.Errorf("snapshot version %d: this program reads version %d", from.Version, version)
+	if from.Version != version && from.Version != divided {
+		return fmt.Errorf("snapshot version %d: this program reads versions %d and %d", from.Version, version, divided)
 	}
 	fresh := NewState()
 	maps.Copy(fresh.Leases, from.Leases)
 	maps.Copy(fresh.Facts, from.Facts)
+	for name, b := range from.Budgets {
+		fresh.Budgets[name] = b.Clone()
+	}
 	fresh.Fleet, fresh.Leader, fresh.Reign, fresh.Tokens = from.Fleet, from.Leader, from.Reign, from.Tokens
 	*s = *fresh
 	return nil
