Let the module hear parts of the fleet's budgets, in place of its even parts

Need: budgets of the whole fleet act on the same path as all bounds. Balancer.Part takes a part for a bound; what has none is passed over, not fetched or deferred at once, with a retry-after that spreads.

--- a/lease/keeper_test.go
+++ b/lease/keeper_test.go
@@ -279,18 +279,25 @@
 	s.Apply(Entry{Version: version, Kind: Found, Name: "fleet"})
 	s.Apply(Entry{Version: version, Kind: Grant, Name: "a", Holder: holder(1)})
 	for want, e := range map[string]Entry{
-		"entry version 9": {Version: 9, Kind: Grant, Name: "a"},
-		"name":            {Version: version, Kind: Grant, Name: strings.Repeat("a", nameLength+1)},
-		"unknown kind":    {Version: version, Kind: "budget", Name: "a"},
-		"is not \"a\"":    {Version: version, Kind: Act, Name: "a", Token: 1, Fact: "ab"},
-		"4096 at most":    {Version: version, Kind: Act, Name: "a", Token: 1, Fact: "a", Value: make([]byte, valueMost+1)},
+		`version 9 of a "grant" entry`: {Version: 9, Kind: Grant, Name: "a"},
+		"name":                         {Version: version, Kind: Grant, Name: strings.Repeat("a", nameLength+1)},
+		"unknown kind":                 {Version: version, Kind: "budget", Name: "a"},
+		`version 1 of a "whole" entry`: {Version: version, Kind: Whole, Name: "a"},
+		"no terms":                     {Version: divided, Kind: Whole, Name: "a"},
+		"rate or number":               {Version: divided, Kind: Whole, Name: "a", Budget: &Terms{Kind: "x", Units: 1, Nodes: 1}},
+		"0 units":                      {Version: divided, Kind: Whole, Name: "a", Budget: &Terms{Kind: NumberKind, Nodes: 1}},
+		"0 a second":                   {Version: divided, Kind: Whole, Name: "a", Budget: &Terms{Kind: RateKind, Units: 1, Nodes: 1}},
+		"expected 12 or more":          {Version: divided, Kind: Whole, Name: "a", Budget: &Terms{Kind: NumberKind, Units: 9, Apart: 3, Nodes: 4}},
+		"16384 at most":                {Version: divided, Kind: Parts, Name: "a", Moves: make([]Move, movesMost+1)},
+		"is not \"a\"":                 {Version: version, Kind: Act, Name: "a", Token: 1, Fact: "ab"},
+		"4096 at most":                 {Version: version, Kind: Act, Name: "a", Token: 1, Fact: "a", Value: make([]byte, valueMost+1)},
 	} {
 		if r := s.Apply(e); r.Err == nil || !strings.Contains(r.Err.Error(), want) {
 			t.Errorf("%v: want %s", r.Err, want)
 		}
 	}
 	before, _ := s.Snapshot()
-	for text, want := range map[string]string{`{"version":2}`: "snapshot version 2: this program reads version 1", `{`: "snapshot"} {
+	for text, want := range map[string]string{`{"version":3}`: "snapshot version 3: this program reads versions 1 and 2", `{`: "snapshot"} {
 		if err := s.Restore([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%v: want %s", err, want)
 		}
@@ -299,3 +306,58 @@
 		t.Error("a refused snapshot changes something")
 	}
 }
+
+// More than there is to lend is never out, an old word moves nothing, parts end with their lease, and all of it is in a
+// snapshot; one without budgets can be read by a program that knows none.
+func TestPartsOfABudget(t *testing.T) {
+	s := NewState()
+	s.Apply(Entry{Version: version, Kind: Found, Name: "fleet"})
+	a := s.Apply(Entry{Version: version, Kind: Grant, Name: "node/a", Holder: holder(1)}).Token
+	b := s.Apply(Entry{Version: version, Kind: Grant, Name: "node/b", Holder: holder(2)}).Token
+	if text, _ := s.Snapshot(); !strings.Contains(string(text), `"version":1`) || strings.Contains(string(text), "budgets") {
+		t.Errorf("without budgets: %s", text)
+	}
+	set := func(revision uint64, units int) Result {
+		return s.Apply(Entry{Version: divided, Kind: Whole, Name: "x", Budget: &Terms{Kind: RateKind, Units: units, Each: 2, Apart: 1, Nodes: 2, Revision: revision}})
+	}
+	if r := set(0, 10); r.Err != nil || r.Token != 1 {
+		t.Fatal(r)
+	}
+	if r := set(0, 20); r.Err != ErrRepeated || s.Budgets["x"].Units != 10 {
+		t.Errorf("declared twice: %v, %+v", r, s.Budgets["x"])
+	}
+	for _, c := range []struct {
+		lease        string
+		token, under uint64
+		units, want  int
+	}{
+		{"node/a", a, 0, 6, 6},
+		{"node/b", b, 0, 3, 0}, // two are apart
+		{"node/b", a, 0, 2, 0}, // another's lease
+		{"node/b", b, 0, 2, 2},
+		{"node/a", a, a, 1, 6}, // under a token that is not the part's
+		{"node/a", a, 3, 1, 1},
+		{"node/b", b, 4, 7, 7},
+		{"node/c", 9, 0, 1, 0},
+	} {
+		s.Apply(Entry{Version: divided, Kind: Parts, Name: "parts", Moves: []Move{{"x", c.lease, c.token, c.under, c.units}}})
+		if got := s.Budgets["x"].Parts[c.lease].Units; got != c.want {
+			t.Errorf("%+v: %d units", c, got)
+		}
+	}
+	if r := set(1, 4); r.Err != nil || s.Budgets["x"].Whole() != 8 || s.Budgets["x"].Out() != 8 {
+		t.Errorf("a whole that is lowered: %v, %+v", r, s.Budgets["x"])
+	}
+	if r := set(1, 5); r.Err != ErrRepeated {
+		t.Errorf("set on an old revision: %v", r)
+	}
+	text, _ := s.Snapshot()
+	fresh := NewState()
+	if err := fresh.Restore(text); err != nil || fresh.Budgets["x"].Out() != 8 || fresh.Budgets["x"].Terms != s.Budgets["x"].Terms {
+		t.Errorf("%v: %+v", err, fresh.Budgets["x"])
+	}
+	s.Apply(Entry{Version: version, Kind: End, Name: "node/b", Token: b})
+	if s.Budgets["x"].Out() != 1 {
+		t.Errorf("%+v", s.Budgets["x"])
+	}
+}
--- a/logic/host.go
+++ b/logic/host.go
@@ -2,6 +2,14 @@
 // this file only names what the decisions are told, how they act, and what they keep in mind.
 package logic
 
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+
+	"github.com/thistlerudder/thistlerudder/budget/allowance"
+)
+
 // Time is a clock reading or a span in whole tenths of a millisecond. Limits are rounded down on
 // their way in, timers up.
 type Time int64
@@ -85,8 +93,57 @@
 	Since  Time // its last start; 0: long ago
 }
 
+// Bound is what a budget of the whole fleet bounds.
+type Bound int
+
+// The bounds.
+const (
+	OriginRate  Bound = iota // shots at the origin a second,
+	OriginRoom               // and at a time
+	PartnerRate              // a partner's lookups a second
+	ListRate                 // calls for the box list a second
+	ColdRate                 // shots at each cold or returning cache a second
+	CacheRoom                // shots at each cache at a time: each wants a connection
+	bounds
+)
+
 // ---- What the module keeps in mind ----
 
+// Balancer decides for one node. It is not safe for concurrent use.
+type Balancer struct {
+	host     Host
+	terms    map[string]any
+	seed     uint64
+	nodes    float64
+	least    float64 // our part of roomLeast
+	soonest  Time    // the shortest target time
+	drawn    uint64
+	now      Time
+	spaces   []namespace
+	partners []partner
+
+	servers []*server
+	ready   []int // ready caches in id order
+	origins []int
+	lookups []lookup
+	fetches map[uint64][]int             // key to the lookups that wait for its fetch
+	parts   [bounds]*allowance.Allowance // of the fleet's budgets; none where nothing was told of one
+
+	weight        []float64 // the bins, to be multiplied by fade
+	fade          float64
+	alpha         float64
+	seen, lately  float64   // lookups that the bins remember, and the latest,
+	late          []float64 // by group of bins; halved at times
+	cuts          []float64 // upper ends of the ranges, in bins
+	klDue, cutDue Time
+	halved        Time
+	perCache      float64 // our answers a second from a warm cache
+	ease          float64 // how readily we take lookups beyond a partner's share: 1 where all goes well
+	keep          Time    // how long an idle connection is kept
+	subscribed    bool
+	askWait       Time
+}
+
 type kind int // what a repeat of a lookup would do
 
 const (
@@ -107,9 +164,10 @@
 }
 
 type partner struct {
-	rate       float64 // lookups a second within our even part of its share
-	room, most float64 // what is left of that, and of what we carry of its share
-	asked      float64 // halved now and then
+	rate       float64              // lookups a second within our even part of its share
+	room, most float64              // what is left of that, and of what we carry of its share
+	part       *allowance.Allowance // of the fleet's budget for it
+	asked      float64              // halved now and then
 	at         Time
 }
 
@@ -127,8 +185,9 @@
 	calm          float64 // shots in flight with which its answers are quick
 	budget        float64 // shots left of a cold cache's budget
 	budgetAt      Time
-	quietAt       Time // when the latest shot settled
-	held          bool // a connection may be kept since
+	quietAt       Time                 // when the latest shot settled
+	held          bool                 // a connection may be kept since
+	cold, links   *allowance.Allowance // parts of the fleet's budgets for it
 }
 
 type shot struct {
@@ -147,8 +206,9 @@
 	giveUp   Time // when an answer is worth nothing any more; the time limit at the latest
 	over     bool // beyond its partner's share
 	missed   bool
-	fetching bool // its fetch stands for all lookups of its key
-	waiting  bool // for another's fetch
+	fetching bool                 // its fetch stands for all lookups of its key
+	waiting  bool                 // for another's fetch
+	lacks    *allowance.Allowance // what kept it from its next step
 	work     float64
 	shots    []shot
 }
@@ -172,3 +232,33 @@
 }
 
 func seconds(t Time) float64 { return float64(t) / float64(1000*Millisecond) }
+
+// read takes over what the terms say of namespaces and partners.
+func (b *Balancer) read() {
+	for _, t := range term(b.terms, "namespaces", []map[string]any(nil)) {
+		ns := namespace{kind: kindOf[term(t, "repeat", "")], target: term(t, "target time", 1000*Millisecond),
+			memory: term(t, "memory span", Time(0)), groupAll: term(t, "group", "") == "all",
+			late: term(t, "late utility", 0.0)}
+		if b.spaces = append(b.spaces, ns); b.soonest == 0 || ns.target < b.soonest {
+			b.soonest = ns.target
+		}
+	}
+	for _, t := range term(b.terms, "partners", []map[string]any(nil)) {
+		rate := term(t, "lookups a second", math.Inf(1)) / b.nodes
+		b.partners = append(b.partners, partner{rate: rate, room: rate + shareLeast, most: rate + shareLeast, at: b.now})
+	}
+}
+
+// draw gives the next number in [0, 1) of this node's own chance.
+func (b *Balancer) draw() float64 {
+	b.drawn++
+	h := fnv.New64a()
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], b.seed)
+	binary.LittleEndian.PutUint64(buf[8:], b.drawn)
+	h.Write(buf[:])
+	return float64(h.Sum64()%(1<<20)) / (1 << 20)
+}
+
+// pointOf maps a key's hash to its point on the line.
+func pointOf(key uint64) float64 { return float64(key>>11) / (1 << 53) * bins }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -2,19 +2,19 @@
 
 // This file holds every decision of a balancer node. New makes one Balancer per node from the terms (a plain
 // map of names to values) and a Host to act through; host.go has Host and the plain types. Then the caller
-// reports each thing that happens by calling one method: Lookup, Sent, Settled, Tried, Left, List or Alarm,
+// reports each thing that happens by calling a method: Lookup, Sent, Settled, Tried, Left, List, Part or Alarm,
 // with the clock. Methods act by calling the Host before they return. It is laid out to be read in order: the rules,
 // the line and its ranges, the walk, the origin, what happens. docs/design.md says where all this comes from.
 
 import (
-	"encoding/binary"
-	"hash/fnv"
 	"math"
 	"slices"
 	"sort"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/thistlerudder/thistlerudder/budget/allowance"
 )
 
 const (
@@ -74,40 +74,6 @@
 	keepPart  = 2                   // a failed connect halves it: the server is full, others want what we hold
 )
 
-// Balancer decides for one node. It is not safe for concurrent use.
-type Balancer struct {
-	host     Host
-	terms    map[string]any
-	seed     uint64
-	nodes    float64
-	least    float64 // our part of roomLeast
-	soonest  Time    // the shortest target time
-	drawn    uint64
-	now      Time
-	spaces   []namespace
-	partners []partner
-
-	servers []*server
-	ready   []int // ready caches in id order
-	origins []int
-	lookups []lookup
-	fetches map[uint64][]int // key to the lookups that wait for its fetch
-
-	weight        []float64 // the bins, to be multiplied by fade
-	fade          float64
-	alpha         float64
-	seen, lately  float64   // lookups that the bins remember, and the latest,
-	late          []float64 // by group of bins; halved at times
-	cuts          []float64 // upper ends of the ranges, in bins
-	klDue, cutDue Time
-	halved        Time
-	perCache      float64 // our answers a second from a warm cache
-	ease          float64 // how readily we take lookups beyond a partner's share: 1 where all goes well
-	keep          Time    // how long an idle connection is kept
-	subscribed    bool
-	askWait       Time
-}
-
 // New starts a node. The terms it reads are listed in docs/design.md.
 func New(host Host, seed uint64, now Time, terms map[string]any) *Balancer {
 	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1,
@@ -115,34 +81,11 @@
 		klDue: now + klSpan, fetches: map[uint64][]int{}, askWait: askLeast, keep: keepMost,
 		weight: slices.Repeat([]float64{1.0 / bins}, bins), late: make([]float64, klGroups)}
 	b.least = max(1, min(busyLeast, roomLeast/b.nodes))
-	for _, t := range term(terms, "namespaces", []map[string]any(nil)) {
-		ns := namespace{kind: kindOf[term(t, "repeat", "")], target: term(t, "target time", 1000*Millisecond),
-			memory: term(t, "memory span", Time(0)), groupAll: term(t, "group", "") == "all",
-			late: term(t, "late utility", 0.0)}
-		if b.spaces = append(b.spaces, ns); b.soonest == 0 || ns.target < b.soonest {
-			b.soonest = ns.target
-		}
-	}
-	for _, t := range term(terms, "partners", []map[string]any(nil)) {
-		rate := term(t, "lookups a second", math.Inf(1)) / b.nodes
-		most := rate + shareLeast
-		b.partners = append(b.partners, partner{rate: rate, room: most, most: most, at: now})
-	}
+	b.read()
 	host.Wake(now+Time(b.draw()*float64(askSpread)), listHandle)
 	return b
 }
 
-// draw gives the next number in [0, 1) of this node's own chance.
-func (b *Balancer) draw() float64 {
-	b.drawn++
-	h := fnv.New64a()
-	var buf [16]byte
-	binary.LittleEndian.PutUint64(buf[:8], b.seed)
-	binary.LittleEndian.PutUint64(buf[8:], b.drawn)
-	h.Write(buf[:])
-	return float64(h.Sum64()%(1<<20)) / (1 << 20)
-}
-
 // ---- The rules ----
 
 // mayDefer: a deferral promises that a retry is harmless.
@@ -181,6 +124,8 @@
 	target := float64(b.spaces[l.Namespace].target)
 	if float64(b.now-l.arrived) < earlyPart*target {
 		return min(most, Time(returnPart*target*(1+b.draw())))
+	} else if l.lacks != nil {
+		return most/2 + Time(b.draw()*float64(most/2)) // all nodes may be short, and their clients come at once
 	}
 	return most
 }
@@ -205,19 +150,13 @@
 	l.live = false
 	if l.waiting {
 		l.waiting = false
-		q := b.fetches[l.key]
-		if i := slices.Index(q, lkp); i >= 0 {
-			b.fetches[l.key] = slices.Delete(q, i, i+1)
-		}
+		b.fetches[l.key] = slices.DeleteFunc(b.fetches[l.key], func(o int) bool { return o == lkp })
 	}
 	b.release(lkp)
 }
 
 // ---- The line and its ranges ----
 
-// pointOf maps a key's hash to its point on the line.
-func pointOf(key uint64) float64 { return float64(key>>11) / (1 << 53) * bins }
-
 // learn fades all bins and adds alpha at the lookup's own, lazily. In steady demand all that was seen weighs alike, so
 // that nodes come to cut alike; by less than the bound on alpha nothing is learned.
 func (b *Balancer) learn(point float64) {
@@ -326,7 +265,11 @@
 	if len(l.shots) > 0 && !l.missed && s.credit < 1 {
 		return true // a further shot wants credit, lest a jam feed itself
 	}
-	return b.coldShare(s) < 1 && b.coldBudget(s) < l.work
+	cold := b.coldShare(s) < 1
+	if (cold || s.rest > 0) && b.lacks(l, s.cold) || b.lacks(l, s.links) {
+		return true
+	}
+	return cold && s.cold == nil && b.coldBudget(s) < l.work
 }
 
 // room bounds what is in flight at a cache: by rate times time, as measured, with its root for chance, and
@@ -368,11 +311,18 @@
 	if s.rest > 0 {
 		s.trial = true
 	}
-	if !s.origin {
+	cold := b.coldShare(s) < 1
+	if cold || s.rest > 0 {
+		s.cold.Spend()
+	}
+	if s.links.Spend(); s.origin {
+		b.parts[OriginRate].Spend()
+		b.parts[OriginRoom].Spend()
+	} else {
 		if len(l.shots) > 0 && !l.missed {
 			s.credit--
 		}
-		if b.coldShare(s) < 1 {
+		if cold {
 			s.budget -= l.work
 		}
 	}
@@ -389,6 +339,7 @@
 	if slices.ContainsFunc(l.shots, func(s shot) bool { return s.out }) {
 		return // its outcome will come
 	}
+	l.lacks = nil
 	if !b.mayShoot(l) {
 		b.finish(lkp)
 		return
@@ -435,12 +386,25 @@
 	if l.Write {
 		room = writeRoom * max(1, room)
 	}
-	if s.inFlight >= int(room+b.draw()) || l.giveUp-b.now < s.took { // no fetch that would come too late
+	if part := b.parts[OriginRoom]; part == nil && s.inFlight >= int(room+b.draw()) || l.giveUp-b.now < s.took ||
+		b.lacks(l, part) || b.lacks(l, b.parts[OriginRate]) { // nor a fetch that would come too late
 		return -1
 	}
 	return best
 }
 
+// lacks says whether the fleet's budget for the lookup's next step has nothing left for us.
+func (b *Balancer) lacks(l *lookup, part *allowance.Allowance) bool {
+	if part.Left(int64(b.now)) >= 1 {
+		return false
+	}
+	if l.lacks != part {
+		part.Lacked()
+		l.lacks = part
+	}
+	return true
+}
+
 // release lets those who waited for this lookup's fetch go on.
 func (b *Balancer) release(lkp int) {
 	l := &b.lookups[lkp]
@@ -480,7 +444,13 @@
 		l.work = in.Work * ns.asked / ns.work
 	}
 	sure := false
-	if in.Partner >= 0 {
+	if in.Partner >= 0 && b.partners[in.Partner].part != nil {
+		if b.lacks(l, b.partners[in.Partner].part) {
+			b.finish(lkp)
+			return
+		}
+		b.partners[in.Partner].part.Spend()
+	} else if in.Partner >= 0 {
 		p, carry := &b.partners[in.Partner], b.carry(in.Partner)
 		p.room = min(p.rate+shareLeast, p.room+p.rate*seconds(now-p.at)) - 1
 		p.most = min(p.rate*carry+shareLeast, p.most+p.rate*carry*seconds(now-p.at)) - 1
@@ -534,6 +504,9 @@
 	t.out, t.notRun = false, code == Full || code == Unconnected || code == Unsent || code >= Missing
 	b.servers[t.server].took += (now - t.sent - b.servers[t.server].took) / 8
 	s := b.servers[t.server]
+	if s.links.Ended(int64(s.took)); s.origin {
+		b.parts[OriginRoom].Ended(int64(s.took))
+	}
 	// Crowded caches slow down, so the room shrinks until their answers are quick again.
 	slow := now-t.sent > Time(calmPart*float64(b.spaces[l.Namespace].target))
 	if code == TimedOut && !slow {
@@ -609,10 +582,31 @@
 	}
 }
 
+// Part tells how much of a budget of the fleet is ours, in place of our even part; partner is whose lookups it
+// bounds, if any's. It gives what was asked of the bound since the last time, of servers the most at any one.
+func (b *Balancer) Part(now Time, of Bound, partner int, p allowance.Part) (u allowance.Use) {
+	b.clock(now)
+	if of == PartnerRate {
+		return allowance.Set(&b.partners[partner].part, int64(now), p)
+	}
+	u = allowance.Set(&b.parts[of], int64(now), p)
+	for _, s := range b.servers {
+		if s != nil && !s.origin && of == ColdRate {
+			u = u.Max(allowance.Set(&s.cold, int64(now), p))
+		} else if s != nil && !s.origin && of == CacheRoom {
+			u = u.Max(allowance.Set(&s.links, int64(now), p))
+		}
+	}
+	return u
+}
+
 // Alarm comes at or after a time asked for with Wake; a stale one does nothing.
 func (b *Balancer) Alarm(now Time, handle int) {
 	b.clock(now)
-	if handle == listHandle && !b.subscribed {
+	if handle == listHandle && !b.subscribed && b.lacks(&lookup{}, b.parts[ListRate]) {
+		b.host.Wake(now+askLeast+Time(b.draw()*float64(askLeast)), listHandle)
+	} else if handle == listHandle && !b.subscribed {
+		b.parts[ListRate].Spend()
 		b.host.Subscribe()
 		b.askWait = min(2*b.askWait, askMost)
 	}
@@ -648,7 +642,8 @@
 		s := b.servers[x.Server]
 		if s == nil || s.Since != x.Since || s.ID != x.ID {
 			// A restart makes a server another one, cold and without a past; its old shots still settle.
-			fresh := &server{budgetAt: now, calm: b.least, credit: creditMost}
+			fresh := &server{budgetAt: now, calm: b.least, credit: creditMost,
+				cold: b.parts[ColdRate].Like(int64(now)), links: b.parts[CacheRoom].Like(int64(now))}
 			if s != nil {
 				fresh.inFlight = s.inFlight
 			}
@@ -656,7 +651,9 @@
 			b.servers[x.Server] = s
 		}
 		s.Box = x
-		s.origin = term(b.terms, "mode", "") == "aside" && x.Kind == term(b.terms, "origin kind", -1)
+		if s.origin = term(b.terms, "mode", "") == "aside" && x.Kind == term(b.terms, "origin kind", -1); s.origin {
+			s.cold, s.links = nil, nil // these budgets are of caches
+		}
 	}
 	b.ready, b.origins = b.ready[:0], b.origins[:0]
 	for i, s := range b.servers {
