Give nodes their parts of the fleet's budgets: configuration, agreement, operators' commands

A shot that a part allowed is written within 50 ms or never. budget list, show and set. Off without fleet.budgets.

--- a/budget/divider.go
+++ b/budget/divider.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"maps"
 	"math"
 	"slices"
@@ -51,6 +50,8 @@
 	Terms  lease.Terms
 	Part   lease.Part
 	Keep   int // what it is to come down to, as soon as it can; -1: nothing
+
+	Given, Reserve int // of the whole: what is out as parts, and what waits for newcomers
 }
 
 // Answer is what an asking comes to.
@@ -99,17 +100,18 @@
 	state  *lease.State
 	unsafe Unsafe
 
-	leads   bool
-	reign   uint64
-	members map[string]*member // by lease
-	turns   map[string]map[string]turn
-	refs    uint64
-	out     map[uint64]lease.Entry // proposals that are out
-	moving  bool                   // one of moves is among them
-	stale   bool                   // something has changed since the last division
-	due     Time                   // of the next one
-	saved   float64                // entries that may be made
-	savedAt Time
+	leads    bool
+	reign    uint64
+	members  map[string]*member // by lease
+	turns    map[string]map[string]turn
+	reserves map[string]int // as of the last division
+	refs     uint64
+	out      map[uint64]lease.Entry // proposals that are out
+	moving   bool                   // one of moves is among them
+	stale    bool                   // something has changed since the last division
+	due      Time                   // of the next one
+	saved    float64                // entries that may be made
+	savedAt  Time
 }
 
 // NewDivider makes one that doesn't lead.
@@ -141,7 +143,7 @@
 		d.reply(d.members[name], Answer{Err: lease.ErrNotLeader})
 	}
 	d.leads, d.moving, d.stale = false, false, false
-	d.members, d.turns, d.out = map[string]*member{}, map[string]map[string]turn{}, map[uint64]lease.Entry{}
+	d.members, d.turns, d.out, d.reserves = map[string]*member{}, map[string]map[string]turn{}, map[uint64]lease.Entry{}, map[string]int{}
 }
 
 // Leads says whether it leads, as far as it knows.
@@ -152,10 +154,7 @@
 	for _, m := range d.members {
 		want += m.holds[name].Want
 	}
-	if b := d.state.Budgets[name]; b != nil {
-		reserve = reserveOf(b, len(d.leasesOf(b)))
-	}
-	return want, reserve
+	return want, d.reserves[name]
 }
 
 // Ask takes an asking, under a number above 0 that is not out.
@@ -211,24 +210,6 @@
 	return false
 }
 
-// Set changes a whole, for an operator; the revision is of what it is to replace.
-func (d *Divider) Set(name string, units int, revision uint64) error {
-	b := d.state.Budgets[name]
-	if b == nil {
-		return errors.New("no such budget: a node's configuration declares it")
-	}
-	t := b.Terms
-	t.Units, t.Revision = units, revision
-	if err := t.Check(); err != nil {
-		return err
-	}
-	if !d.leads {
-		return lease.ErrNotLeader
-	}
-	d.propose(lease.Entry{Kind: lease.Whole, Name: name, Budget: &t})
-	return nil
-}
-
 // Gone tells that the caller of an asking has gone; its node may be there yet.
 func (d *Divider) Gone(id uint64) {
 	for _, m := range d.members {
@@ -297,7 +278,7 @@
 		if b == nil {
 			continue
 		}
-		n := News{Budget: budget, Terms: b.Terms, Part: b.Parts[name], Keep: -1}
+		n := News{Budget: budget, Terms: b.Terms, Part: b.Parts[name], Keep: -1, Given: b.Out(), Reserve: d.reserves[budget]}
 		if keep, asked := m.keep[budget]; asked && keep < n.Part.Units {
 			n.Keep = keep
 		}
@@ -397,6 +378,7 @@
 	leases := d.leasesOf(b)
 	claims := make([]claim, len(leases))
 	reserve := reserveOf(b, len(leases))
+	d.reserves[name] = reserve
 	units := b.Lendable() - reserve
 	least := 0
 	if b.Apart == 0 && units >= len(leases) {
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 
+	"github.com/thistlerudder/thistlerudder/budget/allowance"
 	"github.com/thistlerudder/thistlerudder/lease"
 )
 
@@ -23,19 +24,11 @@
 	lendSpan   = 300 * lease.Millisecond  // for which the next process of a node has its half: it asks thrice in that
 )
 
-// Use is what was asked of one bound since the last look.
-type Use struct {
-	Asked float64 // acts that were wanted, done or not
-	Done  float64
-	Out   int     // acts of a number at a time that go on
-	Took  float64 // seconds that one takes in the mean, 0: not known
-}
-
 // Acts is what a Purse acts through. None of the methods may call back.
 type Acts interface {
 	// Set tells how many units may be acted on until a time, and how many after it. It gives what was asked since the last
 	// time. Acts of a number at a time that go on count until they end.
-	Set(name string, t lease.Terms, units, apart int, until Time) Use
+	Set(name string, t lease.Terms, units, apart int, until Time) allowance.Use
 	// Ask sends an asking; Answered or Unanswered tells how it went, if no other was sent since.
 	Ask(a Ask)
 	// Wake asks for Alarm at that time or soon after.
@@ -57,7 +50,10 @@
 	lessFrom Time    // since when less would do, 0: not
 	lent     int     // of the units, to the next process of this node,
 	lentOf   int     // and of those apart
-	out      int     // acts that go on
+	out      int     // acts that go on,
+	used     float64 // and those done since the look before
+	given    int     // of the whole, to all nodes, and what is held back for newcomers, as last told
+	reserve  int
 }
 
 // Purse is a node's side, as long as it holds the lease of its name: what it may act on, what it wants, what it gives back.
@@ -70,6 +66,7 @@
 	shares []*share
 
 	end     Time // of the lease
+	takes   Time // the longest that an act of a number at a time goes on: none begins that would outlast the lease
 	looked  Time
 	out     bool
 	asked   Time
@@ -79,9 +76,10 @@
 	closed  bool
 }
 
-// NewPurse makes one that holds nothing yet. Its terms are those of the node's own papers, by name.
-func NewPurse(acts Acts, now Time, lease string, token uint64, weight float64, terms map[string]lease.Terms, end Time) *Purse {
-	p := &Purse{acts: acts, lease: lease, token: token, weight: weight, end: end, looked: now, news: true, next: now}
+// NewPurse makes one that holds nothing yet, under a lease held until end. Its terms are those of the node's own papers, by
+// name; an act of a number at a time goes on for so long at the most.
+func NewPurse(acts Acts, now Time, lease string, token uint64, weight float64, terms map[string]lease.Terms, end, takes Time) *Purse {
+	p := &Purse{acts: acts, lease: lease, token: token, weight: weight, end: end, takes: takes, looked: now, news: true, next: now}
 	for _, name := range slices.Sorted(maps.Keys(terms)) {
 		p.shares = append(p.shares, &share{name: name, terms: terms[name], keep: -1})
 	}
@@ -107,8 +105,12 @@
 		}
 		own := max(0, units-s.lent)
 		apart = max(0, apart-s.lentOf)
-		u := p.acts.Set(s.name, s.terms, own+apart, apart, p.end)
-		s.out = u.Out
+		until := p.end
+		if s.terms.Kind == lease.NumberKind {
+			until -= p.takes
+		}
+		u := p.acts.Set(s.name, s.terms, own+apart, apart, until)
+		s.out, s.used = u.Out, u.Done
 		if s.held = max(units, s.lent); s.terms.Kind == lease.NumberKind { // it comes down only as what goes on ends
 			s.held = max(s.held, min(part, s.lent+max(0, u.Out-apart)))
 		}
@@ -238,7 +240,7 @@
 				differ = append(differ, Told{n.Budget, s.terms, n.Terms})
 			}
 		}
-		s.terms, s.told = n.Terms, true
+		s.terms, s.told, s.given, s.reserve = n.Terms, true, n.Given, n.Reserve
 		if n.Part.Token > s.token { // an earlier one, or the one known, never raises what we came down to
 			s.token, s.units, s.keep = n.Part.Token, n.Part.Units, -1
 		}
@@ -279,6 +281,26 @@
 	p.acts.Wake(max(at, now+1))
 }
 
+// Standing is how a budget stands at this node, for who wants to see it.
+type Standing struct {
+	Name           string
+	Terms          lease.Terms
+	Told           bool // the fleet has told of it; else it is from our papers
+	Units, Want    int  // of the part
+	Out            int
+	Used           float64 // acts in the last tenth of a second
+	Given, Reserve int     // of the whole, as last told
+	End            Time
+}
+
+// Standings gives all.
+func (p *Purse) Standings() (all []Standing) {
+	for _, s := range p.shares {
+		all = append(all, Standing{s.name, s.terms, s.told, s.units, s.want, s.out, s.used, s.given, s.reserve, p.end})
+	}
+	return all
+}
+
 // Close lets nothing more begin. The parts end with the lease; it may be given back once Idle.
 func (p *Purse) Close(now Time) {
 	p.closed = true
--- a/budget/world_test.go
+++ b/budget/world_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 
+	"github.com/thistlerudder/thistlerudder/budget/allowance"
 	"github.com/thistlerudder/thistlerudder/lease"
 )
 
@@ -162,7 +163,7 @@
 	p.end = p.now() + w.short()
 	w.procs = append(w.procs, p)
 	w.current().catchUp()
-	p.purse = NewPurse(p, p.now(), nameOf(node), r.Token, 1, map[string]lease.Terms{limit: w.terms}, p.end)
+	p.purse = NewPurse(p, p.now(), nameOf(node), r.Token, 1, map[string]lease.Terms{limit: w.terms}, p.end, 0)
 }
 
 func (w *world) current() *leader {
@@ -204,12 +205,12 @@
 	p.w.flying = append(p.w.flying, letter{from: p.n, id: p.last, ask: &a, sent: p.now()})
 }
 
-func (p *process) Set(_ string, t lease.Terms, units, apart int, until Time) Use {
+func (p *process) Set(_ string, t lease.Terms, units, apart int, until Time) allowance.Use {
 	p.units, p.apart, p.until = units, apart, until
 	if p.cut(); p.w.without != burstKept {
 		p.saved = min(p.saved, p.allowed())
 	}
-	u := Use{Out: p.out, Took: 0.1}
+	u := allowance.Use{Out: p.out, Took: 0.1}
 	if p.w.without == outKept {
 		u.Out = 0
 	}
@@ -466,7 +467,7 @@
 	for i, l := range w.leaders {
 		x, d := *l, *l.d
 		x.w, x.state, x.d, x.out = &o, copied(l.state), &d, slices.Clone(l.out)
-		d.host, d.state, d.out, d.members, d.turns = &x, x.state, maps.Clone(d.out), map[string]*member{}, map[string]map[string]turn{}
+		d.host, d.state, d.out, d.reserves, d.members, d.turns = &x, x.state, maps.Clone(d.out), maps.Clone(d.reserves), map[string]*member{}, map[string]map[string]turn{}
 		for name, m := range l.d.members {
 			y := *m
 			y.holds, y.keep = maps.Clone(m.holds), maps.Clone(m.keep)
--- /dev/null
+++ b/cmd/thistlerudder/budgets.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/fellows"
+	"github.com/thistlerudder/thistlerudder/lease"
+)
+
+// budgets is what operators do with what the fleet may do together.
+func budgets(file *string) *cobra.Command {
+	c := &cobra.Command{Use: "budget", Short: "See what the fleet may do together and how it is divided, and change it: docs/budgets.md"}
+	list := &cobra.Command{Use: "list", Short: "Say how each budget stands", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return told(cmd, *file, false, func(s fellows.Status) error {
+				w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+				fmt.Fprintln(w, "budget\tbounds\twhole\tgiven\tfree\treserve\tapart for each\twanted\tnodes\trevision")
+				for _, name := range slices.Sorted(maps.Keys(s.Budgets)) {
+					b := s.Budgets[name]
+					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\n", name, b.Bounds, amount(b.Terms, b.Units), amount(b.Terms, b.Out()),
+						amount(b.Terms, max(0, b.Lendable()-b.Out())), amount(b.Terms, b.Reserve), amount(b.Terms, b.Apart), amount(b.Terms, b.Want),
+						len(b.Parts), b.Revision)
+				}
+				return w.Flush()
+			})
+		}}
+	show := &cobra.Command{Use: "show NAME", Short: "Say who has which part of one, and until when", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return told(cmd, *file, false, func(s fellows.Status) error {
+				b, known := s.Budgets[args[0]]
+				if !known {
+					return fmt.Errorf("no budget %q: expected one of %v", args[0], slices.Sorted(maps.Keys(s.Budgets)))
+				}
+				ends := map[string]time.Duration{}
+				for _, l := range s.Leases {
+					ends[l.Name] = time.Duration(l.LeftMs) * time.Millisecond
+				}
+				cmd.Printf("%s bounds %s: %s in %d units, %d given, %d apart for each of %d nodes\n", args[0], b.Bounds, amount(b.Terms, b.Units),
+					b.Units, b.Out(), b.Apart, b.Nodes)
+				w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+				fmt.Fprintln(w, "lease\tpart\ttoken\tends within")
+				for _, name := range slices.Sorted(maps.Keys(b.Parts)) {
+					fmt.Fprintf(w, "%s\t%s\t%d\t%v\n", name, amount(b.Terms, b.Parts[name].Units), b.Parts[name].Token, ends[name])
+				}
+				return w.Flush()
+			})
+		}}
+	set := &cobra.Command{Use: "set NAME WHOLE", Args: cobra.ExactArgs(2), Short: "Change how much the fleet may do together",
+		Long: "Change how much the fleet may do together. What is divided changes at once; where the whole is lowered, nothing more is given\n" +
+			"until enough has come back: from nodes in touch within a fraction of a second, from others once their leases have ended.\n" +
+			"What is apart for nodes that are cut off stays as it was declared. A rate's burst changes with it."}
+	set.RunE = func(cmd *cobra.Command, args []string) error {
+		whole, err := strconv.ParseFloat(args[1], 64)
+		if err != nil || !(whole > 0) {
+			return fmt.Errorf("WHOLE: expected a number above 0, not %q", args[1])
+		}
+		client, f, err := asked(*file)
+		if err != nil {
+			return err
+		}
+		defer client.Close()
+		b, err := client.SetWhole(args[0], whole)
+		if err != nil {
+			return err
+		}
+		cmd.Printf("%s is %s now, revision %d\n", args[0], amount(b.Terms, b.Units), b.Revision)
+		if over := b.Out() - b.Lendable(); over > 0 {
+			by := time.Now().Add(f.Lease + time.Duration(f.Drift*float64(f.Lease)))
+			cmd.Printf("%s of what is out have to come back until this holds: by %s at the latest\n", amount(b.Terms, over), by.Format(time.TimeOnly))
+		}
+		return nil
+	}
+	c.AddCommand(list, show, set)
+	return c
+}
+
+// amount tells so many units as operators count them.
+func amount(t lease.Terms, units int) string {
+	if t.Kind == lease.NumberKind {
+		return strconv.Itoa(units)
+	}
+	return fmt.Sprintf("%.4g/s", t.Each*float64(units))
+}
--- a/cmd/thistlerudder/commands.go
+++ b/cmd/thistlerudder/commands.go
@@ -29,7 +29,7 @@
 		os.Getenv(fileVariable),
 		"the node's configuration file, JSON (default $"+fileVariable+")",
 	)
-	c.AddCommand(serve(file), check(file), emulate(), fleetCommand(file), leases(file), version())
+	c.AddCommand(serve(file), check(file), emulate(), fleetCommand(file), leases(file), budgets(file), version())
 	c.AddCommand(ofTheRig()...)
 	return c
 }
--- a/cmd/thistlerudder/fleet_test.go
+++ b/cmd/thistlerudder/fleet_test.go
@@ -14,8 +14,10 @@
 
 	"go.uber.org/zap"
 
+	"github.com/thistlerudder/thistlerudder/budget/allowance"
 	"github.com/thistlerudder/thistlerudder/internal/net/fellows"
 	"github.com/thistlerudder/thistlerudder/internal/terms"
+	"github.com/thistlerudder/thistlerudder/logic"
 )
 
 type noFigures struct{}
@@ -23,6 +25,9 @@
 func (noFigures) Figures() map[string]int64                 { return nil }
 func (noFigures) Resting() map[string]string                { return nil }
 func (noFigures) Tried(string, string, bool, time.Duration) {}
+func (noFigures) Part(logic.Bound, string, allowance.Part, time.Duration) (u allowance.Use) {
+	return u
+}
 
 // founded starts three voters in this process, and founds their fleet by the command.
 func founded(t *testing.T) (config string, nodes []*fellows.Fellows) {
@@ -47,7 +52,7 @@
 		if err != nil {
 			t.Fatal(i, err)
 		}
-		nodes = append(nodes, fellows.Start(f, noFigures{}, zap.NewNop()))
+		nodes = append(nodes, fellows.Start(f, noFigures{}, time.Second, zap.NewNop()))
 		t.Cleanup(nodes[i].Close)
 	}
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
--- a/internal/faults/names.go
+++ b/internal/faults/names.go
@@ -9,8 +9,18 @@
 	FromAnswer   = "count-from-answer"   // a lease is counted from when its answer came
 )
 
-// Safeguards are all of them.
-var Safeguards = []string{DriftMargin, Confirmation, Door, Vote, FromAnswer}
+// Those of budgets.
+const (
+	BurstKept = "burst-kept"     // what was saved up stays when a part shrinks
+	Reuse     = "reuse-early"    // what is asked back counts as free at once
+	Forget    = "leader-forgets" // a new leader takes all parts to be free
+)
+
+// Safeguards are those of leases, and BudgetSafeguards those that budgets need.
+var (
+	Safeguards       = []string{DriftMargin, Confirmation, Door, Vote, FromAnswer}
+	BudgetSafeguards = []string{DriftMargin, FromAnswer, BurstKept, Reuse, Forget}
+)
 
 // The points at which a process can be stopped.
 const (
--- a/internal/net/clients/clients_test.go
+++ b/internal/net/clients/clients_test.go
@@ -24,6 +24,7 @@
 func (f fleet) Carry(s *exchange.Shot) { f <- s }
 func (f fleet) Subscribe()             {}
 func (f fleet) HangUp(uint64, int)     {}
+func (f fleet) Most(int)               {}
 
 const limit = 300 * time.Millisecond
 
--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -22,6 +22,8 @@
 	Carry(*Shot)
 	// HangUp closes the connections to a place that carry no shot, but for so many.
 	HangUp(place uint64, but int)
+	// Most bounds the connections to each cache, those being made included; before it is called nothing does.
+	Most(n int)
 }
 
 // Lister follows the box list once it is told to, and reports by List. Subscribe must not block.
@@ -58,6 +60,7 @@
 	figures  *figures.Figures
 	bans     map[string]Ban
 	heard    heard
+	parted   bool // parts of the fleet's budgets bound what is done
 }
 
 // New makes the owner; nothing happens before Start.
@@ -219,6 +222,10 @@
 		// A dial may take longer than a drain's grace; what was decided before the drain must not go out after it.
 		s.BeginBy = s.sent.Add(h.terms.Grace / gracePart)
 	}
+	if by := s.sent.Add(partWithin); h.parted && (s.BeginBy.IsZero() || by.Before(s.BeginBy)) {
+		s.BeginBy = by
+	}
+	s.Origin = h.boxes[server].origin
 	t.shots++
 	t.out++
 	h.sent(s)
--- a/internal/net/exchange/helper_test.go
+++ b/internal/net/exchange/helper_test.go
@@ -33,6 +33,8 @@
 	f.hungUp = append(f.hungUp, place)
 }
 
+func (f *fleet) Most(int) {}
+
 // take gives a shot that is out, by a number that may be any.
 func (f *fleet) take(n int) *Shot {
 	f.mu.Lock()
--- a/internal/net/exchange/ticket.go
+++ b/internal/net/exchange/ticket.go
@@ -114,6 +114,7 @@
 	Address string
 	Place   uint64        // which box at this address, and since which start: another number for each
 	Within  time.Duration // how long the node waits for it
+	Origin  bool          // it goes to the origin
 	BeginBy time.Time     // when its first byte must have been written; zero: any time
 
 	ticket  *Ticket
--- a/internal/net/fellows/client.go
+++ b/internal/net/fellows/client.go
@@ -218,6 +218,7 @@
 // been in a fleet.
 func (c *Client) Found(after uint64) error {
 	var all []Member
+	begun := 0 // of them, by a founding that was not brought to its end
 	for _, v := range c.fleet.Voters {
 		var s Status
 		if err := c.once(v.Address, "Fleet.Status", &struct{}{}, &s); err != nil {
@@ -228,13 +229,17 @@
 			return fmt.Errorf("fleet.voters: %s is node %q, not %q", v.Address, s.Node, v.Name)
 		case s.ID == "":
 			return fmt.Errorf("fleet.voters: %s can't vote: %s", v.Name, s.Broken)
+		case !s.New && s.Fleet == "" && len(s.Voters) == len(c.fleet.Voters):
+			begun++
 		case !s.New:
 			return fmt.Errorf("fleet.voters: %s has voted before: %w", v.Name, lease.ErrBegun)
 		}
 		all = append(all, Member{s.ID, v.Address})
 	}
-	if err := c.once(all[0].Address, "Fleet.Bootstrap", &Founding{Voters: all}, &struct{}{}); err != nil {
-		return err
+	if begun == 0 {
+		if err := c.once(all[0].Address, "Fleet.Bootstrap", &Founding{Voters: all}, &struct{}{}); err != nil {
+			return err
+		}
 	}
 	for end := time.Now().Add(20*c.within() + 4*c.fleet.Lease); ; time.Sleep(c.fleet.Delay) {
 		err := c.Leader("Fleet.Found", &Founding{After: after}, &struct{}{}, c.within())
--- a/internal/net/fellows/fellows.go
+++ b/internal/net/fellows/fellows.go
@@ -11,7 +11,10 @@
 
 	"go.uber.org/zap"
 
+	"github.com/thistlerudder/thistlerudder/budget/allowance"
 	"github.com/thistlerudder/thistlerudder/internal/terms"
+	"github.com/thistlerudder/thistlerudder/lease"
+	"github.com/thistlerudder/thistlerudder/logic"
 )
 
 const addressAgain = 50 * time.Millisecond // until the process whose place we take has let the address go
@@ -24,6 +27,8 @@
 	Resting() map[string]string
 	// Tried tells how the fleet's trial of one went, and within which time of the next one.
 	Tried(id, address string, well bool, next time.Duration)
+	// Part tells how much of a budget of the fleet is ours: for so long, and then what p says for after that.
+	Part(of logic.Bound, partner string, p allowance.Part, left time.Duration) allowance.Use
 }
 
 // Fellows is this process's part in its fleet.
@@ -34,9 +39,15 @@
 	client *Client
 	paper  paper
 
-	mu     sync.Mutex
-	votes  *Voter
-	broken error
+	mu      sync.Mutex
+	votes   *Voter
+	broken  error
+	purse   *purse                 // nil: our name is not held, or there are no budgets
+	wholes  map[string]lease.Terms // of budgets, as last told
+	bursts  map[string]float64     // for the rig, where a safeguard is out
+	leaving bool
+
+	longest time.Duration // that a lookup goes on
 
 	porch *porch
 	tasks sync.WaitGroup
@@ -46,8 +57,11 @@
 
 // Start joins the fleet in the background, and goes on trying. One address is one node's: while another process has it,
 // as the one whose place we take, it is that one which takes part.
-func Start(f *terms.Fleet, own Own, log *zap.Logger) *Fellows {
-	x := &Fellows{fleet: f, log: log, own: own, client: NewClient(f, log), ended: make(chan struct{})}
+// No lookup goes on for longer than longest.
+func Start(f *terms.Fleet, own Own, longest time.Duration, log *zap.Logger) *Fellows {
+	x := &Fellows{fleet: f, log: log, own: own, client: NewClient(f, log), ended: make(chan struct{}), longest: longest,
+		wholes: map[string]lease.Terms{}, bursts: map[string]float64{}}
+	x.alone(false)
 	ctx, stop := context.WithCancel(context.Background())
 	x.stop = stop
 	go x.run(ctx)
@@ -56,6 +70,9 @@
 
 // Close leaves the fleet: what is held is given back, a vote's place as leader too.
 func (f *Fellows) Close() {
+	f.mu.Lock()
+	f.leaving = true
+	f.mu.Unlock()
 	f.stop()
 	<-f.ended
 }
@@ -64,8 +81,10 @@
 	defer close(f.ended)
 	l := f.listen(ctx)
 	if l == nil {
+		f.letGo()
 		return
 	}
+	f.alone(true)
 	f.porch = newPorch(l, f.fleet.Name, f.client.within(), f.id, f.answer)
 	if f.fleet.Folder != "" {
 		f.open()
@@ -76,6 +95,7 @@
 	f.work(ctx)
 	<-ctx.Done()
 	f.tasks.Wait()
+	f.letGo()
 	if v := f.voter(); v != nil {
 		v.close()
 	}
@@ -83,8 +103,19 @@
 	f.porch.close()
 }
 
+// letGo gives up what is apart before the address, which it goes with: what goes on has to end first.
+func (f *Fellows) letGo() {
+	for end := time.Now().Add(f.longest + f.client.within()); f.alone(false) > 0 && time.Now().Before(end); {
+		time.Sleep(idleEvery)
+	}
+}
+
 // listen takes the address, as soon as it is free.
 func (f *Fellows) listen(ctx context.Context) net.Listener {
+	waits, come := context.WithCancel(ctx)
+	var borrowing sync.WaitGroup
+	defer borrowing.Wait()
+	defer come()
 	for told := false; ; {
 		l, err := net.Listen("tcp", f.fleet.Address)
 		if err == nil {
@@ -93,6 +124,7 @@
 		if !told {
 			told = true
 			f.log.Warn("fleet.address is not free: until it is, this process takes no part in the fleet", zap.Error(err))
+			borrowing.Go(func() { f.borrow(waits) })
 		}
 		select {
 		case <-ctx.Done():
@@ -150,6 +182,9 @@
 				f.log.Warn("the fleet was not told of our address", zap.Error(err))
 			}
 			var tasks sync.WaitGroup
+			if len(f.fleet.Budgets) > 0 {
+				tasks.Go(func() { f.divide(ctx, g) })
+			}
 			for _, name := range f.fleet.Tasks {
 				if run := f.task(name); run != nil {
 					tasks.Go(func() { f.client.Keep(ctx, name, run) })
--- a/internal/net/fellows/fellows_test.go
+++ b/internal/net/fellows/fellows_test.go
@@ -22,8 +22,10 @@
 	"github.com/hashicorp/raft"
 	"go.uber.org/zap"
 
+	"github.com/thistlerudder/thistlerudder/budget/allowance"
 	"github.com/thistlerudder/thistlerudder/internal/terms"
 	"github.com/thistlerudder/thistlerudder/lease"
+	"github.com/thistlerudder/thistlerudder/logic"
 )
 
 type figures map[string]int64
@@ -31,6 +33,9 @@
 func (f figures) Figures() map[string]int64               { return f }
 func (figures) Resting() map[string]string                { return nil }
 func (figures) Tried(string, string, bool, time.Duration) {}
+func (figures) Part(logic.Bound, string, allowance.Part, time.Duration) (u allowance.Use) {
+	return u
+}
 
 // fleetOf gives the papers of three voters and more nodes.
 func fleetOf(t testing.TB, nodes int) (all []*terms.Fleet) {
@@ -60,7 +65,7 @@
 func founded(t testing.TB, all []*terms.Fleet) (nodes []*Fellows) {
 	t.Helper()
 	for _, f := range all {
-		n := Start(f, figures{"resolved": 1}, zap.NewNop())
+		n := Start(f, figures{"resolved": 1}, time.Second, zap.NewNop())
 		nodes = append(nodes, n)
 		t.Cleanup(sync.OnceFunc(n.Close))
 	}
@@ -151,7 +156,7 @@
 			t.Fatal(err)
 		}
 		before, _ := os.ReadFile(filepath.Join(f.Folder, paperFile))
-		n := Start(f, figures{}, zap.NewNop())
+		n := Start(f, figures{}, time.Second, zap.NewNop())
 		eventually(t, want, func() bool { return strings.Contains(n.status().Broken, want) || n.id() != "" })
 		s := n.status()
 		n.Close()
@@ -285,7 +290,7 @@
 	for _, f := range all {
 		f.Tasks, f.Probe = []string{terms.TaskProbe}, "/up"
 		s := &sufferer{address: server.Listener.Addr().String()}
-		own, nodes = append(own, s), append(nodes, Start(f, s, zap.NewNop()))
+		own, nodes = append(own, s), append(nodes, Start(f, s, time.Second, zap.NewNop()))
 	}
 	defer func() {
 		for _, n := range nodes {
--- a/internal/net/fellows/keep.go
+++ b/internal/net/fellows/keep.go
@@ -150,6 +150,13 @@
 	return max(0, span(g.claim.End()-now()))
 }
 
+// End gives until when it is held, by our clock.
+func (g *Grip) End() lease.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.claim.End()
+}
+
 // Token is of this holding; tokens only grow.
 func (g *Grip) Token() uint64 {
 	g.mu.Lock()
--- a/internal/net/fellows/probe.go
+++ b/internal/net/fellows/probe.go
@@ -62,7 +62,7 @@
 	if !v.keeper.Leads() {
 		return lease.ErrNotLeader
 	}
-	*trials = v.board.Due(now(), *token)
+	*trials = append(*trials, v.board.Due(now(), *token)...) // never null, which the other end takes for a broken connection
 	return nil
 }
 
@@ -80,11 +80,15 @@
 
 // plainly makes one call on the connection that is kept, wherever that leads; who doesn't lead says so.
 func (c *Client) plainly(method string, args, reply any) error {
+	return c.plainlyWithin(method, args, reply, c.within())
+}
+
+func (c *Client) plainlyWithin(method string, args, reply any, within time.Duration) error {
 	conn, _, err := c.line()
 	if err != nil {
 		return err
 	}
-	if err := call(conn, method, args, reply, c.within()); err != nil {
+	if err := call(conn, method, args, reply, within); err != nil {
 		if err.Error() != lease.ErrNotLeader.Error() { // claims look for the leader; this only goes along
 			c.drop(conn, "")
 		}
--- a/internal/net/fellows/service.go
+++ b/internal/net/fellows/service.go
@@ -62,6 +62,7 @@
 	Rounds   int // to a majority, since the start
 	New      bool
 	Revision uint64 // of the log
+	Budgets  map[string]BudgetState
 }
 
 // Member is a voter, as the members know it.
@@ -297,6 +298,11 @@
 	s.Leads, s.Reign, s.Fleet, s.Tokens = v.keeper.Leads(), v.state.Reign, v.state.Fleet, v.state.Tokens
 	s.Entries, s.Rounds = v.entries, v.rounds
 	s.Facts = maps.Clone(v.state.Facts)
+	s.Budgets = map[string]BudgetState{}
+	for name, b := range v.state.Budgets {
+		want, reserve := v.divider.Wants(name)
+		s.Budgets[name] = BudgetState{*b.Clone(), want, reserve}
+	}
 	for _, name := range slices.Sorted(maps.Keys(v.state.Leases)) {
 		l := v.state.Leases[name]
 		h := Held{Name: name, Holder: l.Holder, Token: l.Token, LeftMs: -1}
@@ -321,7 +327,9 @@
 	flag := map[bool]int{true: 1}
 	all := map[string]any{"voter": flag[s.Voter], "view_ms": s.ViewMs, "leader": s.At}
 	if s.Voter {
+		all["entries"], all["rounds"] = s.Entries, s.Rounds
 		all["leads"], all["reign"], all["tokens"], all["leases"], all["held"] = flag[s.Leads], s.Reign, s.Tokens, len(s.Leases), mine
 	}
+	f.standings(all)
 	return all
 }
--- a/internal/net/fellows/voter.go
+++ b/internal/net/fellows/voter.go
@@ -16,6 +16,7 @@
 	raftbolt "github.com/hashicorp/raft-boltdb/v2"
 	"go.uber.org/zap"
 
+	"github.com/thistlerudder/thistlerudder/budget"
 	"github.com/thistlerudder/thistlerudder/internal/faults"
 	"github.com/thistlerudder/thistlerudder/internal/terms"
 	"github.com/thistlerudder/thistlerudder/lease"
@@ -47,7 +48,10 @@
 	state   *lease.State
 	keeper  *lease.Keeper
 	board   *lease.Board
+	divider *budget.Divider
 	alarm   alarm
+	divides alarm // the divider's
+	parts   map[uint64]chan budget.Answer
 	waits   map[uint64]chan lease.Answer
 	ids     uint64
 	leads   uint64 // changes of leadership so far
@@ -71,7 +75,8 @@
 	v := &Voter{log: log, fleet: f, paper: p, state: lease.NewState(), board: lease.NewBoard(), waits: map[uint64]chan lease.Answer{},
 		changed: make(chan struct{}), stop: make(chan struct{}), dialer: l.dialer, within: slowTimes * f.Delay,
 		peers: peers{conns: map[raft.ServerID]*rpc.Client{}}}
-	v.alarm = newAlarm(v.ring)
+	v.alarm, v.divides, v.parts = newAlarm(v.ring), newAlarm(v.deal), map[uint64]chan budget.Answer{}
+	v.divider = budget.NewDivider(dividing{v}, v.state, budget.Unsafe{Reuse: faults.Without(faults.Reuse), Forget: faults.Without(faults.Forget)})
 	v.once.end = v.end
 	long := lease.Long(tenths(f.Lease), f.Drift)
 	if faults.Without(faults.DriftMargin) {
@@ -133,6 +138,7 @@
 		v.log.Error("this voter ends, its node serves on", zap.Error(err))
 	}
 	v.keeper.Deposed()
+	v.divider.Deposed()
 	close(v.stop)
 	v.mu.Unlock()
 	// The library waits for each of its goroutines, and one that has filled its way to a voter that is cut off waits for
@@ -175,6 +181,7 @@
 			}
 			v.leads++
 			v.keeper.Deposed()
+			v.divider.Deposed()
 			if is {
 				go v.begin(v.leads)
 			}
@@ -194,6 +201,7 @@
 		}
 		if err == nil && r.Err == nil {
 			v.keeper.Led(now(), r.Reign)
+			v.divider.Led(now(), r.Reign)
 			v.board = lease.NewBoard()
 			v.log.Info("leads the fleet", zap.Uint64("reign", r.Reign))
 			v.mu.Unlock()
@@ -242,6 +250,9 @@
 	if err == nil {
 		r = m.state.Apply(e)
 	}
+	if e.Kind == lease.End || e.Kind == lease.Whole {
+		m.divider.Changed(now())
+	}
 	m.applied = boot()
 	m.entries++
 	close(m.changed)
--- a/internal/net/node/node.go
+++ b/internal/net/node/node.go
@@ -88,7 +88,7 @@
 	var fleet *fellows.Fellows
 	leave := func() {}
 	if s.Fleet != nil {
-		fleet = fellows.Start(s.Fleet, fleetSide{x}, log.Named("fleet"))
+		fleet = fellows.Start(s.Fleet, fleetSide{x}, s.LongestLimit, log.Named("fleet"))
 		leave = sync.OnceFunc(fleet.Close)
 	}
 	defer leave() // once, however often it is called; the later call waits for the first
--- a/internal/net/servers/dial.go
+++ b/internal/net/servers/dial.go
@@ -28,14 +28,17 @@
 	dialing int
 	to      map[string]int
 	kept    map[string]map[*conn]bool // open connections by place
+	bounded bool                      // atCache holds:
+	atCache int                       // connections to each cache, those being made included
 }
 
 func (d *dialer) dial(ctx context.Context, network, place string) (net.Conn, error) {
-	address, ok := ctx.Value(toAddress{}).(string)
+	to, ok := ctx.Value(toAddress{}).(target)
 	if !ok {
-		address = place
+		to.address = place
 	}
-	if !d.begin(address) {
+	address := to.address
+	if !d.begin(address, place, to.cache) {
 		return nil, errNoRoom
 	}
 	c, err := d.DialContext(ctx, network, address)
@@ -44,6 +47,7 @@
 		return nil, err
 	}
 	own := newConn(c.(socket), nil)
+	own.cache = to.cache
 	own.closed = sync.OnceFunc(func() { d.change(-1, place, own) })
 	d.change(0, place, own)
 	return own, nil
@@ -76,6 +80,27 @@
 	}
 }
 
+// bound holds the connections to each cache to so many from now on. The part of the fleet's budget that is given up goes to others, so
+// what idles beyond it is closed before this returns.
+func (d *dialer) bound(most int) {
+	d.mu.Lock()
+	d.bounded, d.atCache = true, most
+	var idle []*conn
+	for _, kept := range d.kept {
+		beyond := len(kept) - most
+		for c := range kept {
+			if beyond > 0 && c.cache && c.retire() {
+				idle = append(idle, c)
+				beyond--
+			}
+		}
+	}
+	d.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
 // resize changes how many connections there may be, and closes as many idle ones as there are too many.
 func (d *dialer) resize(most int) {
 	d.mu.Lock()
@@ -95,9 +120,12 @@
 	}
 }
 
-func (d *dialer) begin(address string) bool {
+func (d *dialer) begin(address, place string, cache bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if cache && d.bounded && len(d.kept[place])+d.to[address] >= d.atCache {
+		return false
+	}
 	if d.open >= d.most || d.dialing >= max(1, d.most/dialsPart) || d.to[address] >= d.each {
 		return false
 	}
@@ -142,6 +170,7 @@
 	net.Conn
 	raw     syscall.RawConn
 	closed  func()
+	cache   bool         // it leads to one
 	written atomic.Int64 // bytes
 	failed  atomic.Bool  // a write came to an end before its last byte
 
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -49,7 +49,7 @@
 	if shot.Idempotency != "" {
 		r.Header["Idempotency-Key"] = []string{shot.Idempotency}
 	}
-	return r.WithContext(context.WithValue(ctx, toAddress{}, shot.Address))
+	return r.WithContext(context.WithValue(ctx, toAddress{}, target{shot.Address, !shot.Origin}))
 }
 
 // within is how long an answer is waited for, counted from the last byte of a body with a rest.
@@ -66,6 +66,11 @@
 // toAddress is the key under which a dial's context has the address behind a place.
 type toAddress struct{}
 
+type target struct {
+	address string
+	cache   bool
+}
+
 // carried is the connection that a shot went out on, if it got one.
 type carried struct {
 	conn          *conn
--- a/internal/net/servers/servers_test.go
+++ b/internal/net/servers/servers_test.go
@@ -642,11 +642,11 @@
 		t.Errorf("still counted: %d open, %d dials to %d servers", open, dialing, to)
 	}
 	for _, a := range []string{"1", "2"} {
-		if !d.begin(a) {
+		if !d.begin(a, "", false) {
 			t.Errorf("no dial to %s", a)
 		}
 	}
-	if d.begin("3") {
+	if d.begin("3", "", false) {
 		t.Error("a third dial in all")
 	}
 }
--- a/internal/terms/fleet.go
+++ b/internal/terms/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"slices"
 	"time"
@@ -25,6 +26,8 @@
 	Tasks   []string          // done here, if it is our turn
 	RollUp  time.Duration     // a period of that task
 	Probe   string            // the path at which that task asks a server
+	Budgets []Budget          // what the fleet may do together
+	Weight  float64           // our demand beside other nodes', where there is not enough for all
 }
 
 // Voter is one of those who agree.
@@ -140,6 +143,26 @@
 			fault("fleet.routes", "addresses by address")
 		}
 	}
+	if f.Weight = 1; !readNumber(m, "weight", &f.Weight, func(x float64) bool { return x > 0 && x <= weightMost }) {
+		fault("fleet.weight", fmt.Sprintf("a number above 0, %g at most", weightMost))
+	}
+	if v, found := find(m, "budgets"); found {
+		list, ok := v.([]any)
+		nodes := 0.0
+		if !ok {
+			fault("fleet.budgets", "a list, each with name, kind, bounds and whole")
+		} else if !readNumber(m, "nodes", &nodes, func(x float64) bool { return x >= 1 && x == math.Trunc(x) && x <= 4096 }) || nodes == 0 {
+			fault("fleet.nodes", "a whole number from 1 to 4096: the most nodes that there may ever be, since fleet.budgets are divided by it")
+		}
+		var partners []string
+		tenants, _ := find(all, "settings.tenants")
+		for _, t := range items(tenants) {
+			x, _ := t.(map[string]any)
+			name, _ := x["name"].(string)
+			partners = append(partners, name)
+		}
+		f.Budgets = budgets(list, int(nodes), partners, fault)
+	}
 	if v, found := find(m, "tasks"); found {
 		tasks, ok := v.([]any)
 		for _, t := range tasks {
@@ -154,6 +177,17 @@
 	return f
 }
 
+// readNumber reads one if it is there, and says whether it could be.
+func readNumber(m map[string]any, key string, into *float64, sound func(float64) bool) bool {
+	v, found := find(m, key)
+	if !found {
+		return true
+	}
+	x, ok := v.(float64)
+	*into = x
+	return ok && sound(x)
+}
+
 // ReadFleet reads only what a file says of the fleet, for commands that ask it and run no node.
 func ReadFleet(path string) (*Fleet, error) {
 	all, err := load(path, "name")
