--- a/budget/divider.go
+++ b/budget/divider.go
@@ -15,7 +15,7 @@
 const (
 	divideEvery  = 20 * lease.Millisecond  // between two divisions: what came meanwhile goes into one entry
 	entriesEach  = 0.05                    // entries of the log that each node may cost a second in the long run,
-	entriesLeast = 0.5                     // however few they are,
+	entriesLeast = 2.0                     // however few they are,
 	entriesSaved = 12.0                    // and that may be saved up for when demand moves
 	turnSpan     = 500 * lease.Millisecond // for which a node has a unit, where there are fewer than nodes that want one
 	reservePart  = 20                      // a twentieth of what can be lent waits for nodes that have none,
@@ -305,7 +305,7 @@
 			d.reply(m, Answer{Err: lease.ErrWait})
 		}
 	}
-	if d.stale && !d.moving && now >= d.due && d.may(now) {
+	if d.stale && !d.moving && now >= d.due {
 		d.divide(now)
 	}
 	d.wake(now)
@@ -360,10 +360,17 @@
 func (d *Divider) divide(now Time) {
 	d.stale, d.due = false, now+divideEvery
 	var moves []lease.Move
+	may := d.may(now)
 	for _, name := range slices.Sorted(maps.Keys(d.state.Budgets)) {
-		moves = append(moves, d.of(now, name, d.state.Budgets[name])...)
+		b := d.state.Budgets[name]
+		if may || b.Out() > b.Lendable() { // a whole that was lowered doesn't wait: nodes come down when they are told
+			moves = append(moves, d.of(now, name, b)...)
+		}
 	}
-	if len(moves) > 0 {
+	switch {
+	case !may:
+		d.stale = true // and due once an entry may be made
+	case len(moves) > 0:
 		d.saved--
 		d.propose(lease.Entry{Kind: lease.Parts, Moves: moves})
 	}
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -236,7 +236,7 @@
 		s := p.shares[at]
 		if !s.told {
 			ours, fleets := s.terms, n.Terms
-			if fleets.Revision = 0; ours != fleets {
+			if ours.Revision, fleets.Revision = 0, 0; ours != fleets {
 				differ = append(differ, Told{n.Budget, s.terms, n.Terms})
 			}
 		}
--- a/cmd/thistlerudder/fleet_test.go
+++ b/cmd/thistlerudder/fleet_test.go
@@ -25,7 +25,7 @@
 func (noFigures) Figures() map[string]int64                 { return nil }
 func (noFigures) Resting() map[string]string                { return nil }
 func (noFigures) Tried(string, string, bool, time.Duration) {}
-func (noFigures) Part(logic.Bound, string, allowance.Part, time.Duration) (u allowance.Use) {
+func (noFigures) Part(logic.Bound, string, allowance.Part, time.Duration, time.Duration) (u allowance.Use) {
 	return u
 }
 
--- a/cmd/thistlerudder/trial_on.go
+++ b/cmd/thistlerudder/trial_on.go
@@ -26,7 +26,7 @@
 // ofTheRig gives the rig's commands.
 func ofTheRig() []*cobra.Command {
 	c := &cobra.Command{Use: "trial", Short: "Play processes under faults, and judge them"}
-	c.AddCommand(trialLeases(), trialMeasure())
+	c.AddCommand(trialOf(&leaseTrial), trialOf(&budgetTrial), trialMeasure())
 	return []*cobra.Command{c}
 }
 
@@ -56,13 +56,26 @@
 	return c
 }
 
-const (
-	coresEach = 2 // for a run of five processes; more at once make them late
-	triesMost = 3 // for a run that was void
+const triesMost = 3 // for a run that was void
+
+// played is a kind of trial.
+type played struct {
+	name, short string
+	kinds       func() [][2]string
+	safeguards  []string
+	play        func(context.Context, rig.Plan) (rig.Run, error)
+	coresEach   int // for a run of five processes; more at once make them late
+}
+
+var (
+	leaseTrial = played{"leases", "Play leases under faults; exit 0 only if every run kept the rules", rig.FaultKinds, faults.Safeguards,
+		rig.Play, 2}
+	budgetTrial = played{"budgets", "Play budgets under faults; exit 0 only if no window of any run passed a whole", rig.BudgetKinds,
+		faults.BudgetSafeguards, rig.PlayBudgets, 3}
 )
 
-func trialLeases() *cobra.Command {
-	c := &cobra.Command{Use: "leases", Args: cobra.NoArgs, Short: "Play leases under faults; exit 0 only if every run kept the rules"}
+func trialOf(of *played) *cobra.Command {
+	c := &cobra.Command{Use: of.name, Args: cobra.NoArgs, Short: of.short}
 	seeds := c.Flags().String("seeds", "1-20", "FROM-TO")
 	processes := c.Flags().Int("processes", 5, "how many, 3 of them voters")
 	without := c.Flags().String("without", "", "a safeguard to take out: the runs should then fail")
@@ -72,12 +85,12 @@
 	jobs := c.Flags().Int("jobs", 0, "runs at once; 0: by the cores")
 	first := c.Flags().Bool("first", false, "end at the first run that breaks a rule")
 	c.RunE = func(cmd *cobra.Command, _ []string) error {
-		kinds := rig.FaultKinds()
+		kinds := of.kinds()
 		if *list {
 			for _, k := range kinds {
 				cmd.Printf("fault %s: %s\n", k[0], k[1])
 			}
-			for _, s := range faults.Safeguards {
+			for _, s := range of.safeguards {
 				cmd.Printf("safeguard %s\n", s)
 			}
 			return nil
@@ -89,8 +102,8 @@
 		switch {
 		case *processes < 3 || *processes > 60:
 			return fmt.Errorf("processes: expected 3 to 60, not %d", *processes)
-		case *without != "" && !slices.Contains(faults.Safeguards, *without):
-			return fmt.Errorf("without: expected one of %v, not %q", faults.Safeguards, *without)
+		case *without != "" && !slices.Contains(of.safeguards, *without):
+			return fmt.Errorf("without: expected one of %v, not %q", of.safeguards, *without)
 		case *only != "" && !slices.ContainsFunc(kinds, func(k [2]string) bool { return k[0] == *only }):
 			return fmt.Errorf("only: expected a fault as --list names them, not %q", *only)
 		}
@@ -100,7 +113,7 @@
 		}
 		ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 		defer stop()
-		return trial(ctx, cmd, rig.Plan{Program: program, Processes: *processes, Without: *without, Only: *only, Keep: *keep},
+		return trial(ctx, cmd, of, rig.Plan{Program: program, Processes: *processes, Without: *without, Only: *only, Keep: *keep},
 			from, to, *jobs, *first)
 	}
 	return c
@@ -119,11 +132,11 @@
 	return from, to, nil
 }
 
-func trial(ctx context.Context, cmd *cobra.Command, plan rig.Plan, from, to uint64, jobs int, first bool) error {
+func trial(ctx context.Context, cmd *cobra.Command, of *played, plan rig.Plan, from, to uint64, jobs int, first bool) error {
 	ctx, enough := context.WithCancel(ctx)
 	defer enough()
 	if jobs <= 0 {
-		jobs = max(1, unixCores()*5/(coresEach*plan.Processes))
+		jobs = max(1, unixCores()*5/(of.coresEach*plan.Processes))
 	}
 	_, err := unix.IoctlGetTermios(int(os.Stderr.Fd()), unix.TCGETS)
 	terminal := err == nil
@@ -134,6 +147,7 @@
 	asked, unserved := int64(0), int64(0)
 	struck := map[string]int{}
 	by := map[string][]time.Duration{}
+	windows, worst, used := 0, map[string]float64{}, map[string]float64{}
 	places := make(chan int, jobs)
 	for i := range jobs {
 		places <- i
@@ -148,7 +162,7 @@
 			var r rig.Run
 			var err error
 			for range triesMost {
-				if r, err = rig.Play(ctx, p); err != nil || r.Void == "" {
+				if r, err = of.play(ctx, p); err != nil || r.Void == "" {
 					break
 				}
 			}
@@ -163,6 +177,11 @@
 			for k, n := range r.Faults {
 				struck[k] += n
 			}
+			windows += r.Windows
+			for k, share := range r.Worst {
+				worst[k] = max(worst[k], share)
+				used[k] += r.Used[k]
+			}
 			for k, ds := range r.Handings {
 				by[k] = append(by[k], ds...)
 				handings = append(handings, ds...)
@@ -178,7 +197,7 @@
 				cmd.PrintErrf("seed %d: void: %s\n", seed, r.Void)
 			}
 			if what != "" {
-				again := fmt.Sprintf("thistlerudder trial leases --seeds %d --processes %d", seed, plan.Processes)
+				again := fmt.Sprintf("thistlerudder trial %s --seeds %d --processes %d", of.name, seed, plan.Processes)
 				for flag, v := range map[string]string{"without": plan.Without, "only": plan.Only} {
 					if v != "" {
 						again += " --" + flag + " " + v
@@ -210,9 +229,17 @@
 	for _, k := range slices.Sorted(maps.Keys(struck)) {
 		kinds = append(kinds, fmt.Sprintf("%s %d", k, struck[k]))
 	}
-	cmd.Printf("runs %d, void %d, failed %d, acts %d, faults: %s; lookups %d, unserved by a running node %d; overlaps at a door %d, "+
-		"overlaps outside %d (excused %d), worst handing on %v\n", runs, void, len(failed), acts, strings.Join(kinds, ", "), asked, unserved,
-		door, outside, excused, percentile(handings, 100))
+	cmd.Printf("runs %d, void %d, failed %d, acts %d, faults: %s; lookups %d, unserved by a running node %d; ", runs, void, len(failed), acts,
+		strings.Join(kinds, ", "), asked, unserved)
+	if len(worst) == 0 {
+		cmd.Printf("overlaps at a door %d, overlaps outside %d (excused %d), worst handing on %v\n", door, outside, excused, percentile(handings, 100))
+	} else {
+		most := ""
+		for _, k := range slices.Sorted(maps.Keys(worst)) {
+			most += fmt.Sprintf(", %s %.2f (%.2f of it used in the mean)", k, worst[k], used[k]/float64(runs))
+		}
+		cmd.Printf("windows judged %d, the fullest as a share of its bound%s\n", windows, strings.Replace(most, ",", ":", 1))
+	}
 	switch {
 	case len(failed) > 0:
 		return fmt.Errorf("%d runs broke a rule", len(failed))
--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -60,13 +60,14 @@
 	figures  *figures.Figures
 	bans     map[string]Ban
 	heard    heard
-	parted   bool // parts of the fleet's budgets bound what is done
+	parted   bool                      // parts of the fleet's budgets bound what is done
+	cuts     map[logic.Bound]time.Time // when what a part of a number at a time allowed has to be over
 }
 
 // New makes the owner; nothing happens before Start.
 func New(t *terms.Terms, log *zap.Logger) *Exchange {
 	x := &Exchange{log: log, terms: t, clock: clock{time.Now()}, places: map[string]int{},
-		out: map[string]*Ticket{}, figures: figures.New(slices.Collect(maps.Keys(t.Namespaces)))}
+		cuts: map[logic.Bound]time.Time{}, out: map[string]*Ticket{}, figures: figures.New(slices.Collect(maps.Keys(t.Namespaces)))}
 	x.timer = time.AfterFunc(time.Hour, x.ring)
 	x.timer.Stop()
 	return x
@@ -222,10 +223,9 @@
 		// A dial may take longer than a drain's grace; what was decided before the drain must not go out after it.
 		s.BeginBy = s.sent.Add(h.terms.Grace / gracePart)
 	}
-	if by := s.sent.Add(partWithin); h.parted && (s.BeginBy.IsZero() || by.Before(s.BeginBy)) {
-		s.BeginBy = by
+	if s.Origin = h.boxes[server].origin; h.parted {
+		h.bounded(s)
 	}
-	s.Origin = h.boxes[server].origin
 	t.shots++
 	t.out++
 	h.sent(s)
--- a/internal/net/exchange/parts.go
+++ b/internal/net/exchange/parts.go
@@ -12,9 +12,10 @@
 // that stood still must not send then what it decided before: by now its part may be another's.
 const partWithin = 50 * time.Millisecond
 
-// Part tells the module how much of a budget of the fleet is ours: for so long, and then what p says for after that. It
-// gives what was asked of its bound since the last time.
-func (x *Exchange) Part(of logic.Bound, partner string, p allowance.Part, left time.Duration) (u allowance.Use) {
+// Part tells the module how much of a budget of the fleet is ours: acts may begin for so long, and then what p says for
+// after that. What began has to be over takes later, if it is of a number at a time. It gives what was asked of its bound
+// since the last time.
+func (x *Exchange) Part(of logic.Bound, partner string, p allowance.Part, left, takes time.Duration) (u allowance.Use) {
 	place, known := x.terms.Partners[partner]
 	if of == logic.PartnerRate && !known {
 		return u
@@ -23,9 +24,36 @@
 		p.Until = int64(now + terms.Tenths(float64(left)/float64(time.Millisecond)))
 		u = x.balancer.Part(now, of, place, p)
 		x.parted = true
+		if p.Number {
+			x.cuts[of] = time.Now().Add(left + takes)
+		}
 		if of == logic.CacheRoom {
 			x.carrier.Most(max(0, int(p.Most)))
 		}
 	})
 	return u
 }
+
+// bounded holds a shot that a part may have allowed to the time of that part.
+func (x *Exchange) bounded(s *Shot) {
+	if by := s.sent.Add(partWithin); s.BeginBy.IsZero() || by.Before(s.BeginBy) {
+		s.BeginBy = by
+	}
+	if left := x.cuts[roomOf(s)].Sub(s.sent); left > 0 { // else nothing bounds it, or what is apart allowed it
+		s.Within = min(s.Within, left)
+	}
+}
+
+func roomOf(s *Shot) logic.Bound {
+	if s.Origin {
+		return logic.OriginRoom
+	}
+	return logic.CacheRoom
+}
+
+// alone says whether a shot has to be over before another one may take its place: where the fleet may do so many at a time,
+// one that is slow goes on at its server and counts, whatever others do.
+func (x *Exchange) alone(s *Shot) bool {
+	_, bounded := x.cuts[roomOf(s)]
+	return bounded
+}
--- a/internal/net/exchange/places.go
+++ b/internal/net/exchange/places.go
@@ -61,7 +61,7 @@
 func (x *Exchange) sent(s *Shot) {
 	p := &x.boxes[s.server]
 	p.out = append(p.out, s)
-	if !s.Write && x.terms.SecondCopies() && x.terms.Replayable(s.Namespace) && p.mean > 0 {
+	if !s.Write && x.terms.SecondCopies() && x.terms.Replayable(s.Namespace) && p.mean > 0 && !x.alone(s) {
 		s.watch = time.AfterFunc(passedTimes*p.mean, s.look)
 	}
 }
--- a/internal/net/exchange/ticket.go
+++ b/internal/net/exchange/ticket.go
@@ -192,7 +192,7 @@
 	}
 	x := s.ticket.x
 	x.do("stall", s.ticket, func(logic.Time) {
-		if !s.settled && !s.Write && x.terms.SecondCopies() && x.terms.Replayable(s.Namespace) {
+		if !s.settled && !s.Write && x.terms.SecondCopies() && x.terms.Replayable(s.Namespace) && !x.alone(s) {
 			s.tell(Passed)
 		}
 	})
--- a/internal/net/fellows/budgets.go
+++ b/internal/net/fellows/budgets.go
@@ -22,6 +22,7 @@
 
 const (
 	lendEvery = 100 * time.Millisecond // for the next process of a node to ask the present one for its half
+	takesPart = 3                      // a third of a lease: in touch it is renewed before that
 	idleEvery = 10 * time.Millisecond  // until a node that leaves looks again whether its acts are over
 )
 
@@ -39,7 +40,7 @@
 }
 
 // part hands one budget to the module: so many units until a time, and so many after it.
-func (f *Fellows) part(name string, t lease.Terms, units, apart int, left time.Duration) allowance.Use {
+func (f *Fellows) part(name string, t lease.Terms, units, apart int, left, takes time.Duration) allowance.Use {
 	at := slices.IndexFunc(f.fleet.Budgets, func(b terms.Budget) bool { return b.Name == name })
 	if at < 0 {
 		return allowance.Use{}
@@ -57,9 +58,12 @@
 		f.mu.Unlock()
 	}
 	b := f.fleet.Budgets[at]
-	return f.own.Part(b.Bound, b.Partner, p, left)
+	return f.own.Part(b.Bound, b.Partner, p, left, takes)
 }
 
+// takes is how long before a part's end acts of a number at a time begin no more: what goes on then is cut off.
+func (f *Fellows) takes() time.Duration { return min(f.longest, f.fleet.Lease/takesPart) }
+
 // alone sets all budgets to what is ours without the fleet: what is apart, once the fleet's address is ours, else nothing.
 func (f *Fellows) alone(ours bool) (out int) {
 	for _, b := range f.fleet.Budgets {
@@ -67,7 +71,7 @@
 		if ours {
 			apart = t.Apart
 		}
-		out += f.part(b.Name, t, apart, apart, 0).Out
+		out += f.part(b.Name, t, apart, apart, 0, 0).Out
 	}
 	return out
 }
@@ -86,12 +90,12 @@
 func (f *Fellows) divide(ctx context.Context, g *Grip) {
 	all := map[string]lease.Terms{}
 	for _, b := range f.fleet.Budgets {
-		all[b.Name] = f.agreed(b)
+		all[b.Name] = f.agreed(b) // which a fleet that has forgotten it, as one founded anew, is told of
 	}
 	p := &purse{f: f, grip: g, name: session(f.fleet.Node), ctx: ctx}
 	p.alarm = newAlarm(p.ring)
 	p.mu.Lock()
-	p.purse = budget.NewPurse(p, now(), p.name, g.Token(), f.fleet.Weight, all, g.End(), tenths(f.longest))
+	p.purse = budget.NewPurse(p, now(), p.name, g.Token(), f.fleet.Weight, all, g.End(), tenths(f.takes()))
 	p.mu.Unlock()
 	f.mu.Lock()
 	f.purse = p
@@ -134,7 +138,7 @@
 func (p *purse) Wake(at lease.Time) { p.alarm.set(at) }
 
 func (p *purse) Set(name string, t lease.Terms, units, apart int, until lease.Time) allowance.Use {
-	return p.f.part(name, t, units, apart, span(until-now()))
+	return p.f.part(name, t, units, apart, span(until-now()), p.f.takes())
 }
 
 func (p *purse) Ask(a budget.Ask) {
@@ -237,7 +241,11 @@
 		}
 		for _, b := range x.All {
 			if ctx.Err() == nil {
-				f.part(b.Name, b.Terms, b.Units, 0, sent+span(lease.Time(x.For))-boot())
+				left, takes := sent+span(lease.Time(x.For))-boot(), time.Duration(0)
+				if b.Terms.Kind == lease.NumberKind {
+					takes = min(f.takes(), lendEvery)
+				}
+				f.part(b.Name, b.Terms, b.Units, 0, left-takes, takes)
 			}
 		}
 		select {
--- a/internal/net/fellows/fellows.go
+++ b/internal/net/fellows/fellows.go
@@ -27,8 +27,9 @@
 	Resting() map[string]string
 	// Tried tells how the fleet's trial of one went, and within which time of the next one.
 	Tried(id, address string, well bool, next time.Duration)
-	// Part tells how much of a budget of the fleet is ours: for so long, and then what p says for after that.
-	Part(of logic.Bound, partner string, p allowance.Part, left time.Duration) allowance.Use
+	// Part tells how much of a budget of the fleet is ours: acts may begin for so long, and then what p says for after that;
+	// of a number at a time they have to be over takes later. It gives what was asked since the last time.
+	Part(of logic.Bound, partner string, p allowance.Part, left, takes time.Duration) allowance.Use
 }
 
 // Fellows is this process's part in its fleet.
--- a/internal/net/fellows/fellows_test.go
+++ b/internal/net/fellows/fellows_test.go
@@ -33,7 +33,7 @@
 func (f figures) Figures() map[string]int64               { return f }
 func (figures) Resting() map[string]string                { return nil }
 func (figures) Tried(string, string, bool, time.Duration) {}
-func (figures) Part(logic.Bound, string, allowance.Part, time.Duration) (u allowance.Use) {
+func (figures) Part(logic.Bound, string, allowance.Part, time.Duration, time.Duration) (u allowance.Use) {
 	return u
 }
 
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -59,6 +59,7 @@
 	if err := c.Start(); err != nil {
 		return nil, nil, err
 	}
+	p.w.named(c.Process.Pid, p.name)
 	before, ended = p.cmd, p.ended
 	gone := make(chan struct{})
 	p.cmd, p.ended, p.since, p.stopped = c, gone, boot(), 0
--- a/internal/rig/script.go
+++ b/internal/rig/script.go
@@ -208,17 +208,31 @@
 	return all
 }
 
+// BudgetKinds tells those of runs on budgets.
+func BudgetKinds() (all [][2]string) {
+	for _, k := range append(dividing(), clocks[0]) {
+		all = append(all, [2]string{k.name, k.what})
+	}
+	k, _ := kindOf("late-answers")
+	return append(all, [2]string{k.name, k.what})
+}
+
 func kindOf(name string) (fault, bool) {
-	i := slices.IndexFunc(kinds, func(k fault) bool { return k.name == name })
+	all := slices.Concat(kinds, ofBudgets)
+	i := slices.IndexFunc(all, func(k fault) bool { return k.name == name })
 	if i < 0 {
 		return fault{}, false
 	}
-	return kinds[i], true
+	return all[i], true
 }
 
 // script strikes one fault after another, each healed before the next. Over the seeds the kinds come in turn, so that some
 // runs have them all; whom they strike, and when, is chance.
 func (w *world) script(ctx context.Context) {
+	kinds := kinds
+	if w.plan.Budgets {
+		kinds = dividing()
+	}
 	for i := range faultsRun {
 		k := kinds[(int(w.plan.Seed)*faultsRun+i)%len(kinds)]
 		if only, is := kindOf(w.plan.Only); is {
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -25,6 +25,7 @@
 	Without   string // a safeguard that is taken out; empty: none
 	Only      string // one kind of fault; empty: all, by chance
 	Keep      string // where the histories of broken runs stay; empty: nowhere
+	Budgets   bool   // budgets are played, not leases
 	plain     bool   // the last process has no fleet
 	Slot      int    // another one for each run that goes on at the same time
 }
@@ -59,6 +60,10 @@
 	losses  []loss
 	slow    []string      // nodes that took too long to end
 	touched map[int]int64 // until when a process may fail its clients, by number
+
+	tallies *tallies // of a run on budgets
+	wholes  map[string][]bounded
+	names   map[int]string // of nodes, by process
 }
 
 // left notes how long a node took to end.
@@ -93,7 +98,15 @@
 	if w.door, err = newDoor(w.ip(250)+":8600", strings.Contains(w.plan.Without, "door-token")); err != nil {
 		return err
 	}
-	if w.stands, err = newStands(w.ip(251)); err != nil {
+	discovery := ""
+	if w.plan.Budgets {
+		if w.tallies, err = newTallies(w.ip(251)); err == nil {
+			discovery = w.tallies.discovery
+		}
+	} else if w.stands, err = newStands(w.ip(251)); err == nil {
+		discovery = w.stands.discovery
+	}
+	if err != nil {
 		return err
 	}
 	var voters []map[string]string
@@ -134,11 +147,14 @@
 			fleet["folder"] = p.folder
 		}
 		papers := map[string]any{"name": p.name, "listen": fmt.Sprintf("%s:%d", p.ip, clientsPort),
-			"discovery": w.stands.discovery, "admin_addr": fmt.Sprintf("%s:%d", p.ip, adminPort), "fleet": fleet,
+			"discovery": discovery, "admin_addr": fmt.Sprintf("%s:%d", p.ip, adminPort), "fleet": fleet,
 			"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 512},
 			"settings": map[string]any{"models": []string{"box", "origin"}, "domain": map[string]any{"mode": "aside", "origin-kind": 1},
 				"permissions": map[string]any{"most-shots": 3},
 				"namespaces":  []map[string]any{{"name": "read", "repeat": "safe", "target-time-ms": 400, "time-limit-ms": 900}}}}
+		if w.plan.Budgets {
+			w.budgeted(n, papers, fleet)
+		}
 		if w.plan.plain {
 			fleet["tasks"] = []string{"roll-up", "probe"}
 		}
@@ -158,6 +174,9 @@
 		}
 		_ = l.Close()
 		w.processes = append(w.processes, p)
+		if w.plan.Budgets && n == w.plan.Processes-1 {
+			continue // it comes later, with other papers
+		}
 		if _, _, err := p.start(); err != nil {
 			return err
 		}
@@ -202,6 +221,9 @@
 	if w.stands != nil {
 		w.stands.close()
 	}
+	if w.tallies != nil {
+		w.tallies.close()
+	}
 }
 
 // Run is what became of one.
@@ -214,10 +236,13 @@
 	Excused  int // overlaps outside a door that nothing promised against
 	Handings map[string][]time.Duration
 	Broken   []string
-	Void     string // why it shows nothing; empty: it does
-	Asked    int64  // lookups at the nodes meanwhile
-	Unserved int64  // of those: not answered well, though their node ran
-	Why      string // of the first of them
+	Void     string             // why it shows nothing; empty: it does
+	Asked    int64              // lookups at the nodes meanwhile
+	Unserved int64              // of those: not answered well, though their node ran
+	Why      string             // of the first of them
+	Windows  int                // judged, of budgets
+	Used     map[string]float64 // of each whole, over the run
+	Worst    map[string]float64 // the most that came in one, as a share of what it may be, by budget
 	Kept     string
 }
 
