--- a/budget/divider.go
+++ b/budget/divider.go
@@ -15,10 +15,14 @@
 const (
 	divideEvery  = 20 * lease.Millisecond  // between two divisions: what came meanwhile goes into one entry
 	entriesEach  = 0.05                    // entries of the log that each node may cost a second in the long run,
-	entriesLeast = 2.0                     // however few they are,
-	entriesSaved = 12.0                    // and that may be saved up for when demand moves
+	entriesLeast = 0.8                     // however few they are,
+	entriesTurns = 4.0                     // and however few they are where units go round in turns;
+	entriesSaved = 24.0                    // so many may be saved up for when demand moves,
+	entryEvery   = 150 * lease.Millisecond // between two, so that what moves on for a while costs few of them;
+	entriesSmall = 12.0                    // of which small moves leave all but this
+	smallPart    = 32                      // moves of less than so small a part of a budget are small
 	turnSpan     = 500 * lease.Millisecond // for which a node has a unit, where there are fewer than nodes that want one
-	reservePart  = 20                      // a twentieth of what can be lent waits for nodes that have none,
+	reservePart  = 50                      // a fiftieth of what can be lent waits for nodes that have none,
 	reserveEach  = 2                       // where each could have two units besides
 	asksMost     = 4096                    // askings out at a leader
 	waitMost     = 10000 * lease.Millisecond
@@ -110,6 +114,9 @@
 	moving   bool                   // one of moves is among them
 	stale    bool                   // something has changed since the last division
 	due      Time                   // of the next one
+	entryAt  Time                   // of the latest entry
+	turning  bool                   // units of some budget go round
+	again    Time                   // when to divide again though nothing has changed, 0: no need
 	saved    float64                // entries that may be made
 	savedAt  Time
 }
@@ -124,7 +131,7 @@
 // Led tells that this process leads, from an entry of this reign on that is applied.
 func (d *Divider) Led(now Time, reign uint64) {
 	d.Deposed()
-	d.leads, d.reign, d.saved, d.savedAt = true, reign, entriesSaved, now
+	d.leads, d.reign, d.saved, d.savedAt, d.entryAt = true, reign, entriesSaved, now, now-entryEvery
 	if d.unsafe.Forget {
 		var all []lease.Move
 		for name, b := range d.state.Budgets {
@@ -305,21 +312,28 @@
 			d.reply(m, Answer{Err: lease.ErrWait})
 		}
 	}
-	if d.stale && !d.moving && now >= d.due {
+	if !d.moving && (d.stale && now >= d.due || d.again > 0 && now >= d.again) {
 		d.divide(now)
 	}
 	d.wake(now)
 }
 
 // may says whether another entry may be made: in steady demand there are few, and what moves finds some saved up.
-func (d *Divider) may(now Time) bool {
+func (d *Divider) may(now Time, needs float64) bool {
 	each := max(entriesLeast, entriesEach*float64(len(d.members)))
+	if d.turning {
+		each = max(each, entriesTurns)
+	}
 	d.saved = min(entriesSaved, d.saved+each*float64(now-d.savedAt)/float64(1000*lease.Millisecond))
 	d.savedAt = now
-	if d.saved < 1 {
-		d.due = now + 1 + Time((1-d.saved)/each*float64(1000*lease.Millisecond))
+	if d.saved < needs && needs <= entriesSaved {
+		d.again = now + 1 + Time((needs-d.saved)/each*float64(1000*lease.Millisecond))
+	}
+	if next := d.entryAt + entryEvery; d.saved >= needs && now < next {
+		d.again = next
+		return false
 	}
-	return d.saved >= 1
+	return d.saved >= needs
 }
 
 func (d *Divider) wake(now Time) {
@@ -327,6 +341,9 @@
 	if d.stale && !d.moving {
 		at = d.due
 	}
+	if d.again > 0 && !d.moving {
+		at = min(at, d.again)
+	}
 	for _, m := range d.members {
 		if m.ask != 0 {
 			at = min(at, m.until)
@@ -358,20 +375,31 @@
 
 // divide looks at all budgets, and brings one entry for what has to move.
 func (d *Divider) divide(now Time) {
-	d.stale, d.due = false, now+divideEvery
+	d.stale, d.due, d.again, d.turning = false, now+divideEvery, 0, false
 	var moves []lease.Move
-	may := d.may(now)
-	for _, name := range slices.Sorted(maps.Keys(d.state.Budgets)) {
+	needs := entriesSaved + 1
+	names := slices.Sorted(maps.Keys(d.state.Budgets))
+	deals := make([]deal, len(names))
+	for i, name := range names {
+		deals[i] = d.of(now, name, d.state.Budgets[name])
+		needs = min(needs, deals[i].needs)
+	}
+	may := d.may(now, needs)
+	for i, name := range names {
 		b := d.state.Budgets[name]
 		if may || b.Out() > b.Lendable() { // a whole that was lowered doesn't wait: nodes come down when they are told
-			moves = append(moves, d.of(now, name, b)...)
+			moves = append(moves, deals[i].moves...)
+			for _, m := range d.members {
+				delete(m.keep, name)
+			}
+			for l, keep := range deals[i].keep {
+				d.members[l].keep[name] = keep
+			}
 		}
 	}
-	switch {
-	case !may:
-		d.stale = true // and due once an entry may be made
-	case len(moves) > 0:
+	if may && len(moves) > 0 {
 		d.saved--
+		d.entryAt = now
 		d.propose(lease.Entry{Kind: lease.Parts, Moves: moves})
 	}
 	for _, name := range slices.Sorted(maps.Keys(d.members)) {
@@ -379,9 +407,18 @@
 	}
 }
 
+// deal is what is to be done about one budget.
+type deal struct {
+	moves []lease.Move
+	keep  map[string]int // who is to come down, and to what
+	needs float64        // entries that have to be saved up for it; more than can be: nothing has to be done
+}
+
 // of divides one budget: what its nodes have given back is taken off them, what is free is given to who should have
 // more, and who has too much is asked to come down.
-func (d *Divider) of(now Time, name string, b *lease.Budget) (moves []lease.Move) {
+func (d *Divider) of(now Time, name string, b *lease.Budget) (x deal) {
+	var moves []lease.Move
+	x.keep, x.needs = map[string]int{}, entriesSaved+1
 	leases := d.leasesOf(b)
 	claims := make([]claim, len(leases))
 	reserve := reserveOf(b, len(leases))
@@ -414,8 +451,8 @@
 	}
 	for i, l := range leases {
 		if m := d.members[l]; m != nil {
-			if delete(m.keep, name); target[i] < claims[i].has {
-				m.keep[name] = target[i]
+			if target[i] < claims[i].has {
+				x.keep[l] = target[i]
 				if d.unsafe.Reuse {
 					free += claims[i].has - target[i]
 					moves = append(moves, lease.Move{Budget: name, Lease: l, Token: m.token, Under: b.Parts[l].Token, Units: target[i]})
@@ -446,7 +483,19 @@
 		free -= more
 		moves = append(moves, lease.Move{Budget: name, Lease: leases[i], Token: m.token, Under: b.Parts[leases[i]].Token, Units: c.has + more})
 	}
-	return moves
+	off, new := 0, false
+	for i, c := range claims {
+		off += max(target[i]-c.has, c.has-target[i])
+		new = new || c.has == 0 && target[i] > 0
+	}
+	switch {
+	case new || off > 2*(b.Lendable()/smallPart):
+		x.needs = 1
+	case len(moves) > 0 || len(x.keep) > 0:
+		x.needs = entriesSmall
+	}
+	x.moves = moves
+	return x
 }
 
 // targets says how many units each should have. Where there are fewer than nodes that want one, they go round in turns:
@@ -472,6 +521,7 @@
 	}
 	maps.DeleteFunc(turns, func(l string, _ turn) bool { _, there := slices.BinarySearch(leases, l); return !there })
 	if units < wanting {
+		d.turning = true
 		next := Time(math.MaxInt64)
 		order := make([]int, len(leases))
 		for i := range order {
@@ -500,11 +550,7 @@
 		for rank, i := range order {
 			claims[i].rank = rank
 		}
-		if next < math.MaxInt64 { // someone's turn ends, and others wait
-			d.stale, d.due = true, max(d.due, next)
-		} else {
-			d.stale, d.due = true, now+turnSpan/2
-		}
+		d.again = min(next, now+turnSpan/2) // someone's turn ends, and others wait
 		for i := range claims {
 			claims[i].want = min(claims[i].want, 1)
 		}
@@ -524,8 +570,5 @@
 		units += n
 	}
 	steady(units, claims, target)
-	for i := range target {
-		target[i] = min(target[i], max(claims[i].want, claims[i].has))
-	}
 	return target
 }
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -12,12 +12,16 @@
 
 const (
 	lookEvery  = 100 * lease.Millisecond  // between two looks at what was asked for
-	quickSpan  = 400 * lease.Millisecond  // demand that rises is believed within that,
-	slowSpan   = 2000 * lease.Millisecond // and one that fell once it has been less for that long
-	headPart   = 0.2                      // wanted beyond the mean, since demand isn't even,
-	headLeast  = 0.5                      // and of a unit, so that little demand wants one
+	quickSpan  = 400 * lease.Millisecond  // demand of late is the mean over about that,
+	meanSpan   = 8000 * lease.Millisecond // and demand the one over that, as long as it is not beyond chance
+	chance     = 4.5                      // so many roots off: one look of some ten thousand is, in steady demand
+	movingSpan = 1000 * lease.Millisecond // what has moved beyond chance may move on for so long
+	slowSpan   = 2000 * lease.Millisecond // less is told once it has been less for that long
+	headPart   = 0.05                     // wanted beyond the mean, since demand isn't even: more would lie idle at each of
+	roundPart  = 0.6                      // many nodes while others are short. From so much of a unit on a whole one is wanted
 	headChance = 1.5                      // and roots of a mean number at a time
-	stepPart   = 6                        // wants are told in steps of a sixth and one
+	offPart    = 0.1                      // a want is told anew when it is off by a tenth,
+	offLeast   = 0.6                      // and so much of a unit
 	askLeast   = 30 * lease.Millisecond   // between two askings of a node
 	askAgain   = 100 * lease.Millisecond  // after one that came to nothing
 	askWait    = 1000 * lease.Millisecond // how long one may wait for news
@@ -45,8 +49,13 @@
 	held     int    // and that we act on at the most: acts that go on count
 	keep     int    // what we were asked to come down to, -1: nothing
 	want     int
-	mean     float64 // acts wanted a second, lately,
+	quick    float64 // acts wanted a second of late,
+	mean     float64 // and in the mean
+	age      float64 // of the latest so many seconds,
+	moving   float64 // seconds for which only the latest count, since it has moved
 	took     float64 // and what one takes
+	seen     Time    // until when they were counted,
+	left     float64 // and what has come since
 	lessFrom Time    // since when less would do, 0: not
 	lent     int     // of the units, to the next process of this node,
 	lentOf   int     // and of those apart
@@ -81,7 +90,7 @@
 func NewPurse(acts Acts, now Time, lease string, token uint64, weight float64, terms map[string]lease.Terms, end, takes Time) *Purse {
 	p := &Purse{acts: acts, lease: lease, token: token, weight: weight, end: end, takes: takes, looked: now, news: true, next: now}
 	for _, name := range slices.Sorted(maps.Keys(terms)) {
-		p.shares = append(p.shares, &share{name: name, terms: terms[name], keep: -1})
+		p.shares = append(p.shares, &share{name: name, terms: terms[name], keep: -1, seen: now})
 	}
 	p.set(now)
 	p.ask(now)
@@ -93,7 +102,6 @@
 
 // set tells the module what holds, and learns what was asked of it.
 func (p *Purse) set(now Time) {
-	span := float64(max(1, now-p.looked)) / float64(1000*lease.Millisecond)
 	p.looked = now
 	for _, s := range p.shares {
 		if now >= p.lentEnd {
@@ -117,9 +125,14 @@
 		if u.Took > 0 {
 			s.took = u.Took
 		}
-		weight := min(1, span/(float64(quickSpan)/float64(1000*lease.Millisecond)))
-		s.mean += (u.Asked/span - s.mean) * weight
-		p.wish(now, s)
+		if part := seconds(now - s.seen); part > 0 {
+			s.seen = now
+			moved := s.heed((u.Asked+s.left)/part, part)
+			s.left = 0
+			p.wish(now, s, moved)
+		} else {
+			s.left += u.Asked
+		}
 	}
 }
 
@@ -153,8 +166,25 @@
 	return all, max(0, p.lentEnd-now)
 }
 
+func seconds(t Time) float64 { return float64(t) / float64(1000*lease.Millisecond) }
+
+// heed takes the rate of a look into the means. What moves beyond chance is believed at once.
+func (s *share) heed(rate, span float64) (moved bool) {
+	s.quick += (rate - s.quick) * min(1, span/seconds(quickSpan))
+	s.age = min(s.age+span, seconds(meanSpan))
+	s.mean += (rate - s.mean) * min(1, span/s.age)
+	off := s.quick - s.mean
+	if off*off > chance*chance*max(s.mean, 1/seconds(quickSpan))/2/seconds(quickSpan) {
+		s.moving = seconds(movingSpan)
+	}
+	if s.moving -= span; s.moving > 0 {
+		s.mean, s.age = s.quick, seconds(quickSpan)
+	}
+	return s.moving > 0
+}
+
 // wish says how much of a budget could be used.
-func (p *Purse) wish(now Time, s *share) {
+func (p *Purse) wish(now Time, s *share, moved bool) {
 	mean := 0.0
 	if s.terms.Kind == lease.RateKind {
 		mean = s.mean / s.terms.Each
@@ -162,15 +192,17 @@
 		mean = s.mean * s.took
 		mean += headChance * math.Sqrt(mean)
 	}
-	want := 0
-	if s.mean > 1e-3 {
-		want = step(int(math.Ceil(mean*(1+headPart) + headLeast)))
+	need := mean*(1+headPart) + roundPart
+	want, off := 0, max(offLeast, offPart*float64(s.want))
+	if s.mean > idle {
+		want = max(1, min(s.terms.Units, int(need)))
 	}
-	want = min(want, s.terms.Units)
 	switch {
-	case want > s.want:
+	case moved && math.Abs(need-float64(s.want)) > 1+off:
+		s.want, s.lessFrom, p.news = want, 0, true
+	case want > s.want && (need >= float64(s.want+1)+off || s.want == 0 || want == s.terms.Units):
 		s.want, s.lessFrom, p.news = want, 0, true
-	case want == s.want:
+	case want >= s.want || want > 0 && need >= float64(s.want)-off:
 		s.lessFrom = 0
 	case s.lessFrom == 0:
 		s.lessFrom = now
@@ -179,14 +211,7 @@
 	}
 }
 
-// step rounds up to the next of few sizes, so that a want isn't told for each small change.
-func step(n int) int {
-	at := 0
-	for at < n {
-		at += 1 + at/stepPart
-	}
-	return at
-}
+const idle = 0.02 // acts a second: less than one in meanSpan many times over
 
 // Holds gives what is held now, for who has to say so.
 func (p *Purse) holds() (all []Hold) {
--- a/budget/shares.go
+++ b/budget/shares.go
@@ -66,24 +66,21 @@
 	return out
 }
 
-// steady keeps a division from swinging: a node whose share differs by little from what it holds keeps that, as far as the
-// units go round; the last of a few units is no little.
+// steady keeps a division from swinging: who has a little more than its share keeps that, unless another lacks more than a
+// little.
 func steady(units int, claims []claim, target []int) {
-	sum := 0
+	free, lack := units, 0
 	for i, c := range claims {
-		band := c.has / bandPart
-		if target[i] != c.has && c.has-target[i] <= band && target[i]-c.has <= band {
-			target[i] = c.has
+		free -= c.has
+		if short := target[i] - c.has; short > c.has/bandPart {
+			lack += short
 		}
-		sum += target[i]
 	}
 	for i, c := range claims {
-		if over := sum - units; over > 0 && target[i] == c.has && c.has > 1 {
-			cut := min(over, c.has/bandPart)
-			target[i] -= cut
-			sum -= cut
+		if over := c.has - target[i]; over > 0 && over <= max(1, c.has/bandPart) && lack <= free {
+			target[i] = c.has
 		}
 	}
 }
 
-const bandPart = 8 // an eighth of a part: less isn't worth moving
+const bandPart = 16 // a sixteenth of a part: less isn't worth taking from another
--- a/cmd/thistlerudder/emulate.go
+++ b/cmd/thistlerudder/emulate.go
@@ -103,6 +103,9 @@
 				shots, trials, longest, mean := s.AtSilent()
 				fmt.Fprintf(table, "\tat a silent cache %.2f shots/s, %.2f trials/s, back with all after %.2f s, mean %.2f s", shots, trials, longest, mean)
 			}
+			if s.Use != nil {
+				fmt.Fprint(table, "\t"+s.Use.Line(e))
+			}
 			fmt.Fprintln(table)
 			if err := s.Write(&points); err != nil {
 				return err
--- /dev/null
+++ b/internal/emulator/divided.go
@@ -0,0 +1,526 @@
+package emulator
+
+import (
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/thistlerudder/thistlerudder/budget"
+	"github.com/thistlerudder/thistlerudder/budget/allowance"
+	"github.com/thistlerudder/thistlerudder/lease"
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+// Budget is what all nodes together may do at the origin, divided among them as on sockets: by the same leader's memory, the
+// same purses and the same state. Agreement is a log with a delay and one leader at a time.
+type Budget struct {
+	Kind  string  `toml:"kind"`  // rate or number
+	Whole float64 `toml:"whole"` // fetches a second, or at a time
+	Burst int     `toml:"burst"` // of a rate
+	Apart float64 `toml:"apart"` // share set aside for nodes that are cut off
+	Lease Span    `toml:"lease"`
+	Drift float64 `toml:"drift"`
+	Log   Span    `toml:"log"` // from an entry's proposal to its agreement
+	// Way is how the whole is shared out: divided (empty), or even: an even part for each node, for ever.
+	Way string `toml:"way"`
+}
+
+func (b *Budget) check(want func(ok bool, key, expected string, got any)) {
+	want(b.Kind == lease.RateKind || b.Kind == lease.NumberKind, "fleet.budget.kind", "rate or number", b.Kind)
+	want(b.Whole > 0, "fleet.budget.whole", "a number above 0", b.Whole)
+	want(b.Kind != lease.RateKind || b.Burst >= 1, "fleet.budget.burst", "1 or more", b.Burst)
+	want(b.Apart >= 0 && b.Apart <= 1, "fleet.budget.apart", "a share from 0 to 1", b.Apart)
+	want(b.Drift >= 0 && b.Drift <= 0.2, "fleet.budget.drift", "a share from 0 to 0.2", b.Drift)
+	want(b.Way == "" || b.Way == "divided" || b.Way == "even", "fleet.budget.way", "divided or even", b.Way)
+	if b.Lease.Duration == 0 {
+		b.Lease.Duration = 3e9
+	}
+	if b.Log.Duration == 0 {
+		b.Log.Duration = 5e6
+	}
+}
+
+func (b *Budget) terms(nodes int) lease.Terms {
+	t := lease.Terms{Kind: b.Kind, Bounds: "origin", Units: int(b.Whole), Each: 1, Nodes: nodes}
+	if b.Kind == lease.RateKind {
+		t.Units, t.Each = b.Burst, b.Whole/float64(b.Burst)
+	}
+	t.Apart = int(b.Apart*float64(t.Units)/float64(nodes) + 1e-9)
+	return t
+}
+
+// Use is how much of a budget was used, beside what others would have given the same demand.
+type Use struct {
+	Demand, Done      []int // lookups that wanted it and those that had it, by tenths of a second
+	Exact, Even       []int // had of one limiter that sees all, and of even parts
+	Moved             []float64
+	Back              []float64 // seconds until all of what killed nodes had was given again
+	Entries, Messages int
+	Above             float64 // the most that came in any window beyond the rate in it, or at a time, as a share of what may be
+	wanted, got       []int   // by node
+}
+
+// share is one node's side.
+type shareholder struct {
+	w     *division
+	n     int
+	purse *budget.Purse
+	token uint64
+	end   lease.Time
+	life  int
+	down  bool
+	cut   logic.Time // until when nobody hears it
+	nth   uint64
+	bound logic.Bound
+}
+
+// division is the agreement and its leader, and all nodes' sides.
+type division struct {
+	*world
+	terms  lease.Terms
+	state  *lease.State
+	d      *budget.Divider
+	ends   map[string]lease.Time
+	unled  logic.Time
+	leads  bool
+	reigns int
+	holds  []*shareholder
+	wakeAt logic.Time
+	use    Use
+	asked  map[uint64]func(budget.Answer)
+	ids    uint64
+
+	exact       float64
+	exactAt     logic.Time
+	evens       []float64
+	evensAt     []logic.Time
+	excess      float64
+	excessAt    logic.Time
+	out         int
+	watch       []int // nodes whose demand has just come
+	watchFrom   logic.Time
+	killedUnits int
+	killedAt    logic.Time
+	held        []int // by those, every lookEvery
+	evenPart    float64
+}
+
+const (
+	limitName = "origin"
+	lookEvery = 20 * logic.Millisecond
+	settled   = 5 * second // after a move, when all has come to rest
+)
+
+func nameOf(n int) string { return fmt.Sprint("node/", n) }
+
+func (w *world) divide() {
+	b := w.e.Fleet.Budget
+	d := &division{world: w, terms: b.terms(w.e.Fleet.Nodes), state: lease.NewState(), ends: map[string]lease.Time{}, asked: map[uint64]func(budget.Answer){},
+		evens: make([]float64, w.e.Fleet.Nodes), evensAt: make([]logic.Time, w.e.Fleet.Nodes)}
+	w.division = d
+	tenths := int(w.e.Length.Seconds()*10) + 1
+	d.use = Use{Demand: make([]int, tenths), Done: make([]int, tenths), Exact: make([]int, tenths), Even: make([]int, tenths),
+		wanted: make([]int, w.e.Fleet.Nodes), got: make([]int, w.e.Fleet.Nodes)}
+	d.exact, d.evenPart = float64(d.terms.Units), max(1, float64(d.terms.Units)/float64(w.e.Fleet.Nodes))
+	for i := range d.evens {
+		d.evens[i] = d.evenPart
+	}
+	d.apply(lease.Entry{Version: 1, Kind: lease.Found, Name: "f"})
+	d.d = budget.NewDivider(d, d.state, budget.Unsafe{})
+	d.lead()
+	for i := range w.nodes {
+		h := &shareholder{w: d, n: i, bound: logic.OriginRate}
+		if b.Kind == lease.NumberKind {
+			h.bound = logic.OriginRoom
+		}
+		d.holds = append(d.holds, h)
+		h.begin()
+	}
+	d.sweep()
+}
+
+func (d *division) now() lease.Time { return lease.Time(d.clock.now) }
+
+func (d *division) led() bool { return d.leads && d.clock.now >= d.unled }
+
+func (d *division) lead() {
+	d.reigns++
+	r := d.apply(lease.Entry{Version: 1, Kind: lease.Lead, Name: "l"})
+	d.leads = true
+	for name := range d.ends {
+		d.ends[name] = d.now() + d.long()
+	}
+	d.d.Led(d.now(), r.Reign)
+}
+
+func (d *division) lose(span logic.Time) {
+	d.unled = max(d.unled, d.clock.now+span)
+	if d.leads {
+		d.leads = false
+		d.reigns++
+		d.d.Deposed()
+		clear(d.asked)
+		var wait func()
+		wait = func() {
+			if d.clock.now < d.unled {
+				d.clock.in(d.unled-d.clock.now, wait)
+				return
+			}
+			d.lead()
+		}
+		d.clock.in(span, wait)
+	}
+}
+
+func (d *division) apply(e lease.Entry) lease.Result {
+	d.use.Entries++
+	return d.state.Apply(e)
+}
+
+func (d *division) long() lease.Time {
+	b := d.e.Fleet.Budget
+	return lease.Long(lease.Time(b.Lease.ticks()), b.Drift)
+}
+
+// sweep ends leases that have run out.
+func (d *division) sweep() {
+	if d.led() {
+		for i := range d.holds {
+			if l, held := d.state.Leases[nameOf(i)]; held && d.now() >= d.ends[nameOf(i)] {
+				d.apply(lease.Entry{Version: 1, Kind: lease.End, Name: nameOf(i), Token: l.Token})
+				d.d.Changed(d.now())
+			}
+		}
+	}
+	d.look()
+	d.clock.in(lookEvery, d.sweep)
+}
+
+// look notes when what was waited for is there.
+func (d *division) look() {
+	b := d.state.Budgets[limitName]
+	if b == nil {
+		return
+	}
+	if len(d.watch) > 0 {
+		sum := 0
+		for _, n := range d.watch {
+			sum += b.Parts[nameOf(n)].Units
+		}
+		if d.held = append(d.held, sum); d.clock.now >= d.watchFrom+settled {
+			for i, h := range d.held { // until nine tenths of what they come to hold in the end
+				if h*10 >= 9*sum {
+					d.use.Moved = append(d.use.Moved, float64(i)*float64(lookEvery)/float64(second))
+					break
+				}
+			}
+			d.watch = nil
+		}
+	}
+	alive := 0
+	for n := range d.holds {
+		if !d.dead[n] {
+			alive += b.Parts[nameOf(n)].Units
+		}
+	}
+	if d.killedUnits > 0 && alive >= d.killedUnits {
+		d.use.Back = append(d.use.Back, float64(d.clock.now-d.killedAt)/float64(second))
+		d.killedUnits = 0
+	}
+}
+
+// The division is its divider's host.
+
+// Propose is for budget.Host, as all below.
+func (d *division) Propose(ref uint64, e lease.Entry) {
+	reign := d.reigns
+	d.clock.in(d.e.Fleet.Budget.Log.ticks(), func() {
+		if reign == d.reigns {
+			d.apply(e)
+			d.d.Applied(d.now(), ref, false)
+		}
+	})
+}
+
+// Answer ends an asking.
+func (d *division) Answer(id uint64, a budget.Answer) {
+	if f := d.asked[id]; f != nil {
+		delete(d.asked, id)
+		f(a)
+	}
+}
+
+// Wake books the divider's alarm.
+func (d *division) Wake(at lease.Time) {
+	d.wakeAt = logic.Time(at)
+	d.clock.in(d.wakeAt-d.clock.now, func() {
+		if d.led() && d.clock.now >= d.wakeAt {
+			d.d.Alarm(d.now())
+		}
+	})
+}
+
+// begin starts a node's process: its name is claimed until it is had.
+func (h *shareholder) begin() {
+	life, d := h.life, h.w
+	h.part(d.terms, d.terms.Apart, d.terms.Apart, 0)
+	var claim func()
+	claim = func() {
+		if life != h.life || h.down {
+			return
+		}
+		if _, held := d.state.Leases[nameOf(h.n)]; held || !h.heard() {
+			d.clock.in(50*logic.Millisecond, claim)
+			return
+		}
+		sent := d.now()
+		d.clock.in(2*d.way()+d.e.Fleet.Budget.Log.ticks(), func() {
+			if life != h.life || !h.heard() {
+				d.clock.in(50*logic.Millisecond, claim)
+				return
+			}
+			r := d.apply(lease.Entry{Version: 1, Kind: lease.Grant, Name: nameOf(h.n), Holder: lease.Holder{Name: fmt.Sprint(h.n), Process: h.life}})
+			if r.Err != nil {
+				d.clock.in(50*logic.Millisecond, claim)
+				return
+			}
+			d.ends[nameOf(h.n)] = d.now() + d.long()
+			h.token, h.end = r.Token, sent+h.short()
+			h.purse = budget.NewPurse(h, d.now(), nameOf(h.n), h.token, 1, map[string]lease.Terms{limitName: d.terms}, h.end,
+				min(lease.Time(d.e.Demand.Limit.ticks()), lease.Time(d.e.Fleet.Budget.Lease.ticks()/3)))
+			h.renew(life)
+		})
+	}
+	d.clock.in(logic.Time(float64(100*logic.Millisecond)*d.chance.Float64()), claim)
+}
+
+func (h *shareholder) short() lease.Time {
+	b := h.w.e.Fleet.Budget
+	return lease.Short(lease.Time(b.Lease.ticks()), b.Drift)
+}
+
+func (d *division) way() logic.Time { return d.e.Network.OneWay.ticks() }
+
+// heard says whether the leader and the node hear each other now.
+func (h *shareholder) heard() bool { return !h.down && h.w.led() && h.w.clock.now >= h.cut }
+
+func (h *shareholder) renew(life int) {
+	d := h.w
+	d.clock.in(d.e.Fleet.Budget.Lease.ticks()/3, func() {
+		if life != h.life || h.down {
+			return
+		}
+		sent, token := d.now(), h.token
+		if l := d.state.Leases[nameOf(h.n)]; l.Token != token && h.heard() { // it ran out: anew
+			h.life++
+			h.purse = nil
+			h.begin()
+			return
+		}
+		if h.heard() {
+			d.use.Messages += 2
+			d.ends[nameOf(h.n)] = d.now() + d.long()
+			d.clock.in(2*d.way(), func() {
+				if life == h.life && h.heard() {
+					h.end = sent + h.short()
+					h.purse.Extend(h.end)
+				}
+			})
+		}
+		h.renew(life)
+	})
+}
+
+// kill ends the process for good, or for a while.
+func (h *shareholder) kill() {
+	h.life++
+	h.down, h.purse = true, nil
+}
+
+func (h *shareholder) part(t lease.Terms, units, apart int, left logic.Time) allowance.Use {
+	drift := 1 - h.w.e.Fleet.Budget.Drift
+	n, is := h.w.nodes[h.n].policy.(*logic.Balancer)
+	if !is {
+		return allowance.Use{}
+	}
+	if h.w.e.Fleet.Budget.Way == "even" {
+		units, apart = 0, 0
+		return n.Part(h.w.clock.now, h.bound, 0, allowance.Part{Number: t.Kind == lease.NumberKind, Rate: h.w.terms.Each * float64(h.w.terms.Units) / float64(len(h.w.nodes)),
+			Most: h.w.evenPart, Until: math.MaxInt64})
+	}
+	p := allowance.Part{Number: t.Kind == lease.NumberKind, Most: float64(units), ThenMost: float64(apart), Until: int64(h.w.clock.now + left)}
+	if !p.Number {
+		p.Rate, p.ThenRate = t.Each*drift*float64(units), t.Each*drift*float64(apart)
+	}
+	return n.Part(h.w.clock.now, h.bound, 0, p)
+}
+
+// A shareholder is what its purse acts through.
+
+// Set is for budget.Acts, as all below.
+func (h *shareholder) Set(_ string, t lease.Terms, units, apart int, until lease.Time) allowance.Use {
+	return h.part(t, units, apart, logic.Time(until)-h.w.clock.now)
+}
+
+// Ask sends an asking to the leader.
+func (h *shareholder) Ask(a budget.Ask) {
+	h.nth++
+	nth, life, d := h.nth, h.life, h.w
+	current := func() bool { return nth == h.nth && life == h.life && h.purse != nil }
+	d.use.Messages++
+	d.clock.in(d.way(), func() {
+		if !h.heard() {
+			d.clock.in(300*logic.Millisecond, func() {
+				if current() {
+					h.purse.Unanswered(d.now())
+				}
+			})
+			return
+		}
+		d.ids++
+		id := d.ids
+		d.asked[id] = func(x budget.Answer) {
+			d.use.Messages++
+			d.clock.in(d.way(), func() {
+				if current() && h.heard() {
+					h.purse.Answered(d.now(), x)
+				}
+			})
+		}
+		d.d.Ask(d.now(), id, a)
+	})
+	d.clock.in(logic.Time(a.Wait)+300*logic.Millisecond, func() { // no answer in time
+		if current() {
+			h.purse.Unanswered(d.now())
+		}
+	})
+}
+
+// Wake books the purse's alarm.
+func (h *shareholder) Wake(at lease.Time) {
+	life := h.life
+	h.w.clock.in(logic.Time(at)-h.w.clock.now, func() {
+		if life == h.life && h.purse != nil && !h.down {
+			h.purse.Alarm(h.w.now())
+		}
+	})
+}
+
+// wants notes a lookup that wants a fetch, and asks the limiters that only look on.
+func (d *division) wants(n int) {
+	at, now := d.tenth(), d.clock.now
+	if at >= len(d.use.Demand) {
+		return
+	}
+	d.use.Demand[at]++
+	d.use.wanted[n]++
+	if d.terms.Kind != lease.RateKind {
+		return
+	}
+	rate := d.terms.Whole() / float64(second)
+	d.exact = min(float64(d.terms.Units), d.exact+rate*float64(now-d.exactAt))
+	if d.exactAt = now; d.exact >= 1 {
+		d.exact--
+		d.use.Exact[at]++
+	}
+	d.evens[n] = min(d.evenPart, d.evens[n]+rate/float64(len(d.evens))*float64(now-d.evensAt[n]))
+	if d.evensAt[n] = now; d.evens[n] >= 1 {
+		d.evens[n]--
+		d.use.Even[at]++
+	}
+}
+
+func (d *division) tenth() int { return int((d.clock.now - origo) / (second / 10)) }
+
+// fetched notes a fetch that comes to the origin, and holds it against the whole.
+func (d *division) fetched(n int) {
+	if at := d.tenth(); at < len(d.use.Done) {
+		d.use.Done[at]++
+		d.use.got[n]++
+	}
+	d.out++
+	if d.terms.Kind == lease.RateKind {
+		now := d.clock.now
+		d.excess = max(1, d.excess+1-d.terms.Whole()*float64(now-d.excessAt)/float64(second))
+		d.excessAt = now
+		d.use.Above = max(d.use.Above, d.excess/float64(d.terms.Units))
+	} else {
+		d.use.Above = max(d.use.Above, float64(d.out)/float64(d.terms.Units))
+	}
+}
+
+func (d *division) gone() { d.out-- }
+
+// Ratios gives the shares of the whole in use, and of what one exact limiter gives, from a second on to another.
+func (u *Use) Ratios(whole float64, from, to int) (used, exact, even float64) {
+	sum := func(of []int) (n float64) {
+		for i := from * 10; i < min(to*10, len(of)); i++ {
+			n += float64(of[i])
+		}
+		return n / whole / float64(to-from)
+	}
+	return sum(u.Done), sum(u.Exact), sum(u.Even)
+}
+
+// Jain gives the fairness of what nodes had, each beside what it should have had by max-min of what they wanted.
+func (u *Use) Jain() float64 {
+	total := 0
+	for _, g := range u.got {
+		total += g
+	}
+	want := slices.Clone(u.wanted)
+	slices.Sort(want)
+	left, level := float64(total), 0.0
+	for i, x := range want {
+		level = left / float64(len(want)-i)
+		if float64(x) > level {
+			break
+		}
+		left -= float64(x)
+	}
+	sum, squares, n := 0.0, 0.0, 0.0
+	for i, g := range u.got {
+		due := min(float64(u.wanted[i]), level)
+		if due < 1 {
+			continue
+		}
+		x := float64(g) / due
+		sum, squares, n = sum+x, squares+x*x, n+1
+	}
+	if squares == 0 {
+		return 1
+	}
+	return sum * sum / n / squares
+}
+
+// moved begins to look at what nodes come to hold whose demand has just risen.
+func (d *division) moved(hot []int) {
+	if d.clock.now > origo+10*second {
+		d.watch, d.watchFrom, d.held = hot, d.clock.now, nil
+	}
+}
+
+// killed begins to wait until as much is given again as before.
+func (d *division) killed() {
+	if b := d.state.Budgets[limitName]; b != nil {
+		d.killedUnits, d.killedAt = b.Out()*9/10, d.clock.now
+	}
+}
+
+// Line tells a run's use of its budget in words; the first ten seconds, in which all begins, don't count.
+func (u *Use) Line(e *Experiment) string {
+	n, span := float64(e.Fleet.Nodes), e.Length.Seconds()
+	used, exact, even := u.Ratios(e.Fleet.Budget.Whole, 10, int(span))
+	line := fmt.Sprintf("of the whole used %.3f", used)
+	if e.Fleet.Budget.Kind == lease.RateKind {
+		line += fmt.Sprintf(", by one exact limiter %.3f, by even parts %.3f (%.3f of the limiter)", exact, even, used/max(1e-9, exact))
+	}
+	line += fmt.Sprintf("; fullest %.2f; fairness %.3f", u.Above, u.Jain())
+	if len(u.Moved) > 0 {
+		line += fmt.Sprintf("; moved demand has 90%% after %.2f s (longest of %d)", slices.Max(u.Moved), len(u.Moved))
+	}
+	if len(u.Back) > 0 {
+		line += fmt.Sprintf("; given again after %.2f s", slices.Max(u.Back))
+	}
+	return line + fmt.Sprintf("; %.2f messages a node and second, %.2f entries a node in 10 s", float64(u.Messages)/n/span, float64(u.Entries)/n/span*10)
+}
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -74,6 +74,9 @@
 	}
 	r.tries++
 	n.w.check.taken(l)
+	if n.w.division != nil && r.write {
+		n.w.division.wants(n.number)
+	}
 	in := logic.Lookup{Partner: -1, Key: strconv.FormatUint(r.key, 10), Limit: l.limit, Write: r.write}
 	if r.write {
 		in.Namespace = 1
@@ -107,7 +110,14 @@
 	way := w.e.Network.OneWay.ticks()
 	w.clock.in(way, func() {
 		w.check.arrived(s.server)
+		counted := w.division != nil && s.server.origin
+		if counted {
+			w.division.fetched(n.number)
+		}
 		s.server.take(job{key: l.key, write: l.write, done: func(code logic.Code) {
+			if counted {
+				w.division.gone()
+			}
 			w.worked(l, s, code)
 			w.clock.in(way, func() { settle(code) })
 		}})
--- a/internal/emulator/series.go
+++ b/internal/emulator/series.go
@@ -30,6 +30,7 @@
 	Broken             map[string]int // rules, and how often
 	Faults             []string
 	Sick               sick
+	Use                *Use    // of a budget; nil: there is none
 	Busiest            float64 // shots at the busiest cache that was there all the time, over the mean of those
 
 	times  *hdrhistogram.Histogram // of resolved requests, in ticks
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -35,6 +35,10 @@
 	seeds  *rand.Rand
 	made   int // caches so far
 	sick   sick
+
+	division *division // of a budget; nil: there is none
+	hot      []int     // nodes that are asked more than others
+	dead     map[int]bool
 }
 
 const second = 1000 * logic.Millisecond
@@ -49,7 +53,7 @@
 }
 
 func play(e *Experiment, policy string, m maker, seed uint64) *Series {
-	w := &world{e: e, clock: &clock{now: origo}, maker: m, demand: 1,
+	w := &world{e: e, clock: &clock{now: origo}, maker: m, demand: 1, dead: map[int]bool{},
 		seeds: rand.New(rand.NewPCG(seed, 5)),
 		rnd:   rand.New(rand.NewPCG(seed, 2)), chance: rand.New(rand.NewPCG(seed, 3))}
 	w.zipf = rand.NewZipf(w.rnd, e.Demand.Skew, 1, e.Demand.Keys-1)
@@ -68,6 +72,9 @@
 	if e.Fleet.Probe {
 		w.probe()
 	}
+	if e.Fleet.Budget != nil {
+		w.divide()
+	}
 	w.arrive()
 	w.tick()
 	w.clock.run(origo + e.Length.ticks())
@@ -76,6 +83,9 @@
 	w.clock.run(w.clock.now + logic.Time(e.Demand.Tries)*(e.Demand.Limit.ticks()+3*e.Demand.Target.ticks()) + second)
 	w.check.close()
 	w.series.Sick = w.sick
+	if w.division != nil {
+		w.series.Use = &w.division.use
+	}
 	w.series.Broken, w.series.Faults = w.check.broken, w.check.faults
 	return w.series
 }
@@ -194,11 +204,40 @@
 		for _, i := range w.chance.Perm(len(w.nodes))[:min(ev.Nodes, len(w.nodes))] {
 			// The old process answers what it has; the new one knows the list and nothing else.
 			w.nodes[i] = w.newNode(i, w.seed())
+			if w.division != nil { // as a process that is killed: its lease runs on
+				w.division.holds[i].kill()
+				w.division.holds[i].down = false
+				w.division.holds[i].begin()
+			}
 		}
 	case "silent":
 		w.silence(w.caches(logic.Ready, ev.Caches), ev.For.ticks())
 	case "unled":
 		w.sick.unled = max(w.sick.unled, w.clock.now+ev.For.ticks())
+		if w.division != nil {
+			w.division.lose(ev.For.ticks())
+		}
+	case "move":
+		w.hot = w.chance.Perm(len(w.nodes))[:min(ev.Nodes, len(w.nodes))]
+		if w.division != nil {
+			w.division.moved(w.hot)
+		}
+	case "kill":
+		if w.division != nil {
+			w.division.killed()
+		}
+		for _, i := range w.chance.Perm(len(w.nodes))[:min(ev.Nodes, len(w.nodes)-1)] {
+			w.dead[i] = true
+			if w.division != nil {
+				w.division.holds[i].kill()
+			}
+		}
+	case "cut":
+		for _, i := range w.chance.Perm(len(w.nodes))[:min(ev.Nodes, len(w.nodes))] {
+			if w.division != nil {
+				w.division.holds[i].cut = w.clock.now + ev.For.ticks()
+			}
+		}
 	case "shift":
 		w.offset += w.e.Demand.Keys / 2
 	}
@@ -209,6 +248,12 @@
 	if w.demand > 0 {
 		r := &request{key: (w.zipf.Uint64() + w.offset) % w.e.Demand.Keys, write: w.rnd.Float64() < w.e.Demand.Writes,
 			node: w.rnd.IntN(len(w.nodes)), arrived: w.clock.now}
+		if len(w.hot) > 0 && w.rnd.Float64() < w.heat() {
+			r.node = w.hot[w.rnd.IntN(len(w.hot))]
+		}
+		for w.dead[r.node] {
+			r.node = w.rnd.IntN(len(w.nodes))
+		}
 		gap := w.rnd.ExpFloat64() / (w.e.Demand.Rate * w.demand) * float64(second)
 		w.clock.in(logic.Time(math.Round(gap)), w.arrive)
 		w.check.offered++
@@ -216,6 +261,12 @@
 	}
 }
 
+// heat is the share of all demand that goes to the hot nodes alone: so that each has so many times what another has.
+func (w *world) heat() float64 {
+	n, k := float64(len(w.nodes)), float64(len(w.hot))
+	return k * (w.e.Demand.Hot - 1) / (n - k + k*w.e.Demand.Hot)
+}
+
 // worked says what a shot came to at its server: a value fetched is stored where it was missing, one written is
 // dropped everywhere.
 func (w *world) worked(l *lookup, s *shot, code logic.Code) {
--- a/internal/rig/script.go
+++ b/internal/rig/script.go
@@ -238,9 +238,15 @@
 		if only, is := kindOf(w.plan.Only); is {
 			k = only
 		}
+		if w.plan.Budgets && w.plan.Only == "late-answers" {
+			k, _ = kindOf("handed-on")
+		}
 		switch w.plan.Only {
 		case "clock-bound":
 			k, _ = kindOf("cut")
+			if w.plan.Budgets {
+				k, _ = kindOf("handed-on")
+			}
 		case "clock-beyond":
 			k, _ = kindOf([]string{"kill-holder", "stop-before-act", "cut"}[w.rnd.IntN(3)])
 		}
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -63,6 +64,7 @@
 
 	tallies *tallies // of a run on budgets
 	wholes  map[string][]bounded
+	focus   atomic.Int32   // a node's number and one: it alone is asked; -1: all are, much; 0: as it comes
 	names   map[int]string // of nodes, by process
 }
 
