--- a/budget/divider.go
+++ b/budget/divider.go
@@ -14,12 +14,11 @@
 
 const (
 	divideEvery  = 20 * lease.Millisecond  // between two divisions: what came meanwhile goes into one entry
-	entriesEach  = 0.05                    // entries of the log that each node may cost a second in the long run,
-	entriesLeast = 0.8                     // however few they are,
-	entriesTurns = 4.0                     // and however few they are where units go round in turns;
-	entriesSaved = 24.0                    // so many may be saved up for when demand moves,
+	entriesEach  = 0.05                    // entries of the log that each node may cost a second in steady demand, where moves are small,
+	entriesLeast = 0.8                     // however few they are;
+	entriesMoved = 4.0                     // entries a second where demand moves, or units go round in turns,
+	entriesSaved = 12.0                    // and as many more at once;
 	entryEvery   = 150 * lease.Millisecond // between two, so that what moves on for a while costs few of them;
-	entriesSmall = 12.0                    // of which small moves leave all but this
 	smallPart    = 32                      // moves of less than so small a part of a budget are small
 	turnSpan     = 500 * lease.Millisecond // for which a node has a unit, where there are fewer than nodes that want one
 	reservePart  = 50                      // a fiftieth of what can be lent waits for nodes that have none,
@@ -115,7 +114,7 @@
 	stale    bool                   // something has changed since the last division
 	due      Time                   // of the next one
 	entryAt  Time                   // of the latest entry
-	turning  bool                   // units of some budget go round
+	small    float64                // entries for small moves that may be made
 	again    Time                   // when to divide again though nothing has changed, 0: no need
 	saved    float64                // entries that may be made
 	savedAt  Time
@@ -319,23 +318,35 @@
 }
 
 // may says whether another entry may be made: in steady demand there are few, and what moves finds some saved up.
-func (d *Divider) may(now Time, needs float64) bool {
+func (d *Divider) may(now Time, what haste) bool {
+	span := float64(now-d.savedAt) / float64(1000*lease.Millisecond)
 	each := max(entriesLeast, entriesEach*float64(len(d.members)))
-	if d.turning {
-		each = max(each, entriesTurns)
-	}
-	d.saved = min(entriesSaved, d.saved+each*float64(now-d.savedAt)/float64(1000*lease.Millisecond))
-	d.savedAt = now
-	if d.saved < needs && needs <= entriesSaved {
-		d.again = now + 1 + Time((needs-d.saved)/each*float64(1000*lease.Millisecond))
+	d.small, d.saved, d.savedAt = min(1, d.small+each*span), min(entriesSaved, d.saved+entriesMoved*span), now
+	next := d.entryAt + entryEvery
+	switch {
+	case what == none:
+		return false
+	case what == little && d.small < 1:
+		next = max(next, now+1+Time((1-d.small)/each*float64(1000*lease.Millisecond)))
+	case what == much && d.saved < 1:
+		next = max(next, now+1+Time((1-d.saved)/entriesMoved*float64(1000*lease.Millisecond)))
 	}
-	if next := d.entryAt + entryEvery; d.saved >= needs && now < next {
+	if now < next {
 		d.again = next
 		return false
 	}
-	return d.saved >= needs
+	return true
 }
 
+// haste is how much has to be moved.
+type haste int
+
+const (
+	none haste = iota
+	little
+	much
+)
+
 func (d *Divider) wake(now Time) {
 	at := Time(math.MaxInt64)
 	if d.stale && !d.moving {
@@ -375,16 +386,16 @@
 
 // divide looks at all budgets, and brings one entry for what has to move.
 func (d *Divider) divide(now Time) {
-	d.stale, d.due, d.again, d.turning = false, now+divideEvery, 0, false
+	d.stale, d.due, d.again = false, now+divideEvery, 0
 	var moves []lease.Move
-	needs := entriesSaved + 1
+	what := none
 	names := slices.Sorted(maps.Keys(d.state.Budgets))
 	deals := make([]deal, len(names))
 	for i, name := range names {
 		deals[i] = d.of(now, name, d.state.Budgets[name])
-		needs = min(needs, deals[i].needs)
+		what = max(what, deals[i].haste)
 	}
-	may := d.may(now, needs)
+	may := d.may(now, what)
 	for i, name := range names {
 		b := d.state.Budgets[name]
 		if may || b.Out() > b.Lendable() { // a whole that was lowered doesn't wait: nodes come down when they are told
@@ -398,8 +409,11 @@
 		}
 	}
 	if may && len(moves) > 0 {
-		d.saved--
-		d.entryAt = now
+		if d.entryAt = now; what == much {
+			d.saved--
+		} else {
+			d.small--
+		}
 		d.propose(lease.Entry{Kind: lease.Parts, Moves: moves})
 	}
 	for _, name := range slices.Sorted(maps.Keys(d.members)) {
@@ -411,14 +425,14 @@
 type deal struct {
 	moves []lease.Move
 	keep  map[string]int // who is to come down, and to what
-	needs float64        // entries that have to be saved up for it; more than can be: nothing has to be done
+	haste haste
 }
 
 // of divides one budget: what its nodes have given back is taken off them, what is free is given to who should have
 // more, and who has too much is asked to come down.
 func (d *Divider) of(now Time, name string, b *lease.Budget) (x deal) {
 	var moves []lease.Move
-	x.keep, x.needs = map[string]int{}, entriesSaved+1
+	x.keep = map[string]int{}
 	leases := d.leasesOf(b)
 	claims := make([]claim, len(leases))
 	reserve := reserveOf(b, len(leases))
@@ -490,9 +504,9 @@
 	}
 	switch {
 	case new || off > 2*(b.Lendable()/smallPart):
-		x.needs = 1
+		x.haste = much
 	case len(moves) > 0 || len(x.keep) > 0:
-		x.needs = entriesSmall
+		x.haste = little
 	}
 	x.moves = moves
 	return x
@@ -521,7 +535,6 @@
 	}
 	maps.DeleteFunc(turns, func(l string, _ turn) bool { _, there := slices.BinarySearch(leases, l); return !there })
 	if units < wanting {
-		d.turning = true
 		next := Time(math.MaxInt64)
 		order := make([]int, len(leases))
 		for i := range order {
--- a/internal/net/fellows/budgets.go
+++ b/internal/net/fellows/budgets.go
@@ -22,7 +22,7 @@
 
 const (
 	lendEvery = 100 * time.Millisecond // for the next process of a node to ask the present one for its half
-	takesPart = 3                      // a third of a lease: in touch it is renewed before that
+	takesPart = 10                     // a tenth of a lease: in touch it is renewed long before that
 	idleEvery = 10 * time.Millisecond  // until a node that leaves looks again whether its acts are over
 )
 
--- /dev/null
+++ b/logic/parts_test.go
@@ -0,0 +1,93 @@
+package logic
+
+import (
+	"math/rand"
+	"testing"
+	"testing/quick"
+
+	"github.com/thistlerudder/thistlerudder/budget/allowance"
+)
+
+// Random runs of all kinds as in TestRulesHoldInRandomRuns, while parts come, shrink and end: no rule breaks, and what is
+// bounded stays within its part: in any window at most the largest rate times the window and the largest burst, and never
+// more at a time.
+func TestPartsBoundWhatIsDone(t *testing.T) {
+	run := func(seed int64) bool {
+		f := newFake(seed, 1+int(uint64(seed)%7))
+		of := []Bound{OriginRoom, CacheRoom, ListRate}[uint64(seed)%3]
+		rnd := rand.New(rand.NewSource(seed))
+		const rate, most = 4.0, 3.0
+		excess, last, seen := 0.0, f.now, 0
+		part := func() {
+			n := float64(rnd.Intn(int(most) + 1))
+			f.b.Part(f.now, of, 0, allowance.Part{Number: of == OriginRoom || of == CacheRoom, Rate: rate * n / most, Most: n,
+				Until: int64(f.now + Time(rnd.Intn(3000))*Millisecond), ThenRate: rate * min(1, n) / most, ThenMost: min(1, n)})
+		}
+		part()
+		for n := 0; n < 800 && len(f.faults) == 0; n++ {
+			if f.step(); n%20 == 0 {
+				part()
+			}
+			out := map[int]int{}
+			for _, c := range f.lkps {
+				for _, s := range c.shots { // what restarts holds no connection of before
+					if x := f.boxes[s.server]; !s.settled && (x.Kind == 1 || s.sent >= x.Since) {
+						out[s.server]++
+					}
+				}
+			}
+			switch of {
+			case OriginRoom, CacheRoom:
+				for server, n := range out {
+					if (f.boxes[server].Kind == 1) == (of == OriginRoom) && n > int(most) {
+						f.fault("%d at once at server %d", n, server)
+					}
+				}
+			case ListRate:
+				excess = max(0, excess-rate*seconds(f.now-last)) + float64(f.asked-seen)
+				if last, seen = f.now, f.asked; excess > most+1e-6 {
+					f.fault("%.2f calls beyond the rate in a window", excess)
+				}
+			}
+		}
+		t.Log(seed, of, f.faults)
+		return len(f.faults) == 0
+	}
+	if err := quick.Check(run, &quick.Config{MaxCount: 200, Rand: rand.New(rand.NewSource(2))}); err != nil {
+		t.Error(err)
+	}
+}
+
+// What has no part is deferred at once, with a retry-after that differs from one to the next; after a part's end what is
+// apart holds; a partner's, a cold cache's and the list's are bounded alike.
+func TestWithoutAPart(t *testing.T) {
+	f := newFake(3, 2)
+	f.pass(2000 * Millisecond)
+	f.b.Part(f.now, OriginRate, 0, allowance.Part{Rate: 100, Most: 2, Until: int64(f.now + 500*Millisecond), ThenRate: 1, ThenMost: 1})
+	write := func() (shot bool, after Time) {
+		_, c := f.ask(2, "k", true, f.now+700*Millisecond)
+		return len(c.shots) > 0, c.deferred
+	}
+	if shot, after := write(); shot || after == 0 {
+		t.Error("a new part has nothing saved up: a lookup that needs it is deferred at once")
+	}
+	f.now += 100 * Millisecond
+	first, _ := write()
+	second, _ := write()
+	third, one := write()
+	_, other := write()
+	if !first || !second || third {
+		t.Errorf("two were saved up: shots %v %v %v", first, second, third)
+	}
+	if one == other || one == 0 || other == 0 {
+		t.Errorf("retry-after %d and %d: clients come back together", one, other)
+	}
+	f.now += 1500 * Millisecond
+	first, _ = write()
+	if second, _ = write(); !first || second {
+		t.Errorf("after its end one a second: shots %v %v", first, second)
+	}
+	if u := f.b.Part(f.now, OriginRate, 0, allowance.Part{}); u.Asked != 7 || u.Done != 3 {
+		t.Errorf("told of %v asked, %v done", u.Asked, u.Done)
+	}
+}
