--- a/budget/divider.go
+++ b/budget/divider.go
@@ -503,7 +503,7 @@
 		new = new || c.has == 0 && target[i] > 0
 	}
 	switch {
-	case new || off > 2*(b.Lendable()/smallPart):
+	case new || off > 2*(b.Lendable()/smallPart) || b.Out() > b.Lendable():
 		x.haste = much
 	case len(moves) > 0 || len(x.keep) > 0:
 		x.haste = little
--- a/internal/net/exchange/exchange_test.go
+++ b/internal/net/exchange/exchange_test.go
@@ -12,6 +12,7 @@
 	"testing/quick"
 	"time"
 
+	"github.com/thistlerudder/thistlerudder/budget/allowance"
 	"github.com/thistlerudder/thistlerudder/logic"
 )
 
@@ -530,3 +531,44 @@
 		}
 	}
 }
+
+// What a part allowed is written at once or never, and over by the part's end; nothing takes the place of what goes on where
+// a number at a time bounds it. Without a part nothing of this holds.
+func TestShotsUnderAPart(t *testing.T) {
+	f := &fleet{}
+	x := start(t, f)
+	write := func() (*Ticket, *Shot) {
+		ticket := take(t, x, Lookup{Namespace: "once", Key: "k", Write: true, Method: "PUT"}, 700*time.Millisecond)
+		return ticket, f.take(0)
+	}
+	if _, s := write(); s == nil || !s.BeginBy.IsZero() || s.Within < 600*time.Millisecond {
+		t.Fatalf("without a part: %+v", s)
+	}
+	part := allowance.Part{Number: true, Most: 2, ThenMost: 1}
+	x.Part(logic.OriginRoom, "", part, 200*time.Millisecond, 100*time.Millisecond)
+	_, one := write()
+	_, two := write()
+	if one == nil || two == nil || one.BeginBy.After(time.Now().Add(partWithin)) || one.Within > 300*time.Millisecond || one.Within < 200*time.Millisecond {
+		t.Fatalf("under a part of two: %+v, %+v", one, two)
+	}
+	if ticket, s := write(); s != nil {
+		t.Error("a third shot while two go on")
+	} else if a, answered := got(ticket); !answered || a.Outcome != Deferred || a.RetryAfter == 0 {
+		t.Errorf("what has no part is deferred at once: %+v, %v", a, answered)
+	}
+	if !x.alone(one) {
+		t.Error("another may take its place while it goes on")
+	}
+	one.Settle(Whole, Answer{})
+	two.Settle(Whole, Answer{})
+	if u := x.Part(logic.OriginRoom, "", part, 0, 0); u.Asked != 3 || u.Done != 2 || u.Out != 0 {
+		t.Errorf("told of %+v", u)
+	}
+	_, one = write()
+	if _, two = write(); one == nil || two != nil || one.Within < 600*time.Millisecond {
+		t.Errorf("after its end what is apart holds: %+v, %+v", one, two)
+	}
+	if u := x.Part(logic.PartnerRate, "nobody", part, 0, 0); u != (allowance.Use{}) {
+		t.Error("a partner of no name is bounded")
+	}
+}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -62,6 +62,38 @@
 	return path
 }
 
+// The judge of budgets is shown what came, and must see what passes a whole, and only that.
+func TestTheJudgeSeesWhatPassesAWhole(t *testing.T) {
+	ms := int64(time.Millisecond)
+	every := func(span int64, n int) (all []arrival) {
+		for i := range n {
+			all = append(all, arrival{at: int64(i) * span * ms, end: (int64(i)*span + 25) * ms})
+		}
+		return all
+	}
+	rate, number := []bounded{{rate: 100, most: 10}}, []bounded{{most: 3, number: true}}
+	for _, c := range []struct {
+		what   string
+		broken bool
+		p      passed
+	}{
+		{"at its rate", false, judgeRate("", every(10, 300), rate)},
+		{"its burst at once", false, judgeRate("", every(0, 10), rate)},
+		{"twice its burst at once", true, judgeRate("", every(0, 20), rate)},
+		{"a fifth beyond its rate for long", true, judgeRate("", every(8, 300), rate)},
+		{"a fifth beyond its rate for a moment", false, judgeRate("", every(8, 30), rate)},
+		{"a rate that was lowered", true, judgeRate("", every(10, 300), append(rate, bounded{from: 1000 * ms, rate: 50, most: 5}))},
+		{"three at once", false, judgeNumber("", every(10, 50), number)},
+		{"four at once", true, judgeNumber("", every(8, 50), number)},
+		{"what never ends", true, judgeNumber("", []arrival{{at: 1}, {at: 2}, {at: 3}, {at: 4}}, number)},
+		{"two are too many once it is lowered", true, judgeNumber("", every(10, 50), append(number, bounded{from: 100 * ms, most: 2, number: true}))},
+	} {
+		if (len(c.p.broken) > 0) != c.broken || c.p.windows == 0 {
+			t.Errorf("%s: %v, %d windows", c.what, c.p.broken, c.p.windows)
+		}
+	}
+}
+
 const trialVariable = "THISTLERUDDER_TRIAL"
 
 // Real processes, with all kinds of fault in turn. The rules hold in each run; with a safeguard taken out, they don't in
@@ -75,6 +107,12 @@
 		args  string
 		holds bool
 	}{
+		{"budgets --seeds 1-20", true},
+		{"budgets --seeds 1-1 --processes 12", true},
+		{"budgets --seeds 9-30 --first --without drift-margin --only clock-bound", false},
+		{"budgets --seeds 5-30 --first --without burst-kept --only in-turn", false},
+		{"budgets --seeds 1-30 --first --without reuse-early --only handed-on", false},
+		{"budgets --seeds 5-30 --first --without leader-forgets --only handed-on-unled", false},
 		{"--seeds 1-20", true},
 		{"--seeds 1-1 --processes 12", true},
 		{"--seeds 1-2 --only clock-bound", true},
@@ -86,8 +124,11 @@
 		{"--seeds 1-30 --first --without count-from-answer --only late-answers", false},
 	} {
 		t.Run(c.args, func(t *testing.T) {
-			x := exec.Command(program, append([]string{"trial", "leases", "--keep", filepath.Join(os.TempDir(), "rig-kept")},
-				strings.Fields(c.args)...)...)
+			of, args := "leases", strings.Fields(c.args)
+			if args[0] == "budgets" {
+				of, args = args[0], args[1:]
+			}
+			x := exec.Command(program, append([]string{"trial", of, "--keep", filepath.Join(os.TempDir(), "rig-kept")}, args...)...)
 			out, err := x.CombinedOutput()
 			lines := strings.Split(strings.TrimSpace(string(out)), "\n")
 			switch {
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/thistlerudder/thistlerudder/lease"
 	"github.com/thistlerudder/thistlerudder/logic"
 )
 
@@ -220,3 +222,44 @@
 		}
 	}
 }
+
+// Each key of a budget that is at fault is named; a sound one is divided in whole units.
+func TestTheFleetsBudgets(t *testing.T) {
+	const section = `"fleet":{"name":"f","address":"127.0.0.1:7100","voters":[{"name":"a","address":"127.0.0.7:7100"},{"name":"b","address":"127.0.0.2:7100"},
+{"name":"c","address":"127.0.0.3:7100"}],"nodes":10,"weight":2.5,"budgets":[{"name":"fetches","kind":"rate","bounds":"origin","whole":100,"burst":200},
+{"name":"room","kind":"number","bounds":"origin","whole":40,"apart":0.5},{"name":"acme","kind":"rate","bounds":"partner","partner":"acme","whole":50,"burst":5}]},"settings"`
+	with := func(old, new string) (*Station, error) {
+		if !strings.Contains(section, old) {
+			t.Fatalf("no %s in the section", old)
+		}
+		return read(t, `"settings"`, strings.Replace(section, old, new, 1))
+	}
+	s, err := with("", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []Budget{{"fetches", logic.OriginRate, "", lease.Terms{Kind: "rate", Bounds: "origin", Units: 200, Each: 0.5, Apart: 2, Nodes: 10}},
+		{"room", logic.OriginRoom, "", lease.Terms{Kind: "number", Bounds: "origin", Units: 40, Each: 1, Apart: 2, Nodes: 10}},
+		{"acme", logic.PartnerRate, "acme", lease.Terms{Kind: "rate", Bounds: "partner", Units: 5, Each: 10, Nodes: 10}}}
+	if !reflect.DeepEqual(s.Fleet.Budgets, want) || s.Fleet.Weight != 2.5 {
+		t.Errorf("%+v, weight %g", s.Fleet.Budgets, s.Fleet.Weight)
+	}
+	for want, c := range map[string][2]string{
+		"fleet.nodes: expected a whole number":                {`"nodes":10,`, ``},
+		"fleet.weight: expected a number above 0":             {`2.5`, `0`},
+		"fleet.budgets[0].name: expected a name":              {`"fetches"`, `"a.b"`},
+		"fleet.budgets[1].name: expected another name":        {`"room"`, `"fetches"`},
+		"fleet.budgets[0].bounds: expected one of":            {`"bounds":"origin"`, `"bounds":"tea"`},
+		"fleet.budgets[2].kind: expected for partner rate":    {`"rate","bounds":"partner"`, `"number","bounds":"partner"`},
+		"fleet.budgets[2].partner: expected the name":         {`"partner":"acme"`, `"partner":"nobody"`},
+		"fleet.budgets[1].bounds: expected something that no": {`"number"`, `"rate"`},
+		"fleet.budgets[0].burst: expected a whole number":     {`"burst":200`, `"burst":0.5`},
+		"fleet.budgets[1].whole: expected a whole number":     {`40`, `4.5`},
+		"fleet.budgets[0].whole: expected a number":           {`"whole":100`, `"whole":-1`},
+		"fleet.budgets[1].apart: expected a share":            {`0.5`, `2`},
+	} {
+		if _, err := with(c[0], c[1]); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v: want %s", err, want)
+		}
+	}
+}
