--- a/cmd/thistlerudder/emulate.go
+++ b/cmd/thistlerudder/emulate.go
@@ -27,6 +27,7 @@
 	seeds := c.Flags().Int("seeds", 1, "how many seeds to play, from the description's on")
 	only := c.Flags().StringSlice("policy", nil, "these policies instead of the description's")
 	out := c.Flags().String("out", "", "a file for the points of each second, as comma-separated values")
+	parts := c.Flags().String("budgets", "", "a file for the use of fleets' budgets in each second, as comma-separated values")
 	checkOnly := c.Flags().Bool("check", false, "read the descriptions, and play nothing")
 	after := c.Flags().Int("after", 0, "also say how far fetches rise after this second")
 	span := c.Flags().Int("span", 10, "over how many seconds, with --after")
@@ -56,12 +57,12 @@
 			cmd.Printf("%d descriptions are sound\n", len(all))
 			return nil
 		}
-		return play(cmd, all, *seeds, *out, *after, *span)
+		return play(cmd, all, *seeds, *out, *parts, *after, *span)
 	}
 	return c
 }
 
-func play(cmd *cobra.Command, all []*emulator.Experiment, seeds int, out string, after, span int) error {
+func play(cmd *cobra.Command, all []*emulator.Experiment, seeds int, out, parts string, after, span int) error {
 	table := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
 	head := "experiment\tpolicy\tseed\trequests\tin time\tworst 10 s\tp50 ms\tp99 ms\tfetches/s\tbusiest\tbroken"
 	if after > 0 {
@@ -73,6 +74,9 @@
 	w := csv.NewWriter(&points)
 	_ = w.Write(emulator.Header) // into memory
 	w.Flush()
+	var use strings.Builder
+	uses := csv.NewWriter(&use)
+	_ = uses.Write(emulator.UseHeader) // into memory
 	for _, e := range all {
 		runs := make([]*emulator.Series, len(e.Policies)*seeds)
 		var played sync.WaitGroup
@@ -105,6 +109,9 @@
 			}
 			if s.Use != nil {
 				fmt.Fprint(table, "\t"+s.Use.Line(e))
+				if err := s.Use.Write(uses, e); err != nil {
+					return err
+				}
 			}
 			fmt.Fprintln(table)
 			if err := s.Write(&points); err != nil {
@@ -120,6 +127,11 @@
 			return err
 		}
 	}
+	if uses.Flush(); parts != "" {
+		if err := os.WriteFile(parts, []byte(use.String()), 0o644); err != nil {
+			return err
+		}
+	}
 	if len(broken) > 0 {
 		return fmt.Errorf("the module breaks rules:\n%s", strings.Join(broken, "\n"))
 	}
--- a/internal/emulator/divided.go
+++ b/internal/emulator/divided.go
@@ -1,9 +1,11 @@
 package emulator
 
 import (
+	"encoding/csv"
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
 
 	"github.com/thistlerudder/thistlerudder/budget"
 	"github.com/thistlerudder/thistlerudder/budget/allowance"
@@ -511,11 +513,11 @@
 func (u *Use) Line(e *Experiment) string {
 	n, span := float64(e.Fleet.Nodes), e.Length.Seconds()
 	used, exact, even := u.Ratios(e.Fleet.Budget.Whole, 10, int(span))
-	line := fmt.Sprintf("of the whole used %.3f", used)
+	line := fmt.Sprintf("fullest %.2f; fairness %.3f", u.Above, u.Jain())
 	if e.Fleet.Budget.Kind == lease.RateKind {
-		line += fmt.Sprintf(", by one exact limiter %.3f, by even parts %.3f (%.3f of the limiter)", exact, even, used/max(1e-9, exact))
+		line = fmt.Sprintf("of the whole used %.3f, by one exact limiter %.3f, by even parts %.3f (%.3f of the limiter); ", used, exact, even,
+			used/max(1e-9, exact)) + line
 	}
-	line += fmt.Sprintf("; fullest %.2f; fairness %.3f", u.Above, u.Jain())
 	if len(u.Moved) > 0 {
 		line += fmt.Sprintf("; moved demand has 90%% after %.2f s (longest of %d)", slices.Max(u.Moved), len(u.Moved))
 	}
@@ -524,3 +526,24 @@
 	}
 	return line + fmt.Sprintf("; %.2f messages a node and second, %.2f entries a node in 10 s", float64(u.Messages)/n/span, float64(u.Entries)/n/span*10)
 }
+
+// UseHeader is the first line of a table of use.
+var UseHeader = []string{"experiment", "second", "wanted", "used", "exact", "even"}
+
+// Write writes the shares of the whole that were wanted, used, and given by others, second by second.
+func (u *Use) Write(w *csv.Writer, e *Experiment) error {
+	for at := 0; at+10 <= len(u.Demand); at += 10 {
+		line := []string{e.Name, strconv.Itoa(at / 10)}
+		for _, of := range [][]int{u.Demand, u.Done, u.Exact, u.Even} {
+			sum := 0
+			for _, x := range of[at : at+10] {
+				sum += x
+			}
+			line = append(line, strconv.FormatFloat(float64(sum)/e.Fleet.Budget.Whole, 'f', 4, 64))
+		}
+		if err := w.Write(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
