--- a/internal/rig/budgets.go
+++ b/internal/rig/budgets.go
@@ -38,11 +38,14 @@
 	return 16, nodes/16 + 0.01, 3 + int(w.plan.Seed)%9 // the number is; smaller than the fleet at times, so that units go round
 }
 
+// odd says whether a node comes late, with wholes of its own in its papers.
+func (w *world) odd(n int) bool { return w.plan.Budgets && n >= votersOf && n == w.plan.Processes-1 }
+
 // budgeted changes a node's papers for a run on budgets. The last node's have wholes of their own, which must not count.
 func (w *world) budgeted(n int, papers, fleet map[string]any) {
 	burst, apart, room := w.sizes()
 	times := 1.0
-	if n == w.plan.Processes-1 {
+	if w.odd(n) {
 		times = 3
 	}
 	fleet["tasks"], fleet["nodes"] = []string{}, w.plan.Processes+joinMost
@@ -236,9 +239,9 @@
 	d := demand{rates: make([]atomic.Int64, plan.Processes)}
 	var asking sync.WaitGroup
 	var late atomic.Int64
-	if err == nil {
+	if last := plan.Processes - 1; err == nil && w.odd(last) {
 		w.sleep(ctx, warmSpan) // the wholes are agreed before the node with others comes
-		_, _, err = w.processes[plan.Processes-1].start()
+		_, _, err = w.processes[last].start()
 	}
 	if err == nil {
 		w.touch(w.processes[plan.Processes-1], 3*time.Second)
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -176,7 +176,7 @@
 		}
 		_ = l.Close()
 		w.processes = append(w.processes, p)
-		if w.plan.Budgets && n == w.plan.Processes-1 {
+		if w.odd(n) {
 			continue // it comes later, with other papers
 		}
 		if _, _, err := p.start(); err != nil {
--- a/tools/plots/main.go
+++ b/tools/plots/main.go
@@ -15,15 +15,15 @@
 )
 
 func main() {
-	c := &cobra.Command{Use: "plots TABLE EXPERIMENT PICTURE", Short: "Draw how much of a budget was used over time", Args: cobra.ExactArgs(3),
-		SilenceUsage: true, RunE: func(_ *cobra.Command, args []string) error { return draw(args[0], args[1], args[2]) }}
+	c := &cobra.Command{Use: "plots TABLE EXPERIMENT PICTURE TITLE", Short: "Draw how much of a budget was used over time", Args: cobra.ExactArgs(4),
+		SilenceUsage: true, RunE: func(_ *cobra.Command, args []string) error { return draw(args[0], args[1], args[2], args[3]) }}
 	if c.Execute() != nil {
 		os.Exit(1)
 	}
 }
 
 // draw makes a picture, of the kind that its name ends with, of one experiment of a table.
-func draw(table, experiment, picture string) error {
+func draw(table, experiment, picture, title string) error {
 	f, err := os.Open(table)
 	if err != nil {
 		return err
@@ -53,7 +53,7 @@
 		return fmt.Errorf("%s: no lines of %q", table, experiment)
 	}
 	p := plot.New()
-	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = experiment, "seconds", "share of the whole"
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "seconds", "share of the whole"
 	p.Y.Min, p.Legend.Top = 0, false
 	for i, name := range names {
 		l, err := plotter.NewLine(lines[i])
