--- a/budget/divider.go
+++ b/budget/divider.go
@@ -24,6 +24,8 @@
 	reservePart  = 50                      // a fiftieth of what can be lent waits for nodes that have none,
 	reserveEach  = 2                       // where each could have two units besides
 	asksMost     = 4096                    // askings out at a leader
+	holdsMost    = 64                      // budgets in one
+	weightMost   = 1e6
 	waitMost     = 10000 * lease.Millisecond
 )
 
@@ -176,7 +178,7 @@
 	case len(d.members) >= asksMost && d.members[a.Lease] == nil:
 		d.host.Answer(id, Answer{Err: lease.ErrFull})
 		return
-	case a.Weight < 0 || a.Weight > 1e6:
+	case a.Weight < 0 || a.Weight > weightMost || len(a.Holds) > holdsMost || len(a.Declares) > holdsMost:
 		d.host.Answer(id, Answer{Err: lease.ErrForm})
 		return
 	}
@@ -488,12 +490,10 @@
 			may -= reserve
 		}
 		more := min(target[i]-c.has, may)
-		if m == nil || more <= 0 || len(moves) > 0 && moves[len(moves)-1].Lease == leases[i] {
+		down := slices.ContainsFunc(moves, func(x lease.Move) bool { return x.Lease == leases[i] })
+		if m == nil || more <= 0 || down { // who has just come down may have more at the next division
 			continue
 		}
-		if given := slices.ContainsFunc(moves, func(x lease.Move) bool { return x.Lease == leases[i] }); given {
-			continue // it has just come down: the next division
-		}
 		free -= more
 		moves = append(moves, lease.Move{Budget: name, Lease: leases[i], Token: m.token, Under: b.Parts[leases[i]].Token, Units: c.has + more})
 	}
--- a/internal/terms/budgets.go
+++ b/internal/terms/budgets.go
@@ -84,6 +84,9 @@
 		}
 		b.Units = int(units)
 		b.Apart = int(apart*units/float64(b.Nodes) + 1e-9)
+		if b.Bounds == "discovery" && b.Apart < 1 {
+			fault(key+"apart", "a share that leaves each of fleet.nodes a whole unit of burst: a node without the list serves nothing")
+		}
 		all = append(all, b)
 	}
 	return all
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -257,6 +257,7 @@
 		"fleet.budgets[1].whole: expected a whole number":     {`40`, `4.5`},
 		"fleet.budgets[0].whole: expected a number":           {`"whole":100`, `"whole":-1`},
 		"fleet.budgets[1].apart: expected a share":            {`0.5`, `2`},
+		"fleet.budgets[2].apart: expected a share that":       {`"bounds":"partner"`, `"bounds":"discovery"`},
 	} {
 		if _, err := with(c[0], c[1]); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%v: want %s", err, want)
