--- a/internal/rig/budgets.go
+++ b/internal/rig/budgets.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -217,17 +216,7 @@
 	if w.folder, err = os.MkdirTemp("", "rig-"); err != nil {
 		return r, err
 	}
-	defer func() {
-		if len(r.Broken) == 0 && err == nil || plan.Keep == "" {
-			_ = os.RemoveAll(w.folder)
-			return
-		}
-		r.Kept = filepath.Join(plan.Keep, fmt.Sprintf("budgets-%d", plan.Seed))
-		_ = os.RemoveAll(r.Kept)
-		if errors.Join(os.MkdirAll(plan.Keep, 0o700), os.Rename(w.folder, r.Kept)) != nil {
-			r.Kept = w.folder
-		}
-	}()
+	defer func() { w.keep(&r, err, "budgets") }()
 	burst, _, room := w.sizes()
 	for name, b := range map[string]bounded{"fetches": {rate: fetchRate, most: float64(burst)}, "room": {most: float64(room), number: true},
 		"acme": {rate: acmeRate, most: 14}, "lists": {rate: listRate, most: 60}, "cold": {rate: coldRate, most: 10},
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -248,6 +248,19 @@
 	Kept     string
 }
 
+// keep lets the history of a run that failed stay where the plan wants it, and removes any other.
+func (w *world) keep(r *Run, err error, kind string) {
+	if len(r.Broken) == 0 && err == nil || w.plan.Keep == "" {
+		_ = os.RemoveAll(w.folder)
+		return
+	}
+	r.Kept = filepath.Join(w.plan.Keep, fmt.Sprintf("%s-%d", kind, w.plan.Seed))
+	_ = os.RemoveAll(r.Kept)
+	if errors.Join(os.MkdirAll(w.plan.Keep, 0o700), os.Rename(w.folder, r.Kept)) != nil {
+		r.Kept = w.folder
+	}
+}
+
 // Play plays one run.
 func Play(ctx context.Context, plan Plan) (r Run, err error) {
 	r.Seed = plan.Seed
@@ -256,17 +269,7 @@
 	if w.folder, err = os.MkdirTemp("", "rig-"); err != nil {
 		return r, err
 	}
-	defer func() {
-		if len(r.Broken) == 0 && err == nil || plan.Keep == "" {
-			_ = os.RemoveAll(w.folder)
-			return
-		}
-		r.Kept = filepath.Join(plan.Keep, fmt.Sprintf("seed-%d", plan.Seed))
-		_ = os.RemoveAll(r.Kept)
-		if errors.Join(os.MkdirAll(plan.Keep, 0o700), os.Rename(w.folder, r.Kept)) != nil {
-			r.Kept = w.folder
-		}
-	}()
+	defer func() { w.keep(&r, err, "seed") }()
 	err = w.setUp(ctx)
 	done := make(chan struct{})
 	var c client
