Begin no shot after its lookup's end, or once its client has gone

Cause: a replayable read that others have passed has a second shot (exchange/places.go, look). Its first one may still be in its dial. When the second answer is the final one the first goes on: neither servers/send.go (once, send) nor conn.Write in servers/dial.go asked whether the lookup is over. The same lines send on lookups whose client has left while a connection came up. Ruled out: repeats by the transport (the body can't be rewound, one line of one shot), a shot ordered after the end (host.Shoot refuses), the module.

Such a shot ends as "withheld": never ran, no strike, and the module gets back the room, credit and cold budget it took. A final answer ends its lookup before anybody can hear of it.

--- a/internal/net/clients/call.go
+++ b/internal/net/clients/call.go
@@ -101,6 +101,7 @@
 		plain(a.w, http.StatusBadRequest, err.Error())
 		return
 	}
+	in.Gone = a.conn.gone
 	t, err := a.exchange.Take(in, read, within)
 	if errors.Is(err, exchange.ErrOut) {
 		plain(a.w, http.StatusConflict, err.Error())
--- a/internal/net/clients/listener.go
+++ b/internal/net/clients/listener.go
@@ -4,7 +4,10 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // bounded accepts no more connections than it has places; the next wait in the kernel's queue. The library's
@@ -59,7 +62,8 @@
 	}
 	b.came.Store(time.Now().UnixNano())
 	if tcp, ok := c.(*net.TCPConn); ok {
-		return &placed{TCPConn: tcp, leave: leave, accepted: time.Now()}, nil
+		raw, _ := tcp.SyscallConn() // fails for a nil connection only
+		return &placed{TCPConn: tcp, raw: raw, leave: leave, accepted: time.Now()}, nil
 	}
 	leave()
 	return c, nil
@@ -76,6 +80,7 @@
 // placed gives its place back once, and follows the framing of what comes.
 type placed struct {
 	*net.TCPConn
+	raw      syscall.RawConn
 	leave    func()
 	accepted time.Time
 	// Unix times in nanoseconds: of the latest bytes, of the first ones since the connection's state changed, and of that.
@@ -94,6 +99,18 @@
 	return n, err
 }
 
+// gone looks whether the client has ended its connection, also where bytes that it sent before are not read yet, behind
+// which net/http sees no end. It can't tell who has closed from who has only ended its sending; both have left.
+func (p *placed) gone() bool {
+	over := false
+	err := p.raw.Control(func(fd uintptr) {
+		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(look, 0)
+		over = err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return over || err != nil // closed on our side: nobody can be answered
+}
+
 func (p *placed) Close() error {
 	err := p.TCPConn.Close()
 	p.leave()
--- a/internal/net/exchange/ends.go
+++ b/internal/net/exchange/ends.go
@@ -24,6 +24,7 @@
 	NoRoom                // no descriptor, dial or goroutine was left: nothing was sent
 	Overtaken             // the node stopped waiting before a connection was up or had failed
 	Withdrawn             // the node itself took it back, at its own end
+	Withheld              // its lookup was over, or its client gone, before its first byte was written
 	endCount
 )
 
@@ -50,12 +51,14 @@
 		return logic.TimedOut
 	case NoRoom, Overtaken:
 		return logic.Unsent
+	case Withheld:
+		return logic.Withheld
 	default:
 		return logic.CalledOff
 	}
 }
 
 var endNames = [endCount]string{"whole", "lacking", "failing", "turned away", "crowded", "unclear", "unreached", "unheard",
-	"unwritten", "lost", "cut short", "spoilt", "silent", "passed", "no room", "overtaken", "withdrawn"}
+	"unwritten", "lost", "cut short", "spoilt", "silent", "passed", "no room", "overtaken", "withdrawn", "withheld"}
 
 func (e End) String() string { return endNames[e] }
--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -206,7 +206,7 @@
 
 func (h host) Shoot(lkp, server int, timeout logic.Time) {
 	t := h.tickets[lkp]
-	if t.over {
+	if t.over.Load() {
 		return // only a module that panicked can order this; nothing is sent after the final answer
 	}
 	s := &Shot{
@@ -254,29 +254,30 @@
 
 // finish gives a lookup its one final answer. Called with the lock held.
 func (x *Exchange) finish(t *Ticket, a Answer) {
-	if t.over {
+	if t.over.Load() {
 		return
 	}
+	x.end(t)       // before anybody can hear of it: nothing begins after the final answer
 	t.answers <- a // it has room for this one, and there is no other
 	x.tally.count(a, time.Since(t.read))
-	x.end(t)
 }
 
 func (x *Exchange) end(t *Ticket) {
-	t.over = true
+	t.over.Store(true)
 	x.forget(t)
 }
 
 // forget frees a lookup's index once it is over and all its shots have settled.
 func (x *Exchange) forget(t *Ticket) {
-	if !t.over || t.out > 0 || t.forgotten {
+	if !t.over.Load() || t.out > 0 || t.forgotten {
 		return
 	}
 	t.forgotten = true
 	delete(x.out, t.Trace)
 	if t.spoiled {
 		// The module may still hold the lookup to be live, so its index rests for good, but none of its bytes.
-		x.tickets[t.index] = &Ticket{x: x, over: true, forgotten: true}
+		x.tickets[t.index] = &Ticket{x: x, forgotten: true}
+		x.tickets[t.index].over.Store(true)
 		return
 	}
 	x.tickets[t.index] = nil
--- a/internal/net/exchange/exchange_test.go
+++ b/internal/net/exchange/exchange_test.go
@@ -59,7 +59,7 @@
 			}
 			end := End(r.Intn(int(endCount)))
 			switch end.Code() {
-			case logic.Full, logic.Unconnected, logic.Unsent, logic.Missing, logic.Crowded, logic.Unheard:
+			case logic.Full, logic.Unconnected, logic.Unsent, logic.Missing, logic.Crowded, logic.Unheard, logic.Withheld:
 			default:
 				of[s.ticket].mayHaveRun = true
 			}
@@ -295,6 +295,9 @@
 	if a, _ := got(ticket); string(a.Body) != "slow" {
 		t.Errorf("the slow answer did not count: %v", a)
 	}
+	if other.Wanted() { // its connection may come up only now
+		t.Error("a shot may begin after the final answer")
+	}
 	other.Settle(Whole, Answer{Body: []byte("other")})
 	if a, more := got(ticket); more {
 		t.Errorf("another final answer: %v", a)
@@ -302,6 +305,9 @@
 	for _, in := range []Lookup{{Namespace: "read", Write: true}, {Namespace: "once", Key: "k"}} {
 		_, first := send(in)
 		_, second := send(in)
+		if !first.Wanted() {
+			t.Error("a lookup that has no answer yet is not wanted")
+		}
 		second.Settle(Whole, Answer{})
 		quiet() // another shot of what isn't replayable might be an effect twice
 		first.Settle(Whole, Answer{})
@@ -417,7 +423,8 @@
 }
 
 func TestOnlyProofsCountAsNotRun(t *testing.T) {
-	proofs := map[End]bool{Lacking: true, TurnedAway: true, Crowded: true, Unreached: true, Unheard: true, Unwritten: true, NoRoom: true, Overtaken: true}
+	proofs := map[End]bool{Lacking: true, TurnedAway: true, Crowded: true, Unreached: true, Unheard: true, Unwritten: true, NoRoom: true, Overtaken: true,
+		Withheld: true}
 	for end := range endCount {
 		code := end.Code()
 		notRun := code == logic.Full || code == logic.Unconnected || code == logic.Unsent || code >= logic.Missing
--- a/internal/net/exchange/ticket.go
+++ b/internal/net/exchange/ticket.go
@@ -22,6 +22,7 @@
 	Rest               *Rest         // nil: there is none
 	Length             int64         // of a body with a rest; -1: not told
 	Patience           time.Duration // of a lookup with a rest, from its last byte on
+	Gone               func() bool   // looks whether the client has ended its connection; nil: nobody can tell
 }
 
 // Rest is what of a long body is passed on as it comes, to one server only: it can't be read twice.
@@ -89,8 +90,9 @@
 	read    time.Time
 	answers chan Answer
 
-	index, shots, out        int
-	over, forgotten, spoiled bool
+	over               atomic.Bool // set by the owner, read by whoever is about to write a shot
+	index, shots, out  int
+	forgotten, spoiled bool
 }
 
 // Answers gives the final answer, once.
@@ -98,14 +100,17 @@
 
 // Leave says that the client is gone; shots that are out still settle.
 func (t *Ticket) Leave() {
-	t.x.do("leave", t, func(now logic.Time) {
-		if t.over {
-			return
-		}
-		t.x.tally.Left++
-		t.x.balancer.Left(now, t.index)
-		t.x.end(t)
-	})
+	t.x.do("leave", t, t.left)
+}
+
+// left ends a lookup whose client is gone. Called with the lock held.
+func (t *Ticket) left(now logic.Time) {
+	if t.over.Load() {
+		return
+	}
+	t.x.tally.Left++
+	t.x.balancer.Left(now, t.index)
+	t.x.end(t)
 }
 
 // Shot is one sending of a lookup to one server.
@@ -129,6 +134,13 @@
 	written atomic.Bool // its last byte has been counted
 }
 
+// Wanted says whether the shot may begin: its lookup is not over, and its client is there. Whoever writes its first byte asks
+// just before; what has begun goes on. It takes no lock of the exchange, and looks at the client's connection itself, since
+// net/http sees a client's end only where no bytes lie before it and some time has passed.
+func (s *Shot) Wanted() bool {
+	return s.ticket == nil || !s.ticket.over.Load() && (s.Gone == nil || !s.Gone())
+}
+
 // Settle tells how the shot ended; only the first word counts. The first whole answer goes to the client, and so does
 // the first one with a rest: true says that this is it. The rest may take long, until Over, but nothing is decided
 // about it any more; the server has given its answer.
@@ -139,12 +151,12 @@
 			return
 		}
 		s.settled = true
-		first = end == Whole && !t.over
+		first = end == Whole && !t.over.Load()
 		if s.flows = first && answer.Rest != nil; !s.flows {
 			t.out--
 			defer t.x.forget(t)
 		}
-		rescued := end == Whole && s.told && !t.over
+		rescued := end == Whole && s.told && !t.over.Load()
 		if end == Whole {
 			// Answered before the module is told, which holds the lookup to be over from here on.
 			t.x.finish(t, answer)
@@ -152,6 +164,10 @@
 		if rescued {
 			t.x.balancer.Left(now, t.index)
 		}
+		if end == Withheld && !t.over.Load() {
+			t.left(now)
+			t.answers <- Answer{Outcome: Abandoned} // its handler waits still: the shot noticed first
+		}
 		s.tell(end)
 		t.x.boxes[s.server].settled(s, end)
 		t.x.giveBack(s.server)
@@ -208,5 +224,5 @@
 	t := s.ticket
 	t.x.tally.Ends[end]++
 	t.x.boxes[s.server].drop(s)
-	t.x.balancer.Settled(t.x.clock.now(), t.index, s.number, end.Code(), end == Whole || t.over)
+	t.x.balancer.Settled(t.x.clock.now(), t.index, s.number, end.Code(), end == Whole || t.over.Load())
 }
--- a/internal/net/servers/dial.go
+++ b/internal/net/servers/dial.go
@@ -175,15 +175,17 @@
 	failed  atomic.Bool  // a write came to an end before its last byte
 
 	mu      sync.Mutex
-	change  sync.Cond // of reading and gone
-	reading bool      // the transport waits for bytes, so it has none left over
-	gone    bool      // closed on our side, or about to be
-	busy    int       // requests it was taken for that are not over
-	idle    time.Time // when it was made, or the latest of them was over
-	begun   bool      // the present request's first byte is about to be written, or was
-	early   bool      // bytes came before that, so that it must not be written
-	whole   func()    // to be told once what is still in the transport's buffer has been written; nil: nobody
-	by      time.Time // when its first byte must have been written; zero: any time
+	change  sync.Cond   // of reading and gone
+	reading bool        // the transport waits for bytes, so it has none left over
+	gone    bool        // closed on our side, or about to be
+	busy    int         // requests it was taken for that are not over
+	idle    time.Time   // when it was made, or the latest of them was over
+	begun   bool        // the present request's first byte is about to be written, or was
+	early   bool        // bytes came before that, so that it must not be written
+	wanted  func() bool // asked just before that; nil: it is wanted in any case
+	dropped bool        // it was not, so that nothing was written
+	whole   func()      // to be told once what is still in the transport's buffer has been written; nil: nobody
+	by      time.Time   // when its first byte must have been written; zero: any time
 	read    int64
 	heard   time.Time     // when the latest bytes of the present answer came; zero: none have
 	pause   time.Duration // the longest between two of its reads
@@ -202,15 +204,23 @@
 	return own
 }
 
+var errUnwanted = errors.New("the lookup was over, or its client gone, before the request was written")
+
 var errStray = errors.New("bytes or the end came before the request was written, or it came too late for a drain")
 
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	c.early = c.early || !c.begun && (c.gone || c.waiting() || !c.by.IsZero() && time.Now().After(c.by))
+	if !c.begun {
+		c.early = c.early || c.gone || c.waiting() || !c.by.IsZero() && time.Now().After(c.by)
+		c.dropped = c.wanted != nil && !c.wanted()
+	}
 	c.begun = true
-	stray := c.early
+	stray, dropped := c.early, c.dropped
 	c.mu.Unlock()
-	if stray {
+	switch {
+	case dropped:
+		return 0, errUnwanted
+	case stray:
 		return 0, errStray
 	}
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(takenIn))
@@ -314,7 +324,7 @@
 
 // take makes the connection ready for a request. After an answer the transport goes on to read, or closes if
 // there is more than the answer: one of the two must have happened.
-func (c *conn) take(reused bool, by time.Time) (written, read int64) {
+func (c *conn) take(reused bool, by time.Time, wanted func() bool) (written, read int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy++
@@ -322,6 +332,7 @@
 		c.change.Wait()
 	}
 	c.begun, c.early, c.by, c.whole = false, false, by, nil
+	c.wanted, c.dropped = wanted, false
 	c.heard, c.pause = time.Time{}, 0
 	return c.written.Load(), c.read
 }
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -77,10 +77,10 @@
 	written, read int64 // bytes there had been before
 }
 
-func (on *carried) got(c net.Conn, reused bool, by time.Time) {
+func (on *carried) got(c net.Conn, reused bool, shot *exchange.Shot) {
 	on.release() // the transport may have found the first one broken
 	on.conn, _ = c.(*conn)
-	on.written, on.read = on.conn.take(reused, by)
+	on.written, on.read = on.conn.take(reused, shot.BeginBy, shot.Wanted)
 }
 
 // release says that nothing of this shot is on its connection any more.
@@ -103,6 +103,16 @@
 	return on.conn.early
 }
 
+// dropped says that the request was not written since nobody waits for it any more.
+func (on *carried) dropped() bool {
+	if on.conn == nil {
+		return false
+	}
+	on.conn.mu.Lock()
+	defer on.conn.mu.Unlock()
+	return on.conn.dropped
+}
+
 // answered says that bytes came back.
 func (on *carried) answered() bool {
 	on.conn.mu.Lock()
@@ -152,7 +162,7 @@
 	defer watch.Stop()
 	defer on.release()
 	resp, err := s.transport.RoundTrip(request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) { on.got(i.Conn, i.Reused, shot.BeginBy) },
+		GotConn: func(i httptrace.GotConnInfo) { on.got(i.Conn, i.Reused, shot) },
 		// From the first byte of a long body on, its time counts from its last.
 		WroteHeaders: func() {
 			if shot.Rest != nil {
@@ -179,6 +189,8 @@
 		how = exchange.Crowded // a full queue turns a shot away and keeps the connection
 	}
 	switch {
+	case on.dropped():
+		return exchange.Withheld, exchange.Answer{}, errUnwanted
 	case on.stray():
 		return exchange.Unwritten, exchange.Answer{}, errStray
 	case err != nil && ctx.Err() != nil:
@@ -227,6 +239,8 @@
 	switch {
 	case errors.Is(err, errNoRoom):
 		return exchange.NoRoom
+	case on.dropped():
+		return exchange.Withheld
 	case on.conn == nil && s.context.Err() != nil:
 		return exchange.Withdrawn
 	case on.conn == nil && ctx.Err() != nil && !errors.As(err, &dial):
--- a/internal/net/servers/servers_test.go
+++ b/internal/net/servers/servers_test.go
@@ -102,7 +102,7 @@
 		c := newConn(raw.(socket), func() {})
 		defer c.Close()
 		if first == "take" {
-			c.take(false, time.Time{})
+			c.take(false, time.Time{}, nil)
 			if c.retire() {
 				t.Error("given back with a request on it")
 			}
@@ -111,7 +111,7 @@
 		if !c.retire() {
 			t.Error("not given back")
 		}
-		c.take(true, time.Time{})
+		c.take(true, time.Time{}, nil)
 		if n, err := c.Write([]byte("x")); n != 0 || err == nil {
 			t.Errorf("%d bytes written on what is about to be closed: %v", n, err)
 		}
@@ -337,7 +337,7 @@
 func TestBytesBeforeARequestAreNotItsAnswer(t *testing.T) {
 	near, far := tcp(t)
 	c := newConn(near, func() {})
-	c.take(false, time.Time{})
+	c.take(false, time.Time{}, nil)
 	_, _ = far.Write([]byte("early"))
 	for end := time.Now().Add(time.Second); !c.waiting() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
@@ -345,16 +345,16 @@
 	if n, err := c.Write([]byte("request")); n != 0 || err == nil || c.written.Load() != 0 || !c.early {
 		t.Errorf("unread bytes: wrote %d, %v", n, err)
 	}
-	c.take(false, time.Time{})
+	c.take(false, time.Time{}, nil)
 	_, _ = c.Read(make([]byte, 9))
 	if n, err := c.Write([]byte("request")); n != 0 || err == nil {
 		t.Errorf("bytes read before: wrote %d, %v", n, err)
 	}
-	c.take(false, time.Time{})
+	c.take(false, time.Time{}, nil)
 	if n, err := c.Write([]byte("request")); n != 7 || err != nil || c.early {
 		t.Errorf("a clean connection: wrote %d, %v", n, err)
 	}
-	c.take(false, time.Time{})
+	c.take(false, time.Time{}, nil)
 	far.Close() // with the request unread, so that it is a reset
 	for end := time.Now().Add(time.Second); !c.waiting() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
@@ -589,6 +589,57 @@
 	}
 }
 
+// The look whether a shot is wanted comes with its first byte, on each connection that is tried: nothing is written after the
+// lookup's end, the server is not held to have failed, and a shot that has begun goes on.
+func TestAShotIsNotBegunAfterItsLookupsEnd(t *testing.T) {
+	for _, c := range []struct {
+		when string // the client leaves
+		want exchange.End
+		came int64
+	}{{"while a connection comes up", exchange.Withheld, 0}, {"between two tries", exchange.Withheld, 0}, {"once it was written", exchange.Whole, 1}} {
+		d, err := terms.Of(map[string]any{"namespaces": []any{map[string]any{"name": "read", "repeat": "safe",
+			"target-time-ms": 700., "time-limit-ms": 750.}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var came atomic.Int64
+		taken, leave := make(chan bool), func() {}
+		address := raw(t, func(conn net.Conn, _ *http.Request, _ int) {
+			came.Add(1)
+			leave()
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv")
+		})
+		x, s, dials := exchange.New(d, zap.NewNop()), side(t), 0
+		dial := s.transport.DialContext
+		s.transport.DialContext = func(ctx context.Context, network, to string) (net.Conn, error) {
+			<-taken
+			if dials++; dials == 1 && c.when == "between two tries" {
+				leave()
+				return nil, &net.OpError{Op: "dial", Err: syscall.ECONNRESET} // another is tried
+			} else if c.when == "while a connection comes up" {
+				leave()
+			}
+			return dial(ctx, network, to)
+		}
+		x.Start(1, s, nobody{})
+		x.List(logic.Whole, []exchange.Box{{ID: "a", Address: address}})
+		ticket, err := x.Take(exchange.Lookup{Namespace: "read", Method: "GET", Target: "/read/k", Trace: "t"}, time.Now(), time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		leave = ticket.Leave
+		close(taken)
+		for end := time.Now().Add(time.Second); x.Out() > 0 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		y := x.Tally()
+		if y.Ends[c.want] != 1 || y.Left != 1 || came.Load() != c.came || x.Figures().Written.Load() != c.came || len(x.Resting()) > 0 || x.Out() > 0 {
+			t.Errorf("%s: ends %v, %d left, %d came, %d written, resting %v, %d out", c.when, y.Ends, y.Left, came.Load(),
+				x.Figures().Written.Load(), x.Resting(), x.Out())
+		}
+	}
+}
+
 // deaf gives an address whose connections never come up: its queue of new ones is full.
 func deaf(t *testing.T) string {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
--- a/logic/fake_test.go
+++ b/logic/fake_test.go
@@ -158,6 +158,10 @@
 	f.sent(lkp, shot)
 	c.shots[shot].settled, c.shots[shot].code = true, code
 	c.out--
+	if code == Withheld && !c.ended { // only of a lookup that is over
+		c.ended = true
+		f.b.Left(f.now, lkp)
+	}
 	c.ended = c.ended || code == Answered
 	f.b.Settled(f.now, lkp, shot, code, c.ended)
 	f.forget(lkp)
@@ -197,7 +201,7 @@
 		space := f.rnd.Intn(3)
 		f.ask(space, key, space > 0 && f.rnd.Intn(2) == 0, limit)
 	case r < 80:
-		f.settleAny(Code(f.rnd.Intn(int(Unheard) + 1)))
+		f.settleAny(Code(f.rnd.Intn(int(Withheld) + 1)))
 	case r < 82 && len(f.lkps) > 0:
 		if lkp := f.rnd.Intn(len(f.lkps)); !f.lkps[lkp].ended {
 			f.lkps[lkp].ended = true
--- a/logic/host.go
+++ b/logic/host.go
@@ -48,7 +48,7 @@
 // Code says how a shot ended.
 type Code int
 
-// The codes. Full, Unconnected, Unsent, Missing, Crowded and Unheard prove that the shot never ran.
+// The codes. Full, Unconnected, Unsent, Missing, Crowded, Unheard and Withheld prove that the shot never ran.
 const (
 	Answered    Code = iota
 	Errored          // the server answered with an error
@@ -61,6 +61,7 @@
 	Missing          // the server has nothing under this key
 	Crowded          // the server holds as many connections as it takes, and this was one more
 	Unheard          // nobody was heard at the server's address while a connection was to come up
+	Withheld         // its lookup was over before its first byte was written: it says nothing of the server
 )
 
 // ListKind says what a box list event holds.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -308,9 +308,7 @@
 // shoot sends a lookup and books it.
 func (b *Balancer) shoot(lkp, i int) {
 	l, s := &b.lookups[lkp], b.servers[i]
-	if s.rest > 0 {
-		s.trial = true
-	}
+	s.trial = s.trial || s.rest > 0
 	cold := b.coldShare(s) < 1
 	if cold || s.rest > 0 {
 		s.cold.Spend()
@@ -502,13 +500,15 @@
 	l := &b.lookups[lkp]
 	t := &l.shots[number]
 	t.out, t.notRun = false, code == Full || code == Unconnected || code == Unsent || code >= Missing
-	b.servers[t.server].took += (now - t.sent - b.servers[t.server].took) / 8
 	s := b.servers[t.server]
+	if code != Withheld {
+		s.took += (now - t.sent - s.took) / 8
+	}
 	if s.links.Ended(int64(s.took)); s.origin {
 		b.parts[OriginRoom].Ended(int64(s.took))
 	}
 	// Crowded caches slow down, so the room shrinks until their answers are quick again.
-	slow := now-t.sent > Time(calmPart*float64(b.spaces[l.Namespace].target))
+	slow := code != Withheld && now-t.sent > Time(calmPart*float64(b.spaces[l.Namespace].target))
 	if code == TimedOut && !slow {
 		code = CalledOff // the lookup had little time left, which says nothing of the server
 	}
@@ -525,6 +525,10 @@
 		b.host.HangUp(t.server, 0)
 	}
 	switch {
+	case code == Withheld && s.Since <= t.sent: // it gives back what it took, but to no server that has begun since
+		if s.budget += l.work; number > 0 && !l.missed {
+			s.credit = min(creditMost, s.credit+1)
+		}
 	case code == Crowded: // what it took connections for is what it has room for
 		s.calm = min(s.calm, max(1, float64(s.inFlight)))
 	case slow && code == TimedOut: // all nodes must let go of it before it works for nobody
@@ -539,16 +543,15 @@
 		s.calm = min(calmMost, s.calm+won)
 	}
 	l.missed = l.missed || code == Missing
-	if !l.live {
-		return
-	}
-	if ended {
+	switch {
+	case !l.live:
+	case ended:
 		b.feel(l, now-l.arrived <= b.spaces[l.Namespace].target)
 		b.end(lkp)
-		return
+	default:
+		b.release(lkp)
+		b.advance(lkp)
 	}
-	b.release(lkp)
-	b.advance(lkp)
 }
 
 // giveBack closes what has been idle for as long as we keep it, when a connect has failed elsewhere.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -447,6 +447,40 @@
 	}
 }
 
+// A shot that was withheld says nothing of its server, however long it waited for a connection, and gives back the room, the
+// credit and the cold budget that it took; one whose server has begun anew since gives that nothing.
+func TestAWithheldShotGivesBackWhatItTook(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		f := newFake(1, 2)
+		k := key(f.b, 0)
+		for _, s := range f.b.servers[:2] {
+			s.Since, s.budget, s.budgetAt = f.now-100*Millisecond, 3, f.now
+		}
+		f.b.perCache = 1000
+		f.b.servers[2].inFlight = 99
+		lkp, c := f.ask(0, k, false, f.now+9000)
+		f.settle(lkp, 0, Errored) // further shots cost credit
+		if len(c.shots) != 2 {
+			t.Fatalf("%d shots, want a further one", len(c.shots))
+		}
+		s := f.b.servers[c.shots[1].server]
+		credit, budget, calm, took := s.credit, s.budget, s.calm, s.took
+		f.now += 150 * Millisecond // slow
+		if restarted {
+			f.boxes[c.shots[1].server].Since = f.now - Millisecond
+			f.b.List(f.now, Changes, f.boxes)
+			s = f.b.servers[c.shots[1].server]
+			credit, budget = s.credit-1, s.budget-1
+		}
+		f.settle(lkp, 1, Withheld)
+		if s.inFlight != 0 || s.credit != credit+1 || s.budget != budget+1 || s.calm != calm || s.took != took && !restarted ||
+			s.strikes != 0 || s.rest != 0 || len(f.faults) > 0 {
+			t.Errorf("restarted %v: in flight %d, credit %g of %g, budget %g of %g, calm %g of %g, took %d of %d, strikes %d, %v", restarted,
+				s.inFlight, s.credit, credit+1, s.budget, budget+1, s.calm, calm, s.took, took, s.strikes, f.faults)
+		}
+	}
+}
+
 // h1fdc83, ib55e28: lookups lost at a few silent boxes made all nodes turn away what they held for beyond a share.
 func TestASickServerIsNotALackOfRoom(t *testing.T) {
 	for _, c := range []struct {
