--- a/internal/net/boxlist/watch_test.go
+++ b/internal/net/boxlist/watch_test.go
@@ -101,6 +101,65 @@
 	}
 }
 
+// What a watch that has fallen silent missed counts as told 2 s after its wait is over: by then the list has been had anew,
+// though the module waits before it asks and the service takes a second to answer. A service that answers a little after the
+// wait is not given up for that.
+func TestASilentWatchIsMadeUpForInTime(t *testing.T) {
+	t.Parallel()
+	const hold, late, takes = 300 * time.Millisecond, 100 * time.Millisecond, time.Second
+	var mu sync.Mutex
+	calls, silent := 0, time.Time{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		calls++
+		nth := calls
+		mu.Unlock()
+		switch nth {
+		case 1:
+			fmt.Fprint(w, `{"version":1,"full":true,"servers":[`, box, `]}`)
+		case 2: // a watch that ends in time, in its service's
+			time.Sleep(hold + late)
+			fmt.Fprint(w, `{"version":1,"full":false,"servers":[]}`)
+		case 3:
+			mu.Lock()
+			silent = time.Now()
+			mu.Unlock()
+			<-r.Context().Done()
+		case 4:
+			time.Sleep(takes)
+			fmt.Fprint(w, `{"version":2,"full":true,"servers":[`, strings.Replace(box, "Ready", "Terminating", 1), `]}`)
+		default:
+			<-r.Context().Done()
+		}
+	}))
+	defer server.Close()
+	d, err := terms.Of(map[string]any{"namespaces": []any{map[string]any{"name": "read", "repeat": "safe", "target-time-ms": 1., "time-limit-ms": 2.}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, logs := observer.New(zap.InfoLevel)
+	x := exchange.New(d, zap.NewNop())
+	f := New(x, server.Listener.Addr().String(), hold, zap.New(core))
+	x.Start(1, nil, f)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go f.Run(ctx)
+	for end := time.Now().Add(8 * time.Second); logs.FilterMessage("box list").Len() < 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no list after the silent watch")
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if took := time.Since(silent); calls < 4 || took > hold+2*time.Second {
+		t.Errorf("known %v after the watch began, at call %d; its wait was %v", took, calls, hold)
+	}
+	if lost := logs.FilterMessage("box list lost, the old one stands").Len(); lost != 1 {
+		t.Errorf("%d calls were given up, want the silent one", lost)
+	}
+	server.CloseClientConnections()
+}
+
 func TestAGapAsksForTheWholeList(t *testing.T) {
 	s, _, _ := follow(t, 3, `{"version":7,"full":true,"servers":[`+box+`]}`, `{"version":3,"full":false,"servers":[`+box+`]}`)
 	if got := s.calls(); got[2] != path {
