Close the clients' socket only when the kernel says nobody waits in its queue

Read, then forced: clients/listener.go, queued() took a queue to be empty when no connection had come for 20 ms. A process that stood still (a collection at 15 ms of processor time a second) has accepted nothing either: when its timers run first, Leave in clients.go closes the listener and resets who waits in the queue, a lookup that was taken. And Leave asked for the listener once, at its beginning: told to leave before Serve, it never closed it, and ended without looking whether one was on its way from it.

queued() now also polls the listening socket; Leave asks for it at each look.

TestLeavingLeavesNobodyInTheKernelsQueue holds Accept beyond the time for new connections; without either mend "read: connection reset by peer".

--- a/internal/net/clients/clients.go
+++ b/internal/net/clients/clients.go
@@ -96,10 +96,10 @@
 // another process has the clients' socket too, the next connections are its own at once.
 func (c *Clients) Leave(succeeded bool) error {
 	c.leaving.Store(true)
-	l, began := c.listener.Load(), time.Now()
+	began := time.Now()
 	// Not by Shutdown or SetKeepAlivesEnabled: they close idle connections even while a lookup on them is being read.
 	for end := comingFor + c.bounds.LongestLimit + endSlack; ; time.Sleep(leaveEvery) {
-		span := time.Since(began)
+		l, span := c.listener.Load(), time.Since(began) // Serve may begin only now
 		// Closed with connections in its queue, a socket would reset them.
 		if l != nil && (succeeded || span >= comingFor && (!l.queued() || span >= comingFor+c.bounds.LongestLimit/2)) {
 			_ = l.Close()
--- a/internal/net/clients/clients_test.go
+++ b/internal/net/clients/clients_test.go
@@ -30,6 +30,14 @@
 
 // serve starts a client side on loopback, with its fleet.
 func serve(t *testing.T, descriptors int, told bool) (*Clients, fleet, string) {
+	t.Helper()
+	c, ships, l := front(t, descriptors, told)
+	go func() { _ = c.Serve(l) }()
+	return c, ships, l.Addr().String()
+}
+
+// front makes a client side that doesn't serve yet, and a socket for it.
+func front(t *testing.T, descriptors int, told bool) (*Clients, fleet, *net.TCPListener) {
 	t.Helper()
 	d, err := terms.Of(
 		map[string]any{"models": []any{"box", "origin"}, "domain": map[string]any{"mode": "aside", "origin-kind": 1.},
@@ -65,9 +73,8 @@
 		t.Fatal(err)
 	}
 	c := New(x, Bounds{Descriptors: descriptors, Beyond: 4, LongestLimit: limit, Advice: limit, Body: 64, Long: 64}, zap.NewNop())
-	go func() { _ = c.Serve(l) }()
 	t.Cleanup(func() { c.server.Close() })
-	return c, ships, l.Addr().String()
+	return c, ships, l.(*net.TCPListener)
 }
 
 // client is one connection.
--- a/internal/net/clients/listener.go
+++ b/internal/net/clients/listener.go
@@ -69,9 +69,28 @@
 	return c, nil
 }
 
-// queued says that connections may wait in the kernel's queue still: one has just come, or there is no place for one.
+// queued says that connections may wait in the kernel's queue still: one has just come, there is no place for one, or the kernel
+// says so. A process that stood still for long may be about to accept one that has waited all the while.
 func (b *bounded) queued() bool {
-	return b.taken.Load() >= b.most.Load() || time.Since(time.Unix(0, b.came.Load())) < queuedFor
+	if b.taken.Load() >= b.most.Load() || time.Since(time.Unix(0, b.came.Load())) < queuedFor {
+		return true
+	}
+	socket, ok := b.Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	return err == nil && shows(raw, unix.POLLIN)
+}
+
+// shows says whether one of these events is there at a descriptor now.
+func shows(raw syscall.RawConn, events int16) (there bool) {
+	_ = raw.Control(func(fd uintptr) {
+		look := []unix.PollFd{{Fd: int32(fd), Events: events}}
+		n, err := unix.Poll(look, 0)
+		there = err == nil && n > 0 && look[0].Revents&events != 0
+	})
+	return there
 }
 
 // Close ends the wait for a place too.
@@ -102,13 +121,7 @@
 // gone looks whether the client has ended its connection, also where bytes that it sent before are not read yet, behind
 // which net/http sees no end. It can't tell who has closed from who has only ended its sending; both have left.
 func (p *placed) gone() bool {
-	over := false
-	err := p.raw.Control(func(fd uintptr) {
-		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(look, 0)
-		over = err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	})
-	return over || err != nil // closed on our side: nobody can be answered
+	return shows(p.raw, unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR)
 }
 
 func (p *placed) Close() error {
--- a/internal/net/clients/room_test.go
+++ b/internal/net/clients/room_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -97,3 +98,80 @@
 	}
 	crowd.Wait()
 }
+
+// held is a listener whose process stands still, so that who connects waits in the kernel's queue.
+type held struct {
+	*net.TCPListener
+	until chan struct{}
+}
+
+func (h held) Accept() (net.Conn, error) {
+	<-h.until
+	return h.TCPListener.Accept()
+}
+
+// A lookup that waits in the kernel's queue when the time for new connections ends is taken and answered, whether the process
+// stood still until then or was told to leave before it began to serve: closed with it in its queue, the socket would reset it.
+func TestLeavingLeavesNobodyInTheKernelsQueue(t *testing.T) {
+	for _, early := range []bool{false, true} {
+		c, ships, l := front(t, 8, true)
+		h := held{l, make(chan struct{})}
+		left := make(chan error, 1)
+		begin := func() { go func() { _ = c.Serve(h) }() }
+		if !early {
+			begin()
+		}
+		began := time.Now()
+		go func() { left <- c.Leave(false) }()
+		time.Sleep(100 * time.Millisecond)
+		if early {
+			begin()
+		}
+		conn := dial(t, l.Addr().String())
+		conn.send("GET /read/k", id, within)
+		time.Sleep(time.Until(began.Add(comingFor + 60*time.Millisecond)))
+		close(h.until)
+		go func() { (<-ships).Settle(exchange.Whole, exchange.Answer{Body: []byte("v")}) }()
+		if r, body := conn.receive(t); r.StatusCode != 200 || body != "v" {
+			t.Errorf("told to leave early %v: %d %q", early, r.StatusCode, body)
+		}
+		if err := <-left; err != nil || time.Since(began) > limit+700*time.Millisecond {
+			t.Errorf("left after %v: %v", time.Since(began), err)
+		}
+	}
+}
+
+// A lookup may come just as its connection is chosen to make way. Its client is there all the while, and must not seem to have
+// left for the deadline that was to wake the reader of an idle connection: net/http lifts it before it looks for the client's end.
+func TestALookupThatCrossesMakingWayIsServed(t *testing.T) {
+	c, ships, l := front(t, 8, true)
+	// The server's word that a lookup has come is held until its connection has been chosen.
+	told, lookups := c.server.ConnState, 0
+	c.server.ConnState = func(at net.Conn, s http.ConnState) {
+		if s == http.StateActive {
+			if lookups++; lookups == 2 {
+				c.room.mu.Lock()
+				for _, e := range c.room.places {
+					p := e.Value.(*place)
+					p.since = time.Now().Add(-time.Hour) // idle for long, and nothing heard since
+					p.conn.(*placed).heard.Store(0)
+				}
+				c.room.mu.Unlock()
+				c.room.makeWay(1, 0)
+			}
+		}
+		told(at, s)
+	}
+	go func() { _ = c.Serve(l) }()
+	conn := dial(t, l.Addr().String())
+	conn.send("GET /read/1", id, within)
+	(<-ships).Settle(exchange.Whole, exchange.Answer{Body: []byte("v")})
+	conn.receive(t)
+	conn.send("GET /read/2", id, within)
+	s := <-ships
+	time.Sleep(20 * time.Millisecond)
+	s.Settle(exchange.Whole, exchange.Answer{Body: []byte("v")})
+	if r, body := conn.receive(t); r.StatusCode != 200 || body != "v" {
+		t.Errorf("%d %q", r.StatusCode, body)
+	}
+}
