Allow second copies only where the settings say so

Read: terms.go, SecondCopies took a missing permissions.parallel-tries for yes, so that a node whose settings lack the key sends a second copy of a read that others have passed. The rule is one shot out at a time unless it is permitted, and what a file is silent about gets the cautious default.

The terms' test held the old default ("a silent paper as it was", from a time when second copies were the only way); it holds the new one as strictly now.

--- a/internal/net/exchange/helper_test.go
+++ b/internal/net/exchange/helper_test.go
@@ -63,7 +63,7 @@
 	t.Helper()
 	d, err := terms.Of(map[string]any{"balancers": 1., "models": []any{"box", "origin"},
 		"domain":      map[string]any{"mode": "aside", "origin-kind": 1.},
-		"permissions": map[string]any{"most-shots": 3., "max-retry-after-ms": 400.},
+		"permissions": map[string]any{"most-shots": 3., "max-retry-after-ms": 400., "parallel-tries": true},
 		"namespaces": []any{namespace("read", "safe"), namespace("once", "unsafe"),
 			map[string]any{
 				"name":           "late",
--- a/internal/net/node/kinds_test.go
+++ b/internal/net/node/kinds_test.go
@@ -104,7 +104,7 @@
 
 // kindOf starts a node's deciding half, of the old shape or of the new one. Both count the nodes of both.
 func kindOf(t *testing.T, kind string, nodes int, y *yard) *exchange.Exchange {
-	permissions, rules := map[string]any{"most-shots": 3.}, map[string]any{"cold-from": 0.2, "warm-up-ms": 20000.,
+	permissions, rules := map[string]any{"most-shots": 3., "parallel-tries": true}, map[string]any{"cold-from": 0.2, "warm-up-ms": 20000.,
 		"overload-factor": 4., "fall-ms": 500.}
 	target := 200.
 	if kind == "new" {
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -34,10 +34,10 @@
 	return given && t.Module["mode"] == "aside" && kind == origin
 }
 
-// SecondCopies says whether two shots of a lookup may be out at once.
+// SecondCopies says whether two shots of a lookup may be out at once: only where the settings say so.
 func (t *Terms) SecondCopies() bool {
-	allowed, told := t.Module["second copies"].(bool)
-	return allowed || !told
+	allowed, _ := t.Module["second copies"].(bool)
+	return allowed
 }
 
 // What holds where the settings are silent; each is on the cautious side of what deployments name.
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -129,10 +129,10 @@
 	if err != nil || s.ConnectWithin != defaultConnect || s.IdleFor != defaultIdle {
 		t.Errorf("%+v, %v", s, err)
 	}
-	if s.Grace != 0 || !s.SecondCopies() {
-		t.Error("settings that came later must leave a silent paper as it was")
+	if s.Grace != 0 || s.SecondCopies() {
+		t.Error("a silent paper gives no grace, and allows no second copies")
 	}
-	for value, want := range map[string]bool{"true": true, "false": false, "null": true} {
+	for value, want := range map[string]bool{"true": true, "false": false, "null": false} {
 		if s, err := read(t, `"most-shots":3`, `"parallel-tries":`+value); err != nil || s.SecondCopies() != want {
 			t.Errorf("%s: second copies %v, %v", value, s.SecondCopies(), err)
 		}
