Begin a repeat of a tagged lookup only while its servers know the first shot

Read: the module orders a repeat within half of the span in which the servers drop it (mayShoot in logic.go). From there on only a drain's grace bounded when it was written (BeginBy in exchange.go): with a span of 400 ms, a grace of 1.5 s and connections that take 250 ms to come up, three of which are tried, the repeat was written up to 0.75 s later, when the servers had forgotten the first shot, and would run again.

A further shot of a tagged lookup now also begins within a quarter of that span, or not at all; it has not run then. With a span of 2 s and a grace of 0.5 s nothing changes.

TestARepeatBeginsWhileTheFirstIsRemembered, without: "marked, grace 1.5s, shot 1: begins by 750ms after it was ordered, want 100ms". TestAShotThatFailsLeavesNoOpenConnection was green from the start: where second copies are off, a shot that failed is off its connection before another goes out.

--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -199,7 +199,10 @@
 	return x.listed
 }
 
-const gracePart = 2 // half of the grace is left for the news of a drain to be read, and for a slow scheduler
+const (
+	gracePart  = 2 // half of the grace is left for the news of a drain to be read, and for a slow scheduler
+	memoryPart = 4 // the module orders a repeat within half of the span; a quarter is left for the way to the server
+)
 
 // host is what the module acts through. Its methods run with the lock held.
 type host struct{ *Exchange }
@@ -223,6 +226,9 @@
 		// A dial may take longer than a drain's grace; what was decided before the drain must not go out after it.
 		s.BeginBy = s.sent.Add(h.terms.Grace / gracePart)
 	}
+	if by := s.sent.Add(h.terms.Memory(t.Namespace) / memoryPart); t.shots > 0 && by.After(s.sent) && (s.BeginBy.IsZero() || by.Before(s.BeginBy)) {
+		s.BeginBy = by // a dial may also outlast the span in which the servers know the first shot
+	}
 	if s.Origin = h.boxes[server].origin; h.parted {
 		h.bounded(s)
 	}
--- a/internal/net/exchange/exchange_test.go
+++ b/internal/net/exchange/exchange_test.go
@@ -348,6 +348,35 @@
 	}
 }
 
+// A repeat of a tagged lookup may wait for its connection for longer than its servers remember the first shot: it begins within
+// three quarters of that span or not at all, whatever a drain's grace is. Nothing is remembered of a first shot, or one that reads.
+func TestARepeatBeginsWhileTheFirstIsRemembered(t *testing.T) {
+	for _, grace := range []time.Duration{0, 100 * time.Millisecond, 1500 * time.Millisecond} {
+		for _, c := range []struct {
+			namespace string
+			repeat    time.Duration // 0: no bound of its own
+		}{{"marked", 100 * time.Millisecond}, {"read", 0}} {
+			ships := &fleet{}
+			x := start(t, ships)
+			x.terms.Grace = grace
+			take(t, x, Lookup{Namespace: c.namespace, Key: "k"}, time.Second)
+			for n, bound := range []time.Duration{0, c.repeat} {
+				if s := ships.take(0); s == nil {
+					t.Fatalf("%s: no shot %d", c.namespace, n)
+				} else {
+					if of := grace / gracePart; of > 0 && (bound == 0 || of < bound) {
+						bound = of
+					}
+					if bound == 0 != s.BeginBy.IsZero() || bound > 0 && s.BeginBy.Sub(s.sent) != bound {
+						t.Errorf("%s, grace %v, shot %d: begins by %v after it was ordered, want %v", c.namespace, grace, n, s.BeginBy.Sub(s.sent), bound)
+					}
+					s.Settle(Lost, Answer{})
+				}
+			}
+		}
+	}
+}
+
 // The module's word to give connections back goes to the box that it names.
 func TestConnectionsAreGivenBack(t *testing.T) {
 	ships := &fleet{}
--- a/internal/net/exchange/helper_test.go
+++ b/internal/net/exchange/helper_test.go
@@ -65,6 +65,7 @@
 		"domain":      map[string]any{"mode": "aside", "origin-kind": 1.},
 		"permissions": map[string]any{"most-shots": 3., "max-retry-after-ms": 400., "parallel-tries": true},
 		"namespaces": []any{namespace("read", "safe"), namespace("once", "unsafe"),
+			map[string]any{"name": "marked", "repeat": "keyed", "group": "all", "memory-span-ms": 400., "target-time-ms": 200., "time-limit-ms": 750.},
 			map[string]any{
 				"name":           "late",
 				"repeat":         "safe",
--- a/internal/net/servers/servers_test.go
+++ b/internal/net/servers/servers_test.go
@@ -279,6 +279,38 @@
 	}
 }
 
+// A shot that ends without a whole answer is off its connection by then: where second copies are not allowed the next one may be
+// written at once, and the first would still be out.
+func TestAShotThatFailsLeavesNoOpenConnection(t *testing.T) {
+	for _, text := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n", "HTTP/1.1 500 Oops\r\nContent-Length: 2000\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", "what is this\r\n\r\n"} {
+		address := raw(t, func(c net.Conn, _ *http.Request, _ int) { _, _ = io.WriteString(c, text) })
+		s := side(t)
+		var last *conn
+		dial := s.transport.DialContext
+		s.transport.DialContext = func(ctx context.Context, network, place string) (net.Conn, error) {
+			c, err := dial(ctx, network, place)
+			last, _ = c.(*conn)
+			return c, err
+		}
+		open := 0
+		for range 4 {
+			end, _ := s.send(shot(address, "GET", ""))
+			last.mu.Lock()
+			if !last.gone {
+				open++
+			}
+			last.mu.Unlock()
+			if end != exchange.Spoilt {
+				t.Errorf("%q: %v", text, end)
+			}
+		}
+		if open > 0 {
+			t.Errorf("%q: of 4 connections %d were open when the shot had ended", text, open)
+		}
+	}
+}
+
 // What a server sends behind an answer must not be taken for the next one's, whether it comes with the answer, when
 // the transport has already handed the connection on, or later; the answer before it counts. The next shot is sent
 // once all has arrived: bytes that come when it is out can't be told from its answer.
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -28,6 +28,15 @@
 	return t.Module["namespaces"].([]map[string]any)[t.Namespaces[namespace]]["repeat"] == "replayable"
 }
 
+// Memory gives the span in which repeats of a tagged lookup are dropped; 0 for other namespaces.
+func (t *Terms) Memory(namespace string) time.Duration {
+	ns := t.Module["namespaces"].([]map[string]any)[t.Namespaces[namespace]]
+	if span, told := ns["memory span"].(logic.Time); told && ns["repeat"] == "tagged" {
+		return Duration(span)
+	}
+	return 0
+}
+
 // Origin says whether a kind of machine is the origin's.
 func (t *Terms) Origin(kind int) bool {
 	origin, given := t.Module["origin kind"].(int)
