--- a/internal/net/clients/clients_test.go
+++ b/internal/net/clients/clients_test.go
@@ -477,3 +477,51 @@
 		t.Errorf("left after %v: %v", time.Since(began), err)
 	}
 }
+
+// Told to leave while one lookup waits behind the fetch of another whose shot hangs, both are answered in time: the shot's own
+// time-out ends the first, and lets the second go.
+func TestLeavingAnswersWhoWaitsBehindAFetch(t *testing.T) {
+	c, ships, address := serve(t, 8, true)
+	var conns []*client
+	for i := range 2 {
+		conns = append(conns, dial(t, address))
+		conns[i].send("GET /read/k", fmt.Sprint("X-Trace-Id: ", i), within)
+		if i == 0 {
+			(<-ships).Settle(exchange.Lacking, exchange.Answer{})
+			go func() { // the fetch, and what the second lookup still tries in its last moment
+				for hangs := range ships {
+					time.AfterFunc(hangs.Within, func() { hangs.Settle(exchange.Silent, exchange.Answer{}) })
+				}
+			}()
+		}
+	}
+	began, left := time.Now(), make(chan error, 1)
+	go func() { left <- c.Leave(false) }()
+	for i, conn := range conns {
+		if r, _ := conn.receive(t); r.StatusCode != http.StatusServiceUnavailable || time.Since(began) > limit {
+			t.Errorf("lookup %d: %d after %v", i, r.StatusCode, time.Since(began))
+		}
+	}
+	if err := <-left; err != nil || time.Since(began) > limit+700*time.Millisecond {
+		t.Errorf("left after %v: %v", time.Since(began), err)
+	}
+}
+
+// A client that only ends its sending can't be told from one that has closed until something is written to it. It is taken to
+// have left, and hears so at once, in one whole answer; a shot that has begun settles as it did, and no other follows.
+func TestAClientThatEndsItsSendingHearsSo(t *testing.T) {
+	c, ships, address := serve(t, 8, true)
+	conn, began := dial(t, address), time.Now()
+	conn.send("GET /read/k", id, within)
+	s := <-ships
+	_ = conn.Conn.(*net.TCPConn).CloseWrite()
+	if r, body := conn.receive(t); r.StatusCode != http.StatusBadGateway || body == "" || time.Since(began) > limit {
+		t.Errorf("%d %q after %v", r.StatusCode, body, time.Since(began))
+	}
+	if _, err := conn.in.ReadByte(); err != io.EOF {
+		t.Errorf("behind the answer: %v", err)
+	}
+	if s.Settle(exchange.Lacking, exchange.Answer{}); len(ships) > 0 || c.exchange.Out() != 0 {
+		t.Errorf("%d more shots, %d out", len(ships), c.exchange.Out())
+	}
+}
--- /dev/null
+++ b/internal/net/node/renew_test.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/boxlist"
+	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+)
+
+// A signal may come while the file is being written, or while an earlier one waits to be taken up: what stands in the file when
+// the last signal is taken up is what holds, and half a file changes nothing.
+func TestASignalAmidAnother(t *testing.T) {
+	var asked [3]atomic.Int64
+	var at [3]string
+	for i := range asked {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked[i].Add(1)
+			if r.URL.RawQuery != "" {
+				<-r.Context().Done()
+			}
+			fmt.Fprint(w, `{"version":1,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:1","kind":"box","state":"Ready"}]}`)
+		}))
+		t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+		at[i] = s.Listener.Addr().String()
+	}
+	path := filepath.Join(t.TempDir(), "node.json")
+	write := func(to, part int) {
+		text := fmt.Sprintf(`{"listen":"127.0.0.1:7070","discovery":%q,"settings":{"namespaces":[{"name":"read","repeat":"safe",
+			"target-time-ms":200,"time-limit-ms":750}]}}`, at[to])
+		if err := os.WriteFile(path, []byte(text)[:len(text)/part], 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(0, 1)
+	s, err := terms.Read(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, logs := observer.New(zap.InfoLevel)
+	x := exchange.New(s.Terms, zap.NewNop())
+	list := boxlist.New(x, s.Discovery, time.Second, zap.NewNop())
+	x.Start(1, nil, list)
+	go list.Run(t.Context())
+	signals := make(chan os.Signal, 1)
+	write(1, 1)
+	signals <- syscall.SIGHUP // not taken up yet
+	write(2, 1)
+	select {
+	case signals <- syscall.SIGHUP:
+		t.Fatal("two wait")
+	default: // the one that waits is for both
+	}
+	go renew(t.Context(), signals, s, list, zap.New(core))
+	until := func(what string, there func() bool) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); !there(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal(what)
+			}
+		}
+	}
+	until("the latest file is not followed", func() bool { return asked[2].Load() > 0 })
+	write(0, 2)
+	signals <- syscall.SIGHUP
+	until("half a file is not told of", func() bool {
+		return logs.FilterMessage("the new configuration is faulty, the old one stands").Len() == 1
+	})
+	before := asked[2].Load()
+	until("half a file changed something", func() bool { return asked[2].Load() > before })
+	if asked[1].Load() > 0 {
+		t.Error("an address that was overwritten before its signal was taken up is asked")
+	}
+	write(1, 1)
+	signals <- syscall.SIGHUP
+	until("the whole file is not followed", func() bool { return asked[1].Load() > 0 })
+}
