Ask last whether a lookup is over, with no call of the kernel before the write

Read: Shot.Wanted looked at the lookup's end first and then polled the client's connection; conn.Write then set its deadline.

The kernel is asked first now, the lookup last, and the deadline is set before both. TestAReadThatOthersPassGoesElsewhereToo ends the lookup while the kernel is asked; with the former order: "a shot may begin when its lookup ended meanwhile".

--- a/internal/net/exchange/exchange_test.go
+++ b/internal/net/exchange/exchange_test.go
@@ -298,6 +298,15 @@
 	if other.Wanted() { // its connection may come up only now
 		t.Error("a shot may begin after the final answer")
 	}
+	var crossed *Ticket
+	crossed, shot := send(Lookup{Namespace: "read", Key: "k", Gone: func() bool {
+		crossed.Leave() // the lookup ends while the kernel is asked for its client
+		return false
+	}})
+	if shot.Wanted() {
+		t.Error("a shot may begin when its lookup ended meanwhile")
+	}
+	shot.Settle(Withheld, Answer{})
 	other.Settle(Whole, Answer{Body: []byte("other")})
 	if a, more := got(ticket); more {
 		t.Errorf("another final answer: %v", a)
--- a/internal/net/exchange/ticket.go
+++ b/internal/net/exchange/ticket.go
@@ -138,7 +138,10 @@
 // just before; what has begun goes on. It takes no lock of the exchange, and looks at the client's connection itself, since
 // net/http sees a client's end only where no bytes lie before it and some time has passed.
 func (s *Shot) Wanted() bool {
-	return s.ticket == nil || !s.ticket.over.Load() && (s.Gone == nil || !s.Gone())
+	if s.Gone != nil && s.Gone() {
+		return false
+	}
+	return s.ticket == nil || !s.ticket.over.Load() // last: the final answer may come while the kernel is asked
 }
 
 // Settle tells how the shot ended; only the first word counts. The first whole answer goes to the client, and so does
--- a/internal/net/servers/dial.go
+++ b/internal/net/servers/dial.go
@@ -209,6 +209,7 @@
 var errStray = errors.New("bytes or the end came before the request was written, or it came too late for a drain")
 
 func (c *conn) Write(b []byte) (int, error) {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(takenIn)) // first: nothing lies between the looks and the write
 	c.mu.Lock()
 	if !c.begun {
 		c.early = c.early || c.gone || c.waiting() || !c.by.IsZero() && time.Now().After(c.by)
@@ -223,7 +224,6 @@
 	case stray:
 		return 0, errStray
 	}
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(takenIn))
 	n, err := c.Conn.Write(b)
 	c.written.Add(int64(n))
 	if n < len(b) {
