Close a failed shot's connection before the next shot may go out

Seen: a run of the tests with race detection beside a fleet test, "servers_test.go:309: HTTP/1.1 500 Oops, Content-Length: 2000: of 4 connections 1 were open when the shot had ended". Cause: the transport reports a body that can't be read, or that we end, before its goroutine closes the connection; send in servers/send.go settled the shot at once, and the module may order the next one. Where second copies are off, two were out for that moment. Ruled out: an answer that never ends, or comes to nothing (the transport closes first).

send() now closes the connection itself, unless another shot has taken it.

--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -134,6 +134,9 @@
 	for tried := 1; ; tried++ {
 		var on carried
 		end, answer, err := s.once(shot, until, &on)
+		if err != nil && on.conn != nil && on.conn.retire() {
+			_ = on.conn.Close() // by now: the transport's own closing may come after the next shot, where one may be out at a time
+		}
 		late := !shot.BeginBy.IsZero() && time.Now().After(shot.BeginBy) || !time.Now().Before(until)
 		once := shot.Rest != nil && shot.Rest.Begun()
 		if end == exchange.Unwritten && tried < triesMost && s.context.Err() == nil && !late && !once {
