Give a call for the list up after 2.5 s, lest one made in an outage outlast it

A smaller play with logs (100 nodes): discovery is down until about 10.9 s; n5 and n66 give their silent watch up at 10.333 and 10.361, ask at about 10.7, and hear nothing until they are killed at 14.27; n1, which asked at 10.77, had its list at once. So a call that is made while the service is down is never answered, and held a node without its list for answerIn in boxlist/watch.go, 4 s.

2.5 s: services were seen to answer or refuse whole lists within 2.2 s at worst (300 nodes asking at once), and two calls fit into the 6 s after which what a silent call missed counts as told. TestACallThatIsNeverAnsweredIsMadeAnew: "a list after 4.96 s" without.

Not closed: with pushed lists and a grace shorter than that a call in an outage still outlasts it.

--- a/internal/net/boxlist/watch.go
+++ b/internal/net/boxlist/watch.go
@@ -20,7 +20,7 @@
 const (
 	path       = "/discovery/hosts"
 	holdMost   = 20 * time.Second        // a watch; the most by which a silent connection keeps news back
-	answerIn   = 4 * time.Second         // an answer without a wait: what isn't there after 6 s counts as told
+	answerIn   = 2500 * time.Millisecond // an answer without a wait: services answer or refuse within 2 s, and one that is down may never
 	afterHold  = 300 * time.Millisecond  // beyond a watch's wait: news count as told 2 s after it, and the module's wait and a list take 1.5 s of them
 	pause      = 100 * time.Millisecond  // after an empty answer at once; the next watch is due within 200 ms
 	moveIn     = 1500 * time.Millisecond // an answer of a new address: two calls fit into the 4 s that it is given
--- a/internal/net/boxlist/watch_test.go
+++ b/internal/net/boxlist/watch_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -160,6 +161,38 @@
 	server.CloseClientConnections()
 }
 
+// A call for the whole list that a service never answers, as one that was made while it was down, is given up in time for two
+// more within the 6 s after which what it missed counts as told.
+func TestACallThatIsNeverAnsweredIsMadeAnew(t *testing.T) {
+	t.Parallel()
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) != 2 {
+			<-r.Context().Done()
+		}
+		fmt.Fprint(w, `{"version":1,"full":true,"servers":[`, box, `]}`)
+	}))
+	defer server.Close()
+	d, err := terms.Of(map[string]any{"namespaces": []any{map[string]any{"name": "read", "repeat": "safe", "target-time-ms": 1., "time-limit-ms": 2.}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := exchange.New(d, zap.NewNop())
+	f := New(x, server.Listener.Addr().String(), time.Second, zap.NewNop())
+	x.Start(1, nil, f)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go f.Run(ctx)
+	began := time.Now()
+	for !x.Ready() && time.Since(began) < 6*time.Second {
+		time.Sleep(time.Millisecond)
+	}
+	if took := time.Since(began); took > 4*time.Second {
+		t.Errorf("a list after %v, at call %d", took, calls.Load())
+	}
+	server.CloseClientConnections()
+}
+
 func TestAGapAsksForTheWholeList(t *testing.T) {
 	s, _, _ := follow(t, 3, `{"version":7,"full":true,"servers":[`+box+`]}`, `{"version":3,"full":false,"servers":[`+box+`]}`)
 	if got := s.calls(); got[2] != path {
