--- a/internal/net/clients/listener.go
+++ b/internal/net/clients/listener.go
@@ -223,6 +223,9 @@
 		over := p.CloseWrite() != nil || !p.wrote.Load()
 		if !over {
 			_ = p.raw.Control(func(fd uintptr) { over = p.drop(fd) })
+			// In a crowd one that has sent no more is closed at once, or those turned away would keep others out. The kernel
+			// goes on to bring what was written, and only further bytes would reset it.
+			over = over || p.dropped == 0 && p.at.taken.Load() >= p.at.most.Load()
 		}
 		if over {
 			p.end()
