Hold operators' calls and server connections to their places, to the descriptor

Needed: the reserve of descriptors only holds if nobody exceeds its own part.

At fault: admin/places.go, enter, looked for a connection to end only among those without a whole call; with all places taken by calls in hand (a body that doesn't come keeps one for 0.3 s) each further caller was let in, without a bound. servers/dial.go, Close, gave the place back before it closed the descriptor, so the next dial could open one too many. Ruled out: clients/listener.go closes first and counts a connection before it is accepted.

Changed: with no one to end, the next caller waits in the kernel's queue; Close gives the place back last.

Seen red without: 30 connections held with 4 places ("30 connections are held, want 4"), "the place is given back while the descriptor is open" (go test -run 'TestCallsInHand|TestAPlaceIs' ./internal/net/admin ./internal/net/servers).

--- a/internal/net/admin/places.go
+++ b/internal/net/admin/places.go
@@ -57,7 +57,11 @@
 func (p *places) enter(c net.Conn) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if first := p.waiting.Front(); first != nil && len(p.held) >= p.most {
+	if len(p.held) >= p.most {
+		first := p.waiting.Front()
+		if first == nil {
+			return hearIn / 10 // each has brought its call, and goes once it is answered: a place beyond is nobody's to take
+		}
 		longest := first.Value.(waiter)
 		if age := time.Since(longest.since); age < hearIn {
 			return min(hearIn-age, hearIn/10)
--- a/internal/net/servers/dial.go
+++ b/internal/net/servers/dial.go
@@ -412,6 +412,7 @@
 	c.gone = true
 	c.change.Broadcast()
 	c.mu.Unlock()
-	c.closed()
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.closed() // last: the next dial may take the place at once, and must find the descriptor free
+	return err
 }
