Split the descriptors by the system's limit where that is lower, and reserve by count

Seen: a node with limits.sockets 1024 under RLIMIT_NOFILE 64, its places filled by idle clients: accept fails with EMFILE, on which net/http pauses for up to 1 s at the clients' and the operators' address alike; discovery's return goes unheard for more than 6 s ("socket: too many open files"), /status takes 4 to 6 s, 1 of 60 late lookups is answered at all. At 64 by the configuration the reserve held, but with nothing over: 16 for at most 17 (10 at rest, what was inherited not counted; list 2, another list during a move 2, file 1, bans 2, an operator's connection before its place).

At fault: node/limits.go, split, went by limits.sockets alone, and by a reserve that nothing counted.

Changed: each process goes by the lower of its part of limits.sockets and its own RLIMIT_NOFILE, and a log line says so. The reserve is at least what is open at the start and 12 (listed beside reserved); where few are left the operators' address takes a third at the most. From 512 descriptors on nothing else changes.

--- a/cmd/thistlerudder/upgrade_test.go
+++ b/cmd/thistlerudder/upgrade_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,8 +22,16 @@
 // asProgram makes the test's own binary run the program instead.
 const asProgram = "THISTLERUDDER_TEST_AS_PROGRAM"
 
+// descriptorLimit names the limit on descriptors that the program is to run under; unset: the test's own.
+const descriptorLimit = "THISTLERUDDER_TEST_DESCRIPTOR_LIMIT"
+
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
+		if most, err := strconv.ParseUint(os.Getenv(descriptorLimit), 10, 64); err == nil {
+			if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: most, Max: most}); err != nil {
+				panic(err)
+			}
+		}
 		main()
 		return
 	}
--- /dev/null
+++ b/internal/net/node/limits_test.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"testing"
+	"testing/quick"
+
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+)
+
+// Whatever the configuration and the system allow, the parts are no more than the lower of the two, the reserve holds what
+// it is for, and each side can work.
+func TestThePartsStayWithinTheLowerLimit(t *testing.T) {
+	for name, c := range map[string]struct{ sockets, most, open, processes, descriptors int }{
+		"the configuration's":       {1024, 0, 8, 1, 1024},
+		"the system's is higher":    {1024, 20000, 8, 1, 1024},
+		"the system's is lower":     {1024, 64, 8, 1, 64},
+		"the same":                  {64, 64, 8, 1, 64},
+		"an upgrade, by halves":     {128, 128, 8, 2, 64},
+		"the smallest, by halves":   {64, 0, 8, 2, 32},
+		"the system's, by halves":   {1024, 256, 8, 2, 256}, // each process has that
+		"much was inherited":        {128, 0, 40, 1, 128},
+		"lower than one would name": {64, 32, 8, 1, 32},
+	} {
+		for _, admin := range []string{"", "127.0.0.1:1"} {
+			s := &terms.Station{Cores: 1, MemoryMB: 192, Descriptors: c.sockets, Admin: admin, Terms: &terms.Terms{}}
+			p := process{most: c.most, open: c.open}
+			l := p.split(s, c.processes)
+			taken := l.clients + l.beyond + l.servers
+			if admin != "" {
+				if taken += l.operators + 1; l.operators < operatorsFew-1 {
+					t.Errorf("%s: %+v, too few for operators", name, l)
+				}
+			}
+			if left := c.descriptors - taken; left < min(c.open, inheritedMost)+reserveOwn || l.clients < clientsLeast || l.servers < serversLeast {
+				t.Errorf("%s, operators' address %q: %+v leaves %d of %d", name, admin, l, left, c.descriptors)
+			}
+		}
+	}
+	if err := quick.Check(func(sockets, most uint16, open, processes uint8) bool {
+		s := &terms.Station{Cores: 1, MemoryMB: 192, Descriptors: 64 + int(sockets), Admin: "127.0.0.1:1", Terms: &terms.Terms{}}
+		p, n := process{most: 64 + int(most), open: 3 + int(open)%30}, 1+int(processes)%2
+		l := p.split(s, n)
+		whole := min(s.Descriptors/n, p.most)
+		least := p.open + reserveOwn + operatorsFew + clientsLeast + serversLeast
+		left := whole - l.clients - l.beyond - l.servers - l.operators - 1
+		return left >= p.open+reserveOwn || whole < least
+	}, &quick.Config{MaxCount: 2000}); err != nil {
+		t.Error(err)
+	}
+}
+
+// What a process was started with is seen before it opens anything.
+func TestAProcessSeesItsLimit(t *testing.T) {
+	p := thisProcess()
+	if p.most < 16 || p.open < 3 || p.open >= p.most {
+		t.Errorf("%+v", p)
+	}
+}
--- a/internal/net/node/node.go
+++ b/internal/net/node/node.go
@@ -40,6 +40,11 @@
 // configuration anew.
 func Run(ctx context.Context, s *terms.Station, signals <-chan os.Signal, log *zap.Logger) error {
 	log = log.With(zap.String("node", s.Name))
+	own := thisProcess()
+	if own.most > 0 && own.most < s.Descriptors {
+		log.Warn("the system's limit on descriptors is lower than limits.sockets, and holds",
+			zap.Int("limit", own.most), zap.Int("limits.sockets", s.Descriptors))
+	}
 	listener, err := listen(s)
 	if err != nil {
 		return err
@@ -51,7 +56,7 @@
 	}
 	defer seat.Leave()
 	others := seat.Others()
-	l := split(s, 1+others)
+	l := own.split(s, 1+others)
 	l.apply()
 	x := exchange.New(s.Terms, log.Named("exchange"))
 	carrier := servers.New(
@@ -104,7 +109,7 @@
 		go book.Follow(following, bansEvery)
 	}
 	go seat.Follow(following, others, seatEvery, func(others int) {
-		l := split(s, 1+others)
+		l := own.split(s, 1+others)
 		log.Info("another number of processes serve as this node", zap.Int("others", others),
 			zap.Int("client descriptors", l.clients), zap.Int("server descriptors", l.servers))
 		l.apply()
--- a/internal/net/node/node_test.go
+++ b/internal/net/node/node_test.go
@@ -102,7 +102,7 @@
 
 func TestLimitsAreSplitWithAReserve(t *testing.T) {
 	for _, sockets := range []int{64, 128, 1024, 4096, 100000} {
-		l := split(&terms.Station{Cores: 0.5, MemoryMB: 192, Descriptors: sockets, Terms: &terms.Terms{}}, 1)
+		l := process{}.split(&terms.Station{Cores: 0.5, MemoryMB: 192, Descriptors: sockets, Terms: &terms.Terms{}}, 1)
 		if reserve := sockets - l.clients - l.beyond - l.servers; reserve < 16 || l.clients < 16 || l.beyond < 2 ||
 			l.servers < 16 {
 			t.Errorf("%d: %+v leaves %d", sockets, l, reserve)
