Wait for an address that the process before is still leaving, and show restarts ready in time

Seen: a process started while the one before it is still leaving, or is not dead yet, ends at once with "bind: address already in use" and exit status 1: it is never ready. At fault: node/node.go, which listened once, at either address. Lingering connections of a killed process were ruled out (Go sets SO_REUSEADDR), as were a $TMPDIR that isn't there or is full of others' files.

Changed: an address in use is waited for, the longest time limit and 2 s (who leaves takes that limit and 0.6 s); then the error stands as before. The operators' address comes first, so that nobody waits in the clients' queue for it. Told to end meanwhile, it ends well.

--- a/cmd/thistlerudder/process_test.go
+++ b/cmd/thistlerudder/process_test.go
@@ -13,15 +13,21 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 )
 
-// freeAddress gives an address on loopback that nobody listens on.
+// addresses counts those that were given out.
+var addresses atomic.Uint32
+
+// freeAddress gives an address on loopback that nobody listens on. Each is on a host of its own: on 127.0.0.1 the port could be
+// taken by any connection before it is listened on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := addresses.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%64, n>>8&0xff, n&0xff))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -68,7 +74,7 @@
 // configure writes the configuration, in one step.
 func (p *process) configure(t *testing.T, discovery string, more map[string]any) {
 	t.Helper()
-	all := map[string]any{"listen": p.listen, "discovery": discovery, "admin_addr": p.admin,
+	all := map[string]any{"listen": p.listen, "discovery": discovery, "admin_addr": p.admin, "seed": fmt.Sprintf("%x", addresses.Load()),
 		"limits": map[string]any{"cores": 1, "memory_mb": 64},
 		"settings": map[string]any{"models": []string{"box", "origin"}, "domain": map[string]any{"mode": "aside", "origin-kind": 1},
 			"permissions": map[string]any{"most-shots": 3}, "invariants": map[string]any{"stop-sending-within-ms": 400, "ask-within-ms": 8000},
--- a/internal/net/node/node.go
+++ b/internal/net/node/node.go
@@ -3,11 +3,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,12 +26,37 @@
 
 const seatEvery = 20 * time.Millisecond // until a newcomer's part of the limits is given up
 
-// listen takes the clients' socket that was passed on, or opens one.
-func listen(s *terms.Station) (net.Listener, error) {
+// The process whose place we take may still be leaving under our addresses: that takes it the longest time limit and 0.6 s.
+const (
+	freeSlack = 2 * time.Second // beyond that limit: then somebody else has the address
+	freeEvery = 10 * time.Millisecond
+)
+
+// listen opens an address, and waits for one that is in use as long as our predecessor may need it.
+func listen(ctx context.Context, address string, longest time.Duration, log *zap.Logger) (net.Listener, error) {
+	for began, told := time.Now(), false; ; {
+		l, err := net.Listen("tcp", address)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Since(began) > longest+freeSlack {
+			return l, err
+		}
+		if !told {
+			told = true
+			log.Warn("an address is in use, waiting for it", zap.String("address", address), zap.Error(err))
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(freeEvery):
+		}
+	}
+}
+
+// clientsSocket takes the one that was passed on, or opens one.
+func clientsSocket(ctx context.Context, s *terms.Station, log *zap.Logger) (net.Listener, error) {
 	if s.Passed != 0 {
 		return handover.Socket(s.Passed)
 	}
-	l, err := net.Listen("tcp", s.Listen)
+	l, err := listen(ctx, s.Listen, s.LongestLimit, log)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -39,13 +66,29 @@
 // Run serves until the context ends, then answers what it has taken, and returns. At each signal it reads its
 // configuration anew.
 func Run(ctx context.Context, s *terms.Station, signals <-chan os.Signal, log *zap.Logger) error {
+	err := serve(ctx, s, signals, log)
+	if errors.Is(err, context.Canceled) { // told to end before it served
+		return nil
+	}
+	return err
+}
+
+func serve(ctx context.Context, s *terms.Station, signals <-chan os.Signal, log *zap.Logger) error {
 	log = log.With(zap.String("node", s.Name))
 	own := thisProcess()
 	if own.most > 0 && own.most < s.Descriptors {
 		log.Warn("the system's limit on descriptors is lower than limits.sockets, and holds",
 			zap.Int("limit", own.most), zap.Int("limits.sockets", s.Descriptors))
 	}
-	listener, err := listen(s)
+	var calls net.Listener
+	if s.Admin != "" { // first: once the clients' socket is open nobody in its queue may wait for another's end
+		var err error
+		if calls, err = listen(ctx, s.Admin, s.LongestLimit, log); err != nil {
+			return fmt.Errorf("admin_addr: expected an address to listen on: %w", err)
+		}
+		defer calls.Close()
+	}
+	listener, err := clientsSocket(ctx, s, log)
 	if err != nil {
 		return err
 	}
@@ -97,11 +140,7 @@
 		leave = sync.OnceFunc(fleet.Close)
 	}
 	defer leave() // once, however often it is called; the later call waits for the first
-	if s.Admin != "" {
-		calls, err := net.Listen("tcp", s.Admin)
-		if err != nil {
-			return fmt.Errorf("admin_addr: expected an address to listen on: %w", err)
-		}
+	if calls != nil {
 		desk := admin.New(operated{x, front, book, fleet}, x.Figures(), l.operators, log.Named("admin"))
 		defer desk.Close()
 		go desk.Serve(calls)
