Show that two processes at an upgrade share the descriptors among idle clients

Needed: TestAnUpgradeUnderLoad has no idle clients that fill the first process before the second comes.

--- a/cmd/thistlerudder/descriptors_test.go
+++ b/cmd/thistlerudder/descriptors_test.go
@@ -226,3 +226,80 @@
 	}
 	p.stop(t)
 }
+
+// Two processes of a node at an upgrade have the descriptors of one, also when idle clients had taken every place of the
+// first, and go on coming.
+func TestAnUpgradeAmongIdleClients(t *testing.T) {
+	t.Parallel()
+	for _, most := range []int{64, 128} {
+		t.Run(fmt.Sprint(most), func(t *testing.T) {
+			t.Parallel()
+			entries, _ := newCounters(t, 20*time.Millisecond, "a", "b")
+			s := newService(t, entries)
+			s.up()
+			socket, err := net.Listen("tcp", freeAddress(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer socket.Close()
+			passed, err := socket.(*net.TCPListener).File()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer passed.Close()
+			more := map[string]any{"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": most}}
+			first := newProcess(t, s.address, more, "BALANCER_PASSED_SOCKET=3")
+			first.listen, first.passed = socket.Addr().String(), passed
+			first.configure(t, s.address, more)
+			first.start(t)
+			if after, yes := first.ready(5 * time.Second); !yes {
+				t.Fatalf("not ready after %v:\n%s", after, tail(first.log.String()))
+			}
+			idle := &crowd{stop: make(chan struct{})}
+			defer func() {
+				close(idle.stop)
+				idle.clients.Wait()
+			}()
+			idle.fill(first.listen, most, func(i int) bool { return i%2 == 0 })
+			time.Sleep(time.Second)
+			second := *first
+			second.admin = freeAddress(t)
+			second.config += ".second"
+			second.configure(t, s.address, more)
+			second.start(t)
+			began, highest, at, over := time.Now(), 0, time.Duration(0), 0
+			look := func() {
+				if n := descriptors(first.Cmd) + descriptors(second.Cmd); n > highest {
+					highest, at = n, time.Since(began)
+				} else if n > most {
+					over++
+				}
+			}
+			for yes := false; !yes; yes = call(second.admin, "GET", "/status") == http.StatusOK {
+				look()
+				if time.Since(began) > 5*time.Second {
+					t.Fatalf("no yes:\n%s", tail(second.log.String()))
+				}
+			}
+			for time.Since(began) < time.Second {
+				look()
+				time.Sleep(2 * time.Millisecond)
+			}
+			_ = first.Process.Signal(syscall.SIGTERM)
+			for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+				look()
+			}
+			if status, body := lookup(second.listen, "/read/k", "after", 5*time.Second); status != http.StatusOK {
+				t.Errorf("%d %q", status, body)
+			}
+			t.Logf("%d descriptors at the most, %v after the second's start, of %d; %d looks over that", highest, at, most, over)
+			if highest > most {
+				t.Errorf("%d descriptors together, the limit is %d", highest, most)
+			}
+			if err := first.Wait(); err != nil {
+				t.Error(err)
+			}
+			second.stop(t)
+		})
+	}
+}
--- a/cmd/thistlerudder/process_test.go
+++ b/cmd/thistlerudder/process_test.go
@@ -40,6 +40,7 @@
 	*exec.Cmd
 	config, listen, admin string
 	env                   []string
+	passed                *os.File // the clients' socket; nil: it opens one
 	began                 time.Time
 	log                   *logText
 }
@@ -100,7 +101,9 @@
 	p.log = &logText{}
 	p.Cmd = exec.Command(os.Args[0], "serve", "--config", p.config)
 	p.Env = append(append(os.Environ(), asProgram+"=1", "GORACE=atexit_sleep_ms=0"), p.env...)
-	p.Stderr = p.log
+	if p.Stderr = p.log; p.passed != nil {
+		p.ExtraFiles = []*os.File{p.passed}
+	}
 	p.began = time.Now()
 	if err := p.Cmd.Start(); err != nil {
 		t.Fatal(err)
