Give a fleet's connections and files a part of the descriptors

Needed: with a `fleet` section up to 1024 connections from fellows, the voters' own and their files came out of nobody's part: at the leader of 300 nodes under limits.sockets 1024 that is 250 more than the reserve, once clients and servers hold theirs. By reading; no such node was seen to run short.

Changed: limits.go sets 12 + 8 for each voter + one for each node (64 at least) apart, half of what is left at the most, and fellows.Start is told how many connections fellows may hold. Without the section nothing changes.

--- a/cmd/thistlerudder/fleet_test.go
+++ b/cmd/thistlerudder/fleet_test.go
@@ -52,7 +52,7 @@
 		if err != nil {
 			t.Fatal(i, err)
 		}
-		nodes = append(nodes, fellows.Start(f, noFigures{}, time.Second, zap.NewNop()))
+		nodes = append(nodes, fellows.Start(f, noFigures{}, time.Second, 256, zap.NewNop()))
 		t.Cleanup(nodes[i].Close)
 	}
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
--- a/internal/net/fellows/budgets_test.go
+++ b/internal/net/fellows/budgets_test.go
@@ -49,7 +49,7 @@
 		f.Weight = 1
 		f.Budgets = []terms.Budget{{Name: "x", Bound: logic.OriginRate, Terms: lease.Terms{Kind: lease.RateKind, Units: 100, Each: 1, Apart: 2, Nodes: 5}}}
 		w := &worker{asks: []float64{400, 0, 0, 40}[i]}
-		own, nodes = append(own, w), append(nodes, Start(f, w, time.Second, zap.NewNop()))
+		own, nodes = append(own, w), append(nodes, Start(f, w, time.Second, 256, zap.NewNop()))
 	}
 	defer func() {
 		for _, n := range nodes {
@@ -90,7 +90,7 @@
 	next := &worker{asks: 40}
 	before := own[3]
 	own = append(own, next)
-	nodes = append(nodes, Start(all[3], next, time.Second, zap.NewNop()))
+	nodes = append(nodes, Start(all[3], next, time.Second, 256, zap.NewNop()))
 	enough("the next process has no share while the one before is there", func() bool { return next.most() > 2 })
 	nodes[3].Close()
 	if before.most() != 0 {
--- a/internal/net/fellows/fellows.go
+++ b/internal/net/fellows/fellows.go
@@ -49,6 +49,7 @@
 	leaving bool
 
 	longest time.Duration // that a lookup goes on
+	lines   int           // connections from fellows at once
 
 	porch *porch
 	tasks sync.WaitGroup
@@ -58,9 +59,9 @@
 
 // Start joins the fleet in the background, and goes on trying. One address is one node's: while another process has it,
 // as the one whose place we take, it is that one which takes part.
-// No lookup goes on for longer than longest.
-func Start(f *terms.Fleet, own Own, longest time.Duration, log *zap.Logger) *Fellows {
-	x := &Fellows{fleet: f, log: log, own: own, client: NewClient(f, log), ended: make(chan struct{}), longest: longest,
+// No lookup goes on for longer than longest; fellows may hold so many connections to us at once.
+func Start(f *terms.Fleet, own Own, longest time.Duration, lines int, log *zap.Logger) *Fellows {
+	x := &Fellows{fleet: f, log: log, own: own, client: NewClient(f, log), ended: make(chan struct{}), longest: longest, lines: lines,
 		wholes: map[string]lease.Terms{}, bursts: map[string]float64{}}
 	x.alone(false)
 	ctx, stop := context.WithCancel(context.Background())
@@ -86,7 +87,7 @@
 		return
 	}
 	f.alone(true)
-	f.porch = newPorch(l, f.fleet.Name, f.client.within(), f.id, f.answer)
+	f.porch = newPorch(l, f.lines, f.fleet.Name, f.client.within(), f.id, f.answer)
 	if f.fleet.Folder != "" {
 		f.open()
 	}
--- a/internal/net/fellows/fellows_test.go
+++ b/internal/net/fellows/fellows_test.go
@@ -65,7 +65,7 @@
 func founded(t testing.TB, all []*terms.Fleet) (nodes []*Fellows) {
 	t.Helper()
 	for _, f := range all {
-		n := Start(f, figures{"resolved": 1}, time.Second, zap.NewNop())
+		n := Start(f, figures{"resolved": 1}, time.Second, 256, zap.NewNop())
 		nodes = append(nodes, n)
 		t.Cleanup(sync.OnceFunc(n.Close))
 	}
@@ -156,7 +156,7 @@
 			t.Fatal(err)
 		}
 		before, _ := os.ReadFile(filepath.Join(f.Folder, paperFile))
-		n := Start(f, figures{}, time.Second, zap.NewNop())
+		n := Start(f, figures{}, time.Second, 256, zap.NewNop())
 		eventually(t, want, func() bool { return strings.Contains(n.status().Broken, want) || n.id() != "" })
 		s := n.status()
 		n.Close()
@@ -290,7 +290,7 @@
 	for _, f := range all {
 		f.Tasks, f.Probe = []string{terms.TaskProbe}, "/up"
 		s := &sufferer{address: server.Listener.Addr().String()}
-		own, nodes = append(own, s), append(nodes, Start(f, s, time.Second, zap.NewNop()))
+		own, nodes = append(own, s), append(nodes, Start(f, s, time.Second, 256, zap.NewNop()))
 	}
 	defer func() {
 		for _, n := range nodes {
@@ -426,7 +426,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		porch := newPorch(l, f.Name, time.Second, func() string { return p.ID }, nil)
+		porch := newPorch(l, 256, f.Name, time.Second, func() string { return p.ID }, nil)
 		go porch.serve()
 		v, err := startVoter(f, p, layer{porch, dialer{f.Name, f.Node, nil}, f.Address}, zap.NewNop())
 		if err != nil {
--- a/internal/net/fellows/wire.go
+++ b/internal/net/fellows/wire.go
@@ -21,7 +21,6 @@
 	forAsks  = "asks"  // JSON-RPC: askings and operators' calls
 
 	helloMost = 1 << 10
-	linesMost = 1024 // connections at once; some hundred nodes hold one each
 )
 
 // hello is the first line from who dials.
@@ -89,6 +88,7 @@
 // porch takes connections in and hands them on by their kind.
 type porch struct {
 	listener net.Listener
+	most     int // connections at once; each node holds one to the leader
 	fleet    string
 	id       func() string // of our own vote, empty: none
 	within   time.Duration
@@ -101,8 +101,8 @@
 	done   chan struct{}
 }
 
-func newPorch(l net.Listener, fleet string, within time.Duration, id func() string, asks func(net.Conn)) *porch {
-	return &porch{listener: l, fleet: fleet, id: id, within: within, asks: asks, votes: make(chan net.Conn),
+func newPorch(l net.Listener, most int, fleet string, within time.Duration, id func() string, asks func(net.Conn)) *porch {
+	return &porch{listener: l, most: most, fleet: fleet, id: id, within: within, asks: asks, votes: make(chan net.Conn),
 		open: map[net.Conn]bool{}, done: make(chan struct{})}
 }
 
@@ -119,7 +119,7 @@
 			}
 		}
 		p.mu.Lock()
-		full := p.closed || len(p.open) >= linesMost
+		full := p.closed || len(p.open) >= p.most
 		if !full {
 			p.open[c] = true
 		}
--- a/internal/net/node/limits.go
+++ b/internal/net/node/limits.go
@@ -23,6 +23,11 @@
 	operatorsLeast = 12       // some hold one for seconds;
 	operatorsPart  = 3        // yet never over a third of what is left where a process has few,
 	operatorsFew   = 3        // nor under this
+	fleetOwn       = 12       // of a node in a fleet: its address, its log and snapshots, what it asks; and for each voter
+	fleetVoter     = 8        // the library's connections and an asking, to it and from it;
+	fleetNodes     = 64       // one for each node that may ask it, and for so many at the least,
+	fleetPart      = 2        // yet never over half of what is left
+	fleetLeast     = 8        // connections from fellows: fewer hold not even voters
 	beyondPart     = 8        // an eighth of the clients' may be connections that are turned away
 	clientsLeast   = 2        // below these a process can't work at all: where a limit is lower still, it runs short
 	serversLeast   = 2
@@ -34,6 +39,7 @@
 type limits struct {
 	clients, beyond, servers int
 	operators                int // connections at the operators' address, if there is one
+	fellows                  int // connections from fellows, where the node has some
 	cores                    int
 	memory                   int64
 }
@@ -82,10 +88,19 @@
 		operators = max(operatorsFew, min(operatorsMost, max(descriptors/reservePart, operatorsLeast), rest/operatorsPart))
 		rest -= operators
 	}
+	fellows := 0
+	if s.Fleet != nil {
+		nodes, _ := s.Terms.Module["nodes"].(int)
+		voters := fleetVoter * len(s.Fleet.Voters)
+		part := min(fleetOwn+voters+max(nodes, fleetNodes), rest/fleetPart)
+		fellows = max(fleetLeast, part-fleetOwn-voters/2) // the other half leads from here
+		rest -= part
+	}
 	half := rest / 2
 	beyond := half / beyondPart
 	return limits{
 		operators: operators - 1, // and the listener
+		fellows:   fellows,
 		clients:   max(clientsLeast, half-beyond),
 		beyond:    beyond,
 		servers:   max(serversLeast, rest-half),
--- a/internal/net/node/limits_test.go
+++ b/internal/net/node/limits_test.go
@@ -56,3 +56,36 @@
 		t.Errorf("%+v", p)
 	}
 }
+
+// A fleet's connections and files have a part of their own, by its voters and nodes, and never over half of what is left.
+func TestAFleetHasItsPart(t *testing.T) {
+	voters := make([]terms.Voter, 3)
+	for name, c := range map[string]struct {
+		sockets, processes, nodes int // nodes: as the settings say; 0: they don't
+		least                     int // connections from fellows
+	}{
+		"as usual":         {1024, 1, 300, 300},
+		"few nodes":        {1024, 1, 5, fleetNodes},
+		"the nodes untold": {1024, 1, 0, fleetNodes},
+		"few descriptors":  {256, 1, 300, 64},
+		"by halves":        {512, 2, 300, 64},
+		"very few":         {128, 1, 300, 12},
+	} {
+		module := map[string]any{}
+		if c.nodes > 0 {
+			module["nodes"] = c.nodes
+		}
+		s := &terms.Station{Cores: 1, MemoryMB: 192, Descriptors: c.sockets, Admin: "127.0.0.1:1", Terms: &terms.Terms{Module: module},
+			Fleet: &terms.Fleet{Voters: voters}}
+		l := process{open: 10}.split(s, c.processes)
+		toFellows := fleetOwn + fleetVoter*len(voters)/2
+		left := c.sockets/c.processes - l.clients - l.beyond - l.servers - l.operators - 1 - l.fellows - toFellows
+		if l.fellows < c.least || left < 10+reserveOwn || l.clients < 10 || l.servers < 10 {
+			t.Errorf("%s: %+v leaves %d", name, l, left)
+		}
+		s.Fleet = nil
+		if without := (process{open: 10}).split(s, c.processes); without.fellows != 0 || without.clients <= l.clients {
+			t.Errorf("%s, without a fleet: %+v", name, without)
+		}
+	}
+}
--- a/internal/net/node/node.go
+++ b/internal/net/node/node.go
@@ -136,7 +136,7 @@
 	var fleet *fellows.Fellows
 	leave := func() {}
 	if s.Fleet != nil {
-		fleet = fellows.Start(s.Fleet, fleetSide{x}, s.LongestLimit, log.Named("fleet"))
+		fleet = fellows.Start(s.Fleet, fleetSide{x}, s.LongestLimit, l.fellows, log.Named("fleet"))
 		leave = sync.OnceFunc(fleet.Close)
 	}
 	defer leave() // once, however often it is called; the later call waits for the first
