Know a crowd by who had to wait of late, not by places taken at that moment

TestCallsAreAnsweredInAFlood was red again in 4 of 6 runs on a machine under load 31 (66 to 96 refusals, 104 to 208 before the lingering close): several places are given back before the next connection is taken, so that at most of the closes one was free (listener.go, Close).

--- a/internal/net/clients/listener.go
+++ b/internal/net/clients/listener.go
@@ -23,6 +23,7 @@
 	taken  atomic.Int64 // places; only Accept takes one
 	ahead  atomic.Int64 // bytes read ahead of all connections
 	came   atomic.Int64 // when the latest connection did, Unix time in nanoseconds
+	short  atomic.Int64 // when one last may have waited for a place, likewise
 	closed chan struct{}
 	close  func() error
 	full   func(waited time.Duration) // called now and then while a connection may wait for a place
@@ -35,6 +36,8 @@
 	fullEvery = 5 * time.Millisecond  // a small part of any time limit
 	queuedFor = 20 * time.Millisecond // between two connections, while there is a queue of them
 	lookEvery = time.Millisecond      // for a place that was given back
+	// crowdedFor is for how long after the latest wait for a place others may be about to come: some rounds of a crowd.
+	crowdedFor = 100 * time.Millisecond
 
 	// lingerMost is how long a connection that was ended waits for its client's end at most: as long as net/http waits where it
 	// does. What a client still writes would reset a closed one, and the end of a long answer may go with it.
@@ -59,6 +62,7 @@
 func (b *bounded) Accept() (net.Conn, error) {
 	began, told := time.Now(), time.Time{}
 	for b.taken.Load() >= b.most.Load() {
+		b.short.Store(time.Now().UnixNano())
 		if time.Since(told) >= fullEvery {
 			told = time.Now()
 			b.hurry(told)
@@ -110,6 +114,9 @@
 	return there
 }
 
+// crowded says that connections have waited for a place of late: several may be given back before the next one is taken.
+func (b *bounded) crowded() bool { return time.Since(time.Unix(0, b.short.Load())) < crowdedFor }
+
 // linger notes that a connection waits for its client's end; it has its place until then.
 func (b *bounded) linger(p *placed) *list.Element {
 	b.mu.Lock()
@@ -225,7 +232,7 @@
 			_ = p.raw.Control(func(fd uintptr) { over = p.drop(fd) })
 			// In a crowd one that has sent no more is closed at once, or those turned away would keep others out. The kernel
 			// goes on to bring what was written, and only further bytes would reset it.
-			over = over || p.dropped == 0 && p.at.taken.Load() >= p.at.most.Load()
+			over = over || p.dropped == 0 && p.at.crowded()
 		}
 		if over {
 			p.end()
