Reserve descriptors for three calls to discovery at a time

Up to three calls for the list are out at once since calls begin beside silent ones, and a call that is given up leaves its connect behind for a while; the reserve counted two connections to discovery and two to another during a move (node/limits.go). It counts four and four now. From 512 descriptors on nothing changes. TestIdleClients and TestAnUpgradeAmong green, 14.9 s (go test ./cmd/thistlerudder).

--- a/internal/net/node/limits.go
+++ b/internal/net/node/limits.go
@@ -16,7 +16,7 @@
 	longMost       = 32 << 20 // bytes of one that is passed on as it comes; the operators' bound
 	reservePart    = 16       // a sixteenth of the descriptors is for the list, the log and the runtime,
 	reserveMost    = 64       // and more than this is never needed,
-	reserveOwn     = 12       // nor less than this beside what is open at the start: reserved below says for what
+	reserveOwn     = 16       // nor less than this beside what is open at the start: reserved below says for what
 	openUsually    = 8        // at the start, where that can't be seen: standard streams, the poller, what cores we may use
 	inheritedMost  = 32       // of those, as far as they can be counted; more would leave a small node nothing
 	operatorsMost  = 32       // connections at the operators' address, its listener included: few call at once, but
@@ -63,9 +63,10 @@
 }
 
 // reserved gives how many of the descriptors nobody else may take, whatever clients do: those that are open at the start
-// (standard streams, the poller, what else was inherited), and reserveOwn: the clients' listener, the seat, two connections
-// to discovery and two more to another during a move, the configuration at a reload, the bans' file and its lock, an
-// operator's connection that is accepted and waits for its place, and the poller's where it was not there yet.
+// (standard streams, the poller, what else was inherited), and reserveOwn: the clients' listener, the seat, four connections
+// to discovery (three calls at a time, and a connect that one left behind) and four more to another during a move, the
+// configuration at a reload, the bans' file and its lock, an operator's connection that is accepted and waits for its place,
+// and the poller's where it was not there yet.
 func (p process) reserved(descriptors int) int {
 	open := p.open
 	if open <= 0 {
