Give processes in tests addresses that nothing else takes, and restart one among idle clients

Seen: 2 of 7 repeats on a busy machine failed with "bind: address already in use": a port picked by the system may go to somebody else before it is listened on. Addresses are now on hosts of the test's own, with ports below those that the system gives out.

Ten processes stand in each row that waits for discovery (4 or 8 before), so that nine in ten leaves one out; the slow list takes 0.5 s.

--- a/cmd/thistlerudder/process_test.go
+++ b/cmd/thistlerudder/process_test.go
@@ -22,17 +22,20 @@
 // addresses counts those that were given out.
 var addresses atomic.Uint32
 
-// freeAddress gives an address on loopback that nobody listens on. Each is on a host of its own: on 127.0.0.1 the port could be
-// taken by any connection before it is listened on.
+// freeAddress gives an address on loopback that nobody listens on, nor will before we do: its host is this test's own, and its
+// port lies below those that the system gives to connections and to whoever asks for any.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	n := addresses.Add(1)
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%64, n>>8&0xff, n&0xff))
-	if err != nil {
-		t.Fatal(err)
+	for range 100 {
+		n, pid := addresses.Add(1), uint32(os.Getpid())
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:%d", 64+pid%64, pid/64%256, 1+n%250, 7000+n/250))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free address")
+	return ""
 }
 
 // process is the program, run under a configuration and limits of its own.
--- a/cmd/thistlerudder/ready_test.go
+++ b/cmd/thistlerudder/ready_test.go
@@ -104,12 +104,12 @@
 		"known, too many callers": {nodes: 8, known: entries, during: func(*service) func(http.ResponseWriter, *http.Request) bool { return crowded(1, time.Second) }, atOnce: true},
 		"known, all of a zone":    {nodes: many, known: entries, atOnce: true},
 		"unreadable, answers":     {nodes: 4, known: "no list", during: func(*service) func(http.ResponseWriter, *http.Request) bool { return nil }, atOnce: true},
-		"unreadable, refused":     {nodes: 4, known: map[string]any{"servers": 7}},
-		"none, refused":           {nodes: 8},
-		"none, silent":            {nodes: 8, during: func(*service) func(http.ResponseWriter, *http.Request) bool { return hold }},
-		"none, 503":               {nodes: 8, during: func(*service) func(http.ResponseWriter, *http.Request) bool { return refuse }},
-		"none, slow list": {nodes: 4, after: func(s *service) func(http.ResponseWriter, *http.Request) bool {
-			return trickle(s, 10, 100*time.Millisecond, true)
+		"unreadable, refused":     {nodes: 10, known: map[string]any{"servers": 7}},
+		"none, refused":           {nodes: 10},
+		"none, silent":            {nodes: 10, during: func(*service) func(http.ResponseWriter, *http.Request) bool { return hold }},
+		"none, 503":               {nodes: 10, during: func(*service) func(http.ResponseWriter, *http.Request) bool { return refuse }},
+		"none, slow list": {nodes: 10, after: func(s *service) func(http.ResponseWriter, *http.Request) bool {
+			return trickle(s, 10, 50*time.Millisecond, true)
 		}},
 		"none, a zone at once":   {nodes: many, during: func(*service) func(http.ResponseWriter, *http.Request) bool { return crowded(2, 100*time.Millisecond) }, atOnce: true},
 		"none, a zone after all": {nodes: many, after: func(*service) func(http.ResponseWriter, *http.Request) bool { return crowded(4, 100*time.Millisecond) }},
@@ -233,6 +233,21 @@
 		_ = p.Process.Kill()
 		again(t, p, readyIn)
 	})
+	t.Run("killed among idle clients", func(t *testing.T) { // who come again at once, and take every place
+		t.Parallel()
+		p := newProcess(t, s.address, map[string]any{"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 64}})
+		p.start(t)
+		ready(t, p)
+		idle := &crowd{stop: make(chan struct{})}
+		defer func() {
+			close(idle.stop)
+			idle.clients.Wait()
+		}()
+		idle.fill(p.listen, 64, func(int) bool { return false })
+		time.Sleep(500 * time.Millisecond)
+		_ = p.Process.Kill()
+		again(t, p, readyIn)
+	})
 	t.Run("still leaving", func(t *testing.T) {
 		t.Parallel()
 		p := newProcess(t, s.address, nil)
