--- a/cmd/thistlerudder/descriptors_test.go
+++ b/cmd/thistlerudder/descriptors_test.go
@@ -237,10 +237,7 @@
 			entries, _ := newCounters(t, 20*time.Millisecond, "a", "b")
 			s := newService(t, entries)
 			s.up()
-			socket, err := net.Listen("tcp", freeAddress(t))
-			if err != nil {
-				t.Fatal(err)
-			}
+			socket := listenAt(t, freeAddress(t))
 			defer socket.Close()
 			passed, err := socket.(*net.TCPListener).File()
 			if err != nil {
--- a/cmd/thistlerudder/process_test.go
+++ b/cmd/thistlerudder/process_test.go
@@ -38,6 +38,16 @@
 	return ""
 }
 
+// listenAt listens on such an address. A process that is just being started holds what we have closed until it is another program.
+func listenAt(t *testing.T, address string) (l net.Listener) {
+	t.Helper()
+	var err error
+	if !waitFor(5*time.Second, func() bool { l, err = net.Listen("tcp", address); return err == nil }) {
+		t.Fatal(err)
+	}
+	return l
+}
+
 // process is the program, run under a configuration and limits of its own.
 type process struct {
 	*exec.Cmd
@@ -170,10 +180,7 @@
 
 func (s *service) up() {
 	s.t.Helper()
-	l, err := net.Listen("tcp", s.address)
-	if err != nil {
-		s.t.Fatal(err)
-	}
+	l := listenAt(s.t, s.address)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.server = &http.Server{Handler: s}
--- a/cmd/thistlerudder/ready_test.go
+++ b/cmd/thistlerudder/ready_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -270,10 +269,7 @@
 	t.Run("told to end while it waits", func(t *testing.T) {
 		t.Parallel()
 		p := newProcess(t, s.address, nil)
-		taken, err := net.Listen("tcp", p.listen)
-		if err != nil {
-			t.Fatal(err)
-		}
+		taken := listenAt(t, p.listen)
 		defer taken.Close()
 		p.start(t)
 		if !waitFor(readyIn, func() bool { return strings.Contains(p.log.String(), "an address is in use, waiting for it") }) {
