Let a node run hollow and count its control traffic, in the rig's build alone

Many nodes have to fit into one process to show what a fleet's control costs at size, and what goes over their connections has to be counted where it goes.

go test ./internal/net/... as before.

--- /dev/null
+++ b/internal/faults/traffic_on.go
@@ -0,0 +1,120 @@
+//go:build faults
+
+package faults
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// UsageVariable names the file to which a process writes its Usage at each SIGUSR2.
+const UsageVariable = "THISTLERUDDER_USAGE"
+
+// Traffic is what went over connections of one use since the start, as their process wrote and read it: the bytes of TCP's
+// payload. A write is a message here, since each is written whole; greetings are read byte by byte, which counts as no read.
+type Traffic struct{ Sent, Received, Writes, Reads, Connections int64 }
+
+// Usage is what this process has used since its start.
+type Usage struct {
+	Traffic             map[string]Traffic // by use
+	CPUBefore, CPUAfter int64              // nanoseconds, user's and system's, before the collection that Heap comes from and after it
+	Heap                uint64             // live bytes
+	Goroutines          int
+}
+
+type counts struct{ sent, received, writes, reads, connections atomic.Int64 }
+
+var traffic sync.Map // uses to *counts
+
+func countsOf(use string) *counts {
+	c, _ := traffic.LoadOrStore(use, &counts{})
+	return c.(*counts)
+}
+
+// counted is a connection that is counted.
+type counted struct {
+	net.Conn
+	c *counts
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.c.received.Add(int64(n))
+	if n > 1 {
+		c.c.reads.Add(1)
+	}
+	return n, err
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.c.sent.Add(int64(n))
+	c.c.writes.Add(1)
+	return n, err
+}
+
+// Counted counts what goes over a connection.
+func Counted(use string, c net.Conn) net.Conn {
+	k := countsOf(use)
+	k.connections.Add(1)
+	return counted{c, k}
+}
+
+// Dialing counts what goes over the connections of a dialer.
+func Dialing(use string, dial func(ctx context.Context, network, address string) (net.Conn, error),
+) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return Counted(use, c), nil
+	}
+}
+
+func cpu() int64 {
+	var u unix.Rusage
+	_ = unix.Getrusage(unix.RUSAGE_SELF, &u)
+	return u.Utime.Nano() + u.Stime.Nano()
+}
+
+// Used collects garbage, and tells what was used.
+func Used() Usage {
+	u := Usage{Traffic: map[string]Traffic{}, CPUBefore: cpu()}
+	traffic.Range(func(use, v any) bool {
+		c := v.(*counts)
+		u.Traffic[use.(string)] = Traffic{c.sent.Load(), c.received.Load(), c.writes.Load(), c.reads.Load(), c.connections.Load()}
+		return true
+	})
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	u.Heap, u.Goroutines, u.CPUAfter = m.HeapAlloc, runtime.NumGoroutine(), cpu()
+	return u
+}
+
+func init() {
+	path := os.Getenv(UsageVariable)
+	if path == "" {
+		return
+	}
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGUSR2)
+	go func() {
+		for range asked {
+			b, _ := json.Marshal(Used())
+			if os.WriteFile(path+".new", b, 0o600) == nil {
+				_ = os.Rename(path+".new", path)
+			}
+		}
+	}()
+}
--- a/internal/net/boxlist/watch.go
+++ b/internal/net/boxlist/watch.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/thistlerudder/thistlerudder/internal/faults"
 	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
 	"github.com/thistlerudder/thistlerudder/logic"
 )
@@ -91,7 +92,7 @@
 		orders:   make(chan struct{}, 1),
 		moved:    make(chan struct{}, 1),
 		transport: &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: connectIn}).DialContext,
+			DialContext:            faults.Dialing("list", (&net.Dialer{Timeout: connectIn}).DialContext),
 			DisableCompression:     true,
 			MaxConnsPerHost:        connsMost,
 			MaxIdleConns:           1,
--- a/internal/net/fellows/budgets.go
+++ b/internal/net/fellows/budgets.go
@@ -158,6 +158,9 @@
 			p.purse.Unanswered(now())
 			return
 		}
+		if traceParts != nil {
+			traceParts(p.f.fleet.Node, x.News)
+		}
 		for _, d := range p.purse.Answered(now(), budget.Answer{News: x.News, Err: x.Refusal.err()}) {
 			p.f.log.Warn("a budget differs from the configuration's: the fleet's holds", zap.String("budget", d.Name),
 				zap.Float64("configuration", d.Ours.Whole()), zap.Float64("fleet", d.Fleet.Whole()),
--- a/internal/net/fellows/keep.go
+++ b/internal/net/fellows/keep.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/thistlerudder/thistlerudder/budget"
 	"github.com/thistlerudder/thistlerudder/internal/faults"
 	"github.com/thistlerudder/thistlerudder/lease"
 )
@@ -112,6 +113,9 @@
 // build sets it.
 var trace func(a lease.Ask) func(x lease.Answer, err error)
 
+// traceParts is told of each answer about budgets; only the rig's build sets it.
+var traceParts func(node string, news []budget.News)
+
 func (c *Client) traced(a lease.Ask) (x lease.Answer, err error) {
 	if trace != nil {
 		told := trace(a)
--- a/internal/net/fellows/trial_on.go
+++ b/internal/net/fellows/trial_on.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/thistlerudder/thistlerudder/budget"
 	"github.com/thistlerudder/thistlerudder/internal/faults"
 	"github.com/thistlerudder/thistlerudder/internal/terms"
 	"github.com/thistlerudder/thistlerudder/lease"
@@ -35,6 +36,12 @@
 	lateLeast = 30 * time.Millisecond
 )
 
+// Trace lets each asking of this process be told before it is sent, and its answer to what asked gives back; and each
+// answer about budgets. It is called before the first node of the process starts.
+func Trace(asked func(lease.Ask) func(lease.Answer, error), parts func(node string, news []budget.News)) {
+	trace, traceParts = asked, parts
+}
+
 // record writes what this process does, by the machine's one clock, whatever our own is made to show.
 type record struct {
 	mu   sync.Mutex
--- a/internal/net/fellows/wire.go
+++ b/internal/net/fellows/wire.go
@@ -55,6 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c = faults.Counted(purpose, c)
 	_ = c.SetDeadline(time.Now().Add(within))
 	line, _ := json.Marshal(hello{d.fleet, purpose, d.node, to})
 	if _, err = c.Write(append(line, '\n')); err == nil {
@@ -118,6 +119,7 @@
 				continue
 			}
 		}
+		c = faults.Counted("taken", c)
 		p.mu.Lock()
 		full := p.closed || len(p.open) >= p.most
 		if !full {
--- a/internal/net/node/node.go
+++ b/internal/net/node/node.go
@@ -75,23 +75,35 @@
 
 func serve(ctx context.Context, s *terms.Station, signals <-chan os.Signal, log *zap.Logger) error {
 	log = log.With(zap.String("node", s.Name))
-	own := thisProcess()
-	if own.most > 0 && own.most < s.Descriptors {
+	o := opened{process: thisProcess()}
+	if o.most > 0 && o.most < s.Descriptors {
 		log.Warn("the system's limit on descriptors is lower than limits.sockets, and holds",
-			zap.Int("limit", own.most), zap.Int("limits.sockets", s.Descriptors))
+			zap.Int("limit", o.most), zap.Int("limits.sockets", s.Descriptors))
 	}
-	var calls net.Listener
+	var err error
 	if s.Admin != "" { // first: once the clients' socket is open nobody in its queue may wait for another's end
-		var err error
-		if calls, err = listen(ctx, s.Admin, s.LongestLimit, log); err != nil {
+		if o.operators, err = listen(ctx, s.Admin, s.LongestLimit, log); err != nil {
 			return fmt.Errorf("admin_addr: expected an address to listen on: %w", err)
 		}
-		defer calls.Close()
+		defer o.operators.Close()
 	}
-	listener, err := clientsSocket(ctx, s, log)
-	if err != nil {
+	if o.clients, err = clientsSocket(ctx, s, log); err != nil {
 		return err
 	}
+	return operate(ctx, s, signals, log, o, func(own fellows.Own) fellows.Own { return own })
+}
+
+// opened is what a process was started with, and the sockets that it listens on. Without the clients', which only the rig's build
+// asks for, its node is hollow: no client reaches it, and the process keeps its own limits.
+type opened struct {
+	process
+	clients, operators net.Listener
+}
+
+// operate serves on what was opened. own gives what the fleet's tasks need of the node.
+func operate(ctx context.Context, s *terms.Station, signals <-chan os.Signal, log *zap.Logger, o opened,
+	own func(fellows.Own) fellows.Own,
+) error {
 	folder, name := os.Getenv("TMPDIR"), fileName(s.Listen)
 	seat, err := handover.Sit(folder, name)
 	if err != nil {
@@ -99,8 +111,10 @@
 	}
 	defer seat.Leave()
 	others := seat.Others()
-	l := own.split(s, 1+others)
-	l.apply()
+	l := o.split(s, 1+others)
+	if o.clients != nil {
+		l.apply()
+	}
 	x := exchange.New(s.Terms, log.Named("exchange"))
 	carrier := servers.New(
 		servers.Bounds{Descriptors: l.servers, Shots: l.servers + l.clients, ConnectWithin: s.ConnectWithin,
@@ -136,28 +150,35 @@
 	var fleet *fellows.Fellows
 	leave := func() {}
 	if s.Fleet != nil {
-		fleet = fellows.Start(s.Fleet, fleetSide{x}, s.LongestLimit, l.fellows, log.Named("fleet"))
+		fleet = fellows.Start(s.Fleet, own(fleetSide{x}), s.LongestLimit, l.fellows, log.Named("fleet"))
 		leave = sync.OnceFunc(fleet.Close)
 	}
 	defer leave() // once, however often it is called; the later call waits for the first
-	if calls != nil {
+	if o.operators != nil {
 		desk := admin.New(operated{x, front, book, fleet}, x.Figures(), l.operators, log.Named("admin"))
 		defer desk.Close()
-		go desk.Serve(calls)
+		go desk.Serve(o.operators)
 		go census(following, x)
 		go book.Follow(following, bansEvery)
 	}
 	go seat.Follow(following, others, seatEvery, func(others int) {
-		l := own.split(s, 1+others)
+		l := o.split(s, 1+others)
 		log.Info("another number of processes serve as this node", zap.Int("others", others),
 			zap.Int("client descriptors", l.clients), zap.Int("server descriptors", l.servers))
+		if o.clients == nil {
+			return
+		}
 		l.apply()
 		front.Resize(l.clients, l.beyond)
 		carrier.Resize(l.servers)
 		debug.FreeOSMemory() // the others' part of the memory
 	})
+	if o.clients == nil {
+		<-ctx.Done()
+		return nil
+	}
 	served := make(chan error, 1)
-	go func() { served <- front.Serve(listener) }()
+	go func() { served <- front.Serve(o.clients) }()
 	log.Info("serving", zap.String("listen", s.Listen), zap.Int("client descriptors", l.clients),
 		zap.Int("server descriptors", l.servers), zap.Int("memory MB", s.MemoryMB),
 		zap.Int("other processes", others))
