Let an entry wait for a busy leader in place of being lost without end

At 150 nodes on a crowded machine 45 nodes never got the lease of their names again, nor their parts, through restarts and cuts, until the leader was killed. The leader had stood still for some 0.8 s; Voter.apply gave the library a fifth of a lease (0.6 s) to take an entry up, and told the keeper of the time-out as of a reign that is over (lease/keeper.go, Applied: "the name stays as moving"). The reign went on, so nothing ever cleared these names. Other errors of the library's Apply come with the end of leading; this one doesn't.

An entry now waits until the library takes it up, leads no more or ends. What waits is bounded by the askings that a leader takes.

TestALeaderTooBusyForAnEntry holds the leader's log for 1.2 s while eight names are asked for. With the time-out back it printed "what was asked of a busy leader is never granted"; now 2.0 s, three times with -race. go test ./internal/net/fellows ./lease ./budget: passed.

--- a/internal/net/fellows/fellows_test.go
+++ b/internal/net/fellows/fellows_test.go
@@ -11,6 +11,7 @@
 	"net/rpc/jsonrpc"
 	"os"
 	"path/filepath"
+	"reflect"
 	"slices"
 	"strings"
 	"sync"
@@ -20,6 +21,7 @@
 	"time"
 
 	"github.com/hashicorp/raft"
+	"go.etcd.io/bbolt"
 	"go.uber.org/zap"
 
 	"github.com/thistlerudder/thistlerudder/budget/allowance"
@@ -458,3 +460,64 @@
 	v.end(nil)
 	porch.close()
 }
+
+// A leader's disk stands still for longer than it may take for an entry to be taken up, and the leader goes on leading: what
+// was asked meanwhile is granted once it writes again, and not only under the next leader.
+func TestALeaderTooBusyForAnEntry(t *testing.T) {
+	nodes := founded(t, fleetOf(t, 4))
+	var leader *Voter
+	eventually(t, "nobody leads", func() bool {
+		for _, n := range nodes[:3] {
+			v := n.voter()
+			v.mu.Lock()
+			leads := v.keeper.Leads()
+			v.mu.Unlock()
+			if leads {
+				leader = v
+			}
+		}
+		return leader != nil
+	})
+	for _, n := range nodes { // their own names
+		eventually(t, "a node has not its name", func() bool {
+			leader.mu.Lock()
+			defer leader.mu.Unlock()
+			_, has := leader.state.Leases[session(n.fleet.Node)]
+			return has
+		})
+	}
+	reign := func() uint64 {
+		leader.mu.Lock()
+		defer leader.mu.Unlock()
+		return leader.state.Reign
+	}
+	was := reign()
+	db := *(**bbolt.DB)(reflect.ValueOf(leader.logs).Elem().FieldByName("conn").Addr().UnsafePointer())
+	tx, err := db.Begin(true) // the library's writes wait for it
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	var had atomic.Int32
+	var all sync.WaitGroup
+	for i := range 8 {
+		all.Go(func() {
+			nodes[3].client.Keep(ctx, fmt.Sprint("busy", i), func(ctx context.Context, _ *Grip) bool {
+				had.Add(1)
+				<-ctx.Done()
+				return false
+			})
+		})
+	}
+	time.Sleep(nodes[0].fleet.Lease * 3 / 5)
+	if err := tx.Rollback(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "what was asked of a busy leader is never granted", func() bool { return had.Load() >= 8 })
+	if now := reign(); now != was {
+		t.Logf("reign %d came after %d: this run shows nothing", now, was)
+	}
+	stop()
+	all.Wait()
+}
--- a/internal/net/fellows/voter.go
+++ b/internal/net/fellows/voter.go
@@ -24,7 +24,6 @@
 
 const (
 	silencePart   = 10   // a tenth of a lease without a word from the leader, and another is chosen
-	applyWithin   = 5    // a fifth of a lease, until an entry has to be taken up by the library
 	snapshotAfter = 4096 // entries, some hundred bytes each
 	trailing      = 1024 // entries kept behind a snapshot, for a voter that was away for a moment
 	restartAgain  = 100 * time.Millisecond
@@ -219,13 +218,15 @@
 	}
 }
 
-// apply brings an entry to the log, and waits for what it comes to. An error says that it may be applied yet.
+// apply brings an entry to the log, and waits for what it comes to. An error says that it may be applied yet, and that this
+// reign is over: the keeper and the divider then wait for the next, so nothing else may end as one. An entry that the library
+// is too busy to take up waits for that, since nobody would bring it again.
 func (v *Voter) apply(e lease.Entry) (lease.Result, error) {
 	b, err := e.Encode()
 	if err != nil {
 		return lease.Result{}, err
 	}
-	f := v.raft.Apply(b, v.fleet.Lease/applyWithin)
+	f := v.raft.Apply(b, 0)
 	if err := f.Error(); err != nil {
 		return lease.Result{}, err
 	}
