--- a/cmd/thistlerudder/scale_on.go
+++ b/cmd/thistlerudder/scale_on.go
@@ -56,6 +56,9 @@
 		for _, b := range r.Broken {
 			cmd.PrintErrln(b)
 		}
+		if err == nil && r.Void != "" {
+			return fmt.Errorf("void: %s, so the %d things that broke their bound show nothing", r.Void, len(r.Broken))
+		}
 		if err == nil && len(r.Broken) > 0 {
 			return fmt.Errorf("%d things broke their bound", len(r.Broken))
 		}
--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -220,6 +222,24 @@
 	return all
 }
 
+const (
+	lateLook  = 10 * time.Millisecond
+	stillMost = 150 * time.Millisecond // half of the time in which voters and nodes answer each other
+)
+
+// late notes for how long a process did not run at the most, though it was to: then a bound that is broken tells of the machine.
+type late struct{ worst atomic.Int64 }
+
+func (l *late) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		was := rig.Boot()
+		time.Sleep(lateLook)
+		if x := rig.Boot() - was - int64(lateLook); x > l.worst.Load() {
+			l.worst.Store(x)
+		}
+	}
+}
+
 // free tells what the machine has for a run.
 func free() (r Room, err error) {
 	b, err := os.ReadFile("/proc/meminfo")
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -59,6 +59,7 @@
 	whole     float64
 	marks     []Mark
 	result    Result
+	late      late
 }
 
 // Result is what became of a run.
@@ -66,6 +67,7 @@
 	Points []Point
 	Lines  []string
 	Broken []string
+	Void   string // why what is broken shows nothing of the program; empty: it does
 }
 
 func fileOf(n int) string { return fmt.Sprintf("%s%d.json", hollowName, n) }
@@ -102,9 +104,13 @@
 	}()
 	w.layOut()
 	go w.guard(fail)
+	go w.late.watch(guarded)
 	if err = w.play(); err != nil && guarded.Err() != nil {
 		err = context.Cause(guarded)
 	}
+	if worst := w.late.worst.Load(); len(w.result.Broken) > 0 && time.Duration(worst) > stillMost {
+		w.result.Void = fmt.Sprintf("the machine let a process of the run stand still for %v", time.Duration(worst).Round(time.Millisecond))
+	}
 	return w.result, err
 }
 
@@ -589,7 +595,7 @@
 	}
 	w.marks = nil
 	began, start := time.Now(), rig.Boot()
-	changes := map[string][]Change{}
+	changes, unset := map[string][]Change{}, 0
 	for _, e := range events {
 		w.sleep(time.Until(began.Add(e.At)))
 		if w.ctx.Err() != nil {
@@ -609,7 +615,11 @@
 			}
 			c = Change{At: rig.Boot()}
 			x, fault := w.client.SetWhole(budgetName, math.Round(w.whole))
-			c.N, err = int64(x.Terms.Revision), fault
+			if c.N = int64(x.Terms.Revision); fault != nil { // nobody led just now: the other changes go on
+				w.line("%s: the budget's whole could not be set: %v", name, fault)
+				unset++
+				continue
+			}
 		case nodeRestarts:
 			_, err = w.hosts[w.PlaceOf(e.Index).Rack].tell(order{Do: "restart", Nodes: []int{e.Index}})
 		}
@@ -638,6 +648,9 @@
 		w.told(name, "configuration in force", inForce(changes[fileChanges], of, nodes, markFile, lateMost))
 	}
 	if w.Has(Budget) {
+		if w.point(name, "node", "wholes that could not be set", float64(unset)); unset > 0 {
+			w.broken("%s: a budget's whole could not be set %d times", name, unset)
+		}
 		w.told(name, "budget's whole in force", inForce(changes[budgetChanges], of, w.nodes(nil), markParts, lateMost))
 	}
 	if n := len(changes[nodeRestarts]); n > 0 {
