Keep a slow change from holding up the others at trial scale

Writing hundreds of files before a reload held up the list's changes, which then came together: at 150 nodes 85 lists a second went out where 135 were due, and bytes per node fell with size. Reloads and wholes now go on beside the other events. The sum over all nodes is told too, since over sizes its slope is what a node comes to, and its base what the processes do. A zone has 232 nodes, as the operators have it.

--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -55,7 +55,8 @@
 	lookups   rig.Lookups
 	asking    sync.WaitGroup
 	done      chan struct{}
-	file      int // changes of configuration so far
+	file      int             // changes of configuration so far,
+	notes     json.RawMessage // and what is in each file besides
 	whole     float64
 	marks     []Mark
 	result    Result
@@ -233,12 +234,8 @@
 	if cut {
 		x["discovery"] = fmt.Sprintf("%s:%d", ip(relaysAt), relayPort+voters)
 	}
-	if w.FileKB > 0 { // unknown keys are accepted: they stand for what else a file has
-		notes := map[string]any{"revision": w.file}
-		for i := range w.FileKB * 16 {
-			notes[fmt.Sprintf("note-%05d", i)] = fmt.Sprintf("%048d", i)
-		}
-		x["notes"] = notes
+	if w.FileKB > 0 {
+		x["notes"] = w.notes
 	}
 	b, err := json.Marshal(x)
 	if err != nil {
@@ -254,6 +251,13 @@
 // write writes all files.
 func (w *world) write() (err error) {
 	w.file++
+	notes := map[string]any{"revision": w.file} // unknown keys are accepted: they stand for what else a file has
+	for i := range w.FileKB * 16 {
+		notes[fmt.Sprintf("note-%05d", i)] = fmt.Sprintf("%048d", i)
+	}
+	if w.notes, err = json.Marshal(notes); err != nil {
+		return err
+	}
 	for i, p := range w.voters {
 		err = errors.Join(err, w.papers(p.name, i, true, false))
 	}
@@ -596,37 +600,61 @@
 	w.marks = nil
 	began, start := time.Now(), rig.Boot()
 	changes, unset := map[string][]Change{}, 0
+	var mu sync.Mutex
+	var errs []error
+	var slow sync.WaitGroup // what takes long must not hold up the other events
+	note := func(kind string, c Change, err error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			errs = append(errs, err)
+			return
+		}
+		changes[kind] = append(changes[kind], c)
+	}
 	for _, e := range events {
 		w.sleep(time.Until(began.Add(e.At)))
 		if w.ctx.Err() != nil {
 			return w.ctx.Err()
 		}
-		var c Change
 		switch e.Kind {
 		case entryChanges:
 			x := w.entries[e.Index]
 			x.Started = float64(time.Now().UnixMilli())
-			c, err = w.change([]Entry{x})
+			c, err := w.change([]Entry{x})
+			note(e.Kind, c, err)
 		case fileChanges:
-			c, err = w.reload()
+			slow.Wait() // one at a time
+			slow.Go(func() {
+				c, err := w.reload()
+				note(e.Kind, c, err)
+			})
 		case budgetChanges:
-			if w.whole *= 1.1; len(changes[e.Kind])%2 == 1 {
+			if w.whole *= 1.1; w.whole > 1.2*eachNode*float64(w.Nodes+w.Real+voters) {
 				w.whole /= 1.21
 			}
-			c = Change{At: rig.Boot()}
-			x, fault := w.client.SetWhole(budgetName, math.Round(w.whole))
-			if c.N = int64(x.Terms.Revision); fault != nil { // nobody led just now: the other changes go on
-				w.line("%s: the budget's whole could not be set: %v", name, fault)
-				unset++
-				continue
-			}
+			whole := math.Round(w.whole)
+			slow.Go(func() {
+				c := Change{At: rig.Boot()}
+				x, err := w.client.SetWhole(budgetName, whole)
+				if err != nil { // nobody led just now: the other changes go on
+					mu.Lock()
+					defer mu.Unlock()
+					w.line("%s: the budget's whole could not be set: %v", name, err)
+					unset++
+					return
+				}
+				c.N = int64(x.Terms.Revision)
+				note(e.Kind, c, nil)
+			})
 		case nodeRestarts:
-			_, err = w.hosts[w.PlaceOf(e.Index).Rack].tell(order{Do: "restart", Nodes: []int{e.Index}})
-		}
-		if err != nil {
-			return err
+			_, err := w.hosts[w.PlaceOf(e.Index).Rack].tell(order{Do: "restart", Nodes: []int{e.Index}})
+			note(e.Kind, Change{}, err)
 		}
-		changes[e.Kind] = append(changes[e.Kind], c)
+	}
+	slow.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return err
 	}
 	w.sleep(time.Until(began.Add(w.Span)))
 	after, err := w.snapshot()
@@ -727,6 +755,7 @@
 		w.line("%s", text[:len(text)-1])
 	}
 	tell("node", w.hosts, float64(w.Nodes), w.base)
+	tell("all nodes", w.hosts, 1, w.base) // over sizes: what each comes to is the slope, and the processes' own part the base
 	if w.Real > 0 {
 		tell("real node", w.reals, float64(w.Real), w.base)
 	}
--- a/internal/scale/size.go
+++ b/internal/scale/size.go
@@ -72,7 +72,7 @@
 	voters       = 3
 	zonesLeast   = 4
 	zonesMost    = 20
-	zoneNodes    = 100 // the operators have 232; more zones of fewer nodes can be played at the sizes that fit
+	zoneNodes    = 232 // as the operators have it
 	zonesRegion  = 4   // as the operators' 82 in 23
 	racksZone    = 2   // a rack is a process of hollow nodes: what is lost at once is killed at once
 	cachesMost   = 256 // stand-ins of cache servers that listen; of more on the list several share one
