Hold a hollow node's cost to a real one's in the trials

Figures of hollow nodes stand for real ones only as long as a hollow node does the same. TestProcessesAtScaleHollowAsReal plays eight of each, each alone in its process, and wants bytes, messages, live heap, resident memory and processor time within a fifth.

--- a/internal/scale/processes_test.go
+++ b/internal/scale/processes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"math"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -63,7 +64,42 @@
 		t.Fatalf("%v:\n%s", err, out)
 	}
 	t.Logf("%s", out)
-	f, err := os.Open(points)
+	have := pointsOf(t, points)
+	for _, what := range []string{"peace: node: share of a core %", "peace: real node: bytes sent /s", "peace: leader: share of a core %",
+		"peace: other voter: messages sent /s", "peace: discovery: bytes sent /s", "peace: node: live heap KB", "peace: last node: list in force worst ms",
+		"peace: last node: configuration in force worst ms", "peace: last node: budget's whole in force worst ms", "peace: node: a renewal p99 ms",
+		"restart: last node: list after a start worst ms", "restart: last node: lease after a start worst ms", "leader: last node: lease renewed or had again worst ms"} {
+		if have[what] <= 0 {
+			t.Errorf("%s: %g", what, have[what])
+		}
+	}
+	if p, f := leftOver(folder); len(p)+len(f) > 0 {
+		t.Errorf("left behind: %v %v", p, f)
+	}
+}
+
+// A hollow node alone in its process costs what a real one does: bytes, live heap and processor time within a fifth.
+func TestProcessesAtScaleHollowAsReal(t *testing.T) {
+	trial, folder := playedBy(t)
+	points := filepath.Join(folder, "points.csv")
+	out, err := trial("--nodes", "8", "--real", "8", "--servers", "30", "--for", "8s", "--quiet", "--out", points).CombinedOutput()
+	if err != nil && !strings.Contains(string(out), "Error: void") { // what it costs is told all the same
+		t.Fatalf("%v:\n%s", err, out)
+	}
+	have := pointsOf(t, points)
+	for _, what := range []string{"share of a core %", "bytes sent /s", "bytes received /s", "messages sent /s", "live heap KB", "resident MB"} {
+		hollow, genuine := have["peace: node: "+what], have["peace: real node: "+what]
+		t.Logf("%s: hollow %.4g, real %.4g", what, hollow, genuine)
+		if hollow <= 0 || math.Abs(hollow-genuine) > 0.2*genuine {
+			t.Errorf("%s: hollow %g, real %g", what, hollow, genuine)
+		}
+	}
+}
+
+// pointsOf reads a run's points, by phase, role and what they tell.
+func pointsOf(t *testing.T, path string) map[string]float64 {
+	t.Helper()
+	f, err := os.Open(path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -76,17 +112,7 @@
 	for _, p := range all {
 		have[p.Phase+": "+p.Role+": "+p.What] = p.Value
 	}
-	for _, what := range []string{"peace: node: share of a core %", "peace: real node: bytes sent /s", "peace: leader: share of a core %",
-		"peace: other voter: messages sent /s", "peace: discovery: bytes sent /s", "peace: node: live heap KB", "peace: last node: list in force worst ms",
-		"peace: last node: configuration in force worst ms", "peace: last node: budget's whole in force worst ms", "peace: node: a renewal p99 ms",
-		"restart: last node: list after a start worst ms", "restart: last node: lease after a start worst ms", "leader: last node: lease renewed or had again worst ms"} {
-		if have[what] <= 0 {
-			t.Errorf("%s: %g", what, have[what])
-		}
-	}
-	if p, f := leftOver(folder); len(p)+len(f) > 0 {
-		t.Errorf("left behind: %v %v", p, f)
-	}
+	return have
 }
 
 // A run that is interrupted ends at once and leaves nothing behind; one that is killed leaves no process.
