Let a slow budget hold up no other event at trial scale, and sort a fit's points

Reloads now wait for one another alone. Points may stand in any order in a file: a run played again comes last.

go test ./internal/scale: passed.

--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -117,9 +117,16 @@
 	return base, slope, residuals, r2
 }
 
-// Lines fits each figure over the nodes, or over the servers, in the order of the points. What has fewer than three sizes
+// Lines fits each figure over the nodes, or over the servers, whose points may be in any order. What has fewer than three sizes
 // has no line.
 func Lines(points []Point, byServers bool) (all []Line) {
+	points = slices.Clone(points)
+	slices.SortStableFunc(points, func(a, b Point) int {
+		if byServers {
+			return a.Servers - b.Servers
+		}
+		return a.Nodes - b.Nodes
+	})
 	type key struct{ phase, role, what string }
 	var order []key
 	at, values := map[key][]float64{}, map[key][]float64{}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -600,7 +600,7 @@
 	w.marks = nil
 	began, start := time.Now(), rig.Boot()
 	changes, unset := map[string][]Change{}, 0
-	var mu sync.Mutex
+	var mu, reloads sync.Mutex
 	var errs []error
 	var slow sync.WaitGroup // what takes long must not hold up the other events
 	note := func(kind string, c Change, err error) {
@@ -624,8 +624,9 @@
 			c, err := w.change([]Entry{x})
 			note(e.Kind, c, err)
 		case fileChanges:
-			slow.Wait() // one at a time
 			slow.Go(func() {
+				reloads.Lock() // one at a time
+				defer reloads.Unlock()
 				c, err := w.reload()
 				note(e.Kind, c, err)
 			})
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -213,7 +213,11 @@
 	if err != nil || !reflect.DeepEqual(points, back) {
 		t.Fatalf("%v: %v", err, back)
 	}
+	slices.Reverse(back[2:6])
 	lines := Lines(back, false)
+	if !slices.IsSorted(lines[0].At) {
+		t.Errorf("%v", lines[0].At)
+	}
 	if len(lines) != 2 || math.Abs(lines[0].Slope-0.01) > 1e-9 || math.Abs(lines[0].Value(19_000)-192) > 1e-6 || lines[0].Worst() > 1e-9 ||
 		lines[1].Slope != 0 || lines[1].R2 != 1 {
 		t.Errorf("%+v", lines)
