--- /dev/null
+++ b/internal/net/fellows/bench_test.go
@@ -0,0 +1,323 @@
+package fellows
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/rpc/jsonrpc"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"github.com/thistlerudder/thistlerudder/budget"
+	"github.com/thistlerudder/thistlerudder/lease"
+)
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// headers is what IP and TCP add to a segment: 20 bytes each, and 12 for timestamps.
+const headers = 52
+
+// sent tells what the kernel sent and received on a connection: segments with their headers.
+func sent(b *testing.B, c net.Conn) (out, in float64) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		b.Fatal(err)
+	}
+	var info *unix.TCPInfo
+	if other := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); other != nil || err != nil {
+		b.Fatal(other, err)
+	}
+	return float64(info.Bytes_sent) + headers*float64(info.Segs_out), float64(info.Bytes_received) + headers*float64(info.Segs_in)
+}
+
+// claimant is one node's connection to the leader of a fleet of three voters, and the lease of its name.
+func claimant(b *testing.B) (c *Client, conn net.Conn, a lease.Ask) {
+	all := fleetOf(b, 3)
+	nodes := founded(b, all)
+	eventually(b, "no leader", func() bool { s, err := nodes[0].client.Status(); return err == nil && len(s.Leases) == 3 })
+	s, err := nodes[0].client.Status()
+	if err != nil {
+		b.Fatal(err)
+	}
+	c = NewClient(all[0], zap.NewNop())
+	if conn, err = c.dial(s.At, forAsks, "", time.Second); err != nil {
+		b.Fatal(err)
+	}
+	c.conn, c.at = jsonrpc.NewClient(conn), s.At
+	b.Cleanup(c.Close)
+	h := lease.Holder{Name: "edge-r07-z21-00042", Process: 4242, Start: begun.UnixMilli()*1000 + 1}
+	x, err := c.ask(lease.Ask{Kind: lease.Acquire, Name: session(h.Name), Holder: h})
+	if err != nil || x.Err != nil {
+		b.Fatal(err, x.Err)
+	}
+	return c, conn, lease.Ask{Kind: lease.Renew, Name: session(h.Name), Holder: h, Token: x.Token}
+}
+
+// weigh repeats a call, and tells its bytes on the wire, headers included.
+func weigh(b *testing.B, conn net.Conn, call func() error) {
+	if err := call(); err != nil {
+		b.Fatal(err)
+	}
+	out, in := sent(b, conn)
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := call(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	moreOut, moreIn := sent(b, conn)
+	b.ReportMetric((moreOut-out)/float64(b.N), "out-B/op")
+	b.ReportMetric((moreIn-in)/float64(b.N), "in-B/op")
+}
+
+// BenchmarkARenewal is one node's renewal on the wire.
+func BenchmarkARenewal(b *testing.B) {
+	c, conn, a := claimant(b)
+	weigh(b, conn, func() error {
+		x, err := c.ask(a)
+		if err == nil {
+			err = x.Err
+		}
+		return err
+	})
+}
+
+// BenchmarkAWait is one asking for a task that another holds: answered in vain.
+func BenchmarkAWait(b *testing.B) {
+	c, conn, a := claimant(b)
+	if x, err := c.ask(lease.Ask{Kind: lease.Acquire, Name: "probe", Holder: a.Holder}); err != nil || x.Err != nil {
+		b.Fatal(err, x.Err)
+	}
+	other := lease.Holder{Name: "edge-r07-z21-00043", Process: 4243, Start: a.Holder.Start}
+	weigh(b, conn, func() error {
+		_, err := c.ask(lease.Ask{Kind: lease.Acquire, Name: "probe", Holder: other})
+		return err
+	})
+}
+
+// BenchmarkAReport tells the leader of so many resting servers, and hears of their trials.
+func BenchmarkAReport(b *testing.B) {
+	for _, resting := range []int{1, 10, 70, 248, 1000} {
+		b.Run(fmt.Sprint("resting=", resting), func(b *testing.B) {
+			c, conn, _ := claimant(b)
+			r := &Resting{map[string]string{}}
+			for i := range resting {
+				r.Servers[fmt.Sprintf("cache-07-21-%05d", i)] = fmt.Sprintf("10.0.%d.%d:8080", i>>8, i&255)
+			}
+			var due []lease.Trial
+			token := uint64(1 << 40)
+			if err := c.plainly("Fleet.Rest", r, &[]lease.News{}); err != nil {
+				b.Fatal(err)
+			}
+			if err := c.plainly("Fleet.Due", &token, &due); err != nil {
+				b.Fatal(err)
+			}
+			for _, t := range due {
+				if err := c.plainly("Fleet.Result", &Outcome{token, t.ID, false}, &struct{}{}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			weigh(b, conn, func() error {
+				var news []lease.News
+				err := c.plainly("Fleet.Rest", r, &news)
+				if err == nil && len(news) != resting {
+					err = fmt.Errorf("news of %d of %d", len(news), resting)
+				}
+				return err
+			})
+		})
+	}
+}
+
+// BenchmarkAnAsking is one asking for parts of so many budgets: in vain, and with news of all.
+func BenchmarkAnAsking(b *testing.B) {
+	for _, news := range []bool{false, true} {
+		for _, budgets := range []int{1, 2, 4, 8} {
+			b.Run(fmt.Sprintf("news=%v/budgets=%d", news, budgets), func(b *testing.B) {
+				c, conn, a := claimant(b)
+				ask := budget.Ask{Lease: a.Name, Token: a.Token, Weight: 1, Wait: lease.Time(200 * lease.Millisecond), Declares: map[string]lease.Terms{}}
+				for i := range budgets {
+					name := fmt.Sprint("origin-rate-", i)
+					ask.Declares[name] = lease.Terms{Kind: lease.RateKind, Bounds: "origin", Units: 4000, Each: 2.5, Apart: 1, Nodes: 300}
+					ask.Holds = append(ask.Holds, budget.Hold{Budget: name, Want: 3, Keep: -1})
+				}
+				var x Parted
+				eventually(b, "no parts", func() bool {
+					x = Parted{}
+					if err := c.plainlyWithin("Fleet.Part", &ask, &x, time.Second); err != nil {
+						b.Fatal(err)
+					}
+					for _, n := range x.News {
+						for i := range ask.Holds {
+							if h := &ask.Holds[i]; h.Budget == n.Budget {
+								h.Token, h.Units, h.Keep, h.Revision = n.Part.Token, n.Part.Units, n.Keep, n.Terms.Revision
+							}
+						}
+					}
+					done := len(x.News) == 0
+					for _, h := range ask.Holds {
+						done = done && h.Token > 0
+					}
+					return done
+				})
+				if ask.Declares, ask.Wait = nil, 0; news {
+					for i := range ask.Holds {
+						ask.Holds[i].Token = 1 // an earlier one
+					}
+				}
+				weigh(b, conn, func() error {
+					x = Parted{}
+					err := c.plainlyWithin("Fleet.Part", &ask, &x, time.Second)
+					if err == nil && news != (len(x.News) == budgets) {
+						err = fmt.Errorf("%d news", len(x.News))
+					}
+					return err
+				})
+			})
+		}
+	}
+}
+
+// relay passes connections on to an address, and counts bytes both ways, without headers.
+func relay(b *testing.B, to string) (at string, t *traffic) {
+	t = new(traffic)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	b.Cleanup(func() { stop(); _ = l.Close() })
+	pass := func(from, into net.Conn) {
+		defer into.Close()
+		_, _ = io.Copy(counted{into, t}, from)
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				o, err := net.Dial("tcp", to)
+				if err != nil {
+					_ = c.Close()
+					return
+				}
+				context.AfterFunc(ctx, func() { _ = c.Close(); _ = o.Close() })
+				go pass(c, o)
+				pass(o, c)
+			}()
+		}
+	}()
+	return l.Addr().String(), t
+}
+
+// traffic counts what a relay has passed on. A write is a message or a few that came together.
+type traffic struct{ bytes, writes atomic.Int64 }
+
+type counted struct {
+	io.Writer
+	*traffic
+}
+
+func (c counted) Write(p []byte) (int, error) {
+	n, err := c.Writer.Write(p)
+	c.bytes.Add(int64(n))
+	c.writes.Add(1)
+	return n, err
+}
+
+// BenchmarkPeace is a second of three voters that agree on nothing, in one process with leases of 3 s: what heartbeats and
+// renewals of their own names take, and their processor time. Bytes go through relays, whose processor time is in it.
+func BenchmarkPeace(b *testing.B) {
+	all := fleetOf(b, 3)
+	var relays []*traffic
+	routes := map[string]string{}
+	for _, f := range all {
+		at, n := relay(b, f.Address)
+		routes[f.Address] = at
+		relays = append(relays, n)
+	}
+	for _, f := range all {
+		f.Lease, f.Delay, f.Routes = 3*time.Second, 50*time.Millisecond, routes
+	}
+	nodes := founded(b, all)
+	eventually(b, "no leader", func() bool { s, err := nodes[0].client.Status(); return err == nil && len(s.Leases) == 3 })
+	sum := func() (bytes, writes int64) {
+		for _, x := range relays {
+			bytes, writes = bytes+x.bytes.Load(), writes+x.writes.Load()
+		}
+		return bytes, writes
+	}
+	bytes, writes := sum()
+	used := processorTime()
+	began := time.Now()
+	for b.Loop() {
+		time.Sleep(time.Second)
+	}
+	span := time.Since(began).Seconds()
+	bytesNow, writesNow := sum()
+	b.ReportMetric(float64(bytesNow-bytes)/span, "B/s")
+	b.ReportMetric(float64(writesNow-writes)/span, "writes/s")
+	b.ReportMetric(100*(processorTime()-used).Seconds()/span, "%core")
+}
+
+// BenchmarkHolders renews so many leases of 3 s at the rate at which their holders would, once a second each, and tells the
+// processor time of holders and voters together, and how late the last renewals were.
+func BenchmarkHolders(b *testing.B) {
+	for _, holders := range []int{50, 100, 200, 400, 800} {
+		b.Run(fmt.Sprint("holders=", holders), func(b *testing.B) {
+			all := fleetOf(b, 3)
+			for _, f := range all {
+				f.Lease, f.Delay = 3*time.Second, 50*time.Millisecond
+			}
+			nodes := founded(b, all)
+			eventually(b, "no leader", func() bool { s, err := nodes[0].client.Status(); return err == nil && len(s.Leases) == 3 })
+			ctx, stop := context.WithCancel(b.Context())
+			var held sync.WaitGroup
+			var lost atomic.Int64
+			var keeping sync.WaitGroup
+			for i := range holders {
+				f := *all[0]
+				f.Node, f.Folder = fmt.Sprintf("edge-%05d", i), ""
+				c := NewClient(&f, zap.NewNop())
+				held.Add(1)
+				first := sync.OnceFunc(held.Done)
+				keeping.Go(func() {
+					defer c.Close()
+					c.Keep(ctx, session(f.Node), func(holds context.Context, _ *Grip) bool {
+						first()
+						<-holds.Done()
+						if ctx.Err() == nil {
+							lost.Add(1)
+						}
+						return true
+					})
+				})
+			}
+			held.Wait()
+			time.Sleep(time.Second)
+			used := processorTime()
+			began := time.Now()
+			for b.Loop() {
+				time.Sleep(time.Second)
+			}
+			span := time.Since(began).Seconds()
+			b.ReportMetric(100*(processorTime()-used).Seconds()/span, "%core")
+			b.ReportMetric(float64(lost.Load()), "lost")
+			stop()
+			keeping.Wait()
+		})
+	}
+}
--- /dev/null
+++ b/internal/terms/bench_test.go
@@ -0,0 +1,52 @@
+package terms
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// BenchmarkRead reads a node's file of so many kilobytes anew, as at each SIGHUP: mostly partners, as in a file that grows.
+func BenchmarkRead(b *testing.B) {
+	for _, size := range []int{1, 10, 25, 50, 100} {
+		b.Run(fmt.Sprint("KB=", size), func(b *testing.B) {
+			var all map[string]any
+			if err := json.Unmarshal([]byte(paper), &all); err != nil {
+				b.Fatal(err)
+			}
+			settings := all["settings"].(map[string]any)
+			var file []byte
+			for partners := []any(nil); len(file) < size*1000; {
+				for range max(1, (size*1000-len(file))/60) {
+					partners = append(partners, map[string]any{"name": fmt.Sprintf("customer-%05d", len(partners)), "quota-rps": 218.5, "plan": "b"})
+				}
+				settings["tenants"] = partners
+				var err error
+				if file, err = json.Marshal(all); err != nil {
+					b.Fatal(err)
+				}
+			}
+			path := filepath.Join(b.TempDir(), "config.json")
+			if err := os.WriteFile(path, file, 0o600); err != nil {
+				b.Fatal(err)
+			}
+			s, err := Read(path)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				next, err := s.Again()
+				if err != nil {
+					b.Fatal(err)
+				}
+				if keys := s.Fixed(next); len(keys) > 0 {
+					b.Fatal(keys)
+				}
+			}
+			b.ReportMetric(float64(len(file)), "file-B")
+		})
+	}
+}
