Model how changes reach every node: by revision, pulled through relays, with a bound on age

Package changes decides it without I/O: Log is what a relay or the leader keeps and answers from, Follower a child's side, Pack how changes stand in a message. Nothing calls it; wiring is not begun.

--- /dev/null
+++ b/changes/changes_test.go
@@ -0,0 +1,310 @@
+package changes
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"maps"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/thistlerudder/thistlerudder/lease"
+)
+
+// desk is a follower's host: it keeps what it was told.
+type desk struct {
+	parents []int
+	ask     Ask
+	applied []Change
+	missed  [][3]uint64
+	wakeAt  Time
+}
+
+func (d *desk) Ask(parent int, a Ask)        { d.parents, d.ask = append(d.parents, parent), a }
+func (d *desk) Apply(c Change)               { d.applied = append(d.applied, c) }
+func (d *desk) Replace()                     {}
+func (d *desk) Missed(e, after, upTo uint64) { d.missed = append(d.missed, [3]uint64{e, after, upTo}) }
+func (d *desk) Wake(at Time)                 { d.wakeAt = at }
+func (d *desk) next(f *Follower) (now Time)  { f.Alarm(d.wakeAt); return d.wakeAt }
+func (d *desk) last() int                    { return d.parents[len(d.parents)-1] }
+func event(revision uint64, key string) Change {
+	return Change{Revision: revision, Topic: "purge", Key: key, Event: true}
+}
+func value(revision uint64, key, v string) Change {
+	return Change{Revision: revision, Topic: "configuration", Key: key, Value: []byte(v)}
+}
+
+var usualTerms = Terms{Parents: 5, Home: 2, Every: 250 * lease.Millisecond, Again: 100 * lease.Millisecond, Stale: 4700 * lease.Millisecond, Most: 6600}
+
+// sourceOf has these changes, in an epoch.
+func sourceOf(t testing.TB, epoch uint64, ring int, all ...Change) *Log {
+	t.Helper()
+	l := NewLog(ring)
+	l.Found(epoch)
+	for i, c := range all {
+		c.Revision = uint64(i + 1)
+		if err := l.Add(c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return l
+}
+
+// meet lets a child ask a log until it is told nothing new, and gives how often it asked.
+func (d *desk) meet(t testing.TB, f *Follower, l *Log) (asked int) {
+	t.Helper()
+	for {
+		now := d.next(f)
+		asked++
+		was, staged := f.Place(), f.staged != nil
+		x, taken := l.Answer(d.ask, 0), 0
+		for _, c := range x.Changes {
+			taken += size(c)
+		}
+		if len(x.Changes) > 1 && taken > d.ask.Most {
+			t.Fatalf("%d bytes of changes at once, %d at the most", taken, d.ask.Most)
+		}
+		if err := f.Answered(now, d.ask.ID, x); err != nil {
+			t.Fatal(err)
+		}
+		if f.Place() == was && !staged && f.staged == nil || asked > 1000 {
+			return asked
+		}
+	}
+}
+
+// Two that differ under one revision, as after a fleet was founded twice from one token: a child of the one that comes to the
+// other finds out, has that one's state, and is told that it may have missed any event. Without the chain it never has it.
+func TestTwoThatDifferUnderOneRevision(t *testing.T) {
+	for _, u := range []Unsafe{{}, {Chain: true}} {
+		one := sourceOf(t, 7, 1<<10, value(0, "a", "1"), value(0, "b", "2"), event(0, "x"))
+		other := sourceOf(t, 7, 1<<10, value(0, "a", "1"), value(0, "b", "9"), event(0, "y"), event(0, "z"))
+		one.unsafe, other.unsafe = u, u
+		d := &desk{}
+		f := NewFollower(d, 0, usualTerms, nil, u)
+		d.meet(t, f, one)
+		if f.Place() != one.Place() {
+			t.Fatalf("at %+v, want %+v", f.Place(), one.Place())
+		}
+		d.missed = nil
+		d.meet(t, f, other)
+		right := reflect.DeepEqual(f.State(), other.State())
+		if want := [][3]uint64{{7, 0, 4}}; !u.Chain && (!right || f.Place() != other.Place() || !reflect.DeepEqual(d.missed, want)) {
+			t.Errorf("at %+v with %v, missed %v; want %+v with %v, missed %v", f.Place(), f.State(), d.missed, other.Place(), other.State(), want)
+		}
+		if u.Chain && right {
+			t.Error("the chain is of no use")
+		}
+	}
+}
+
+// What can't be is refused by name; place, state and what others would be told stay as they were, and the next parent is asked.
+func TestGarbageChangesNothing(t *testing.T) {
+	l := sourceOf(t, 7, 1<<10, value(0, "a", "1"), value(0, "b", "2"), event(0, "x"))
+	for what, spoil := range map[string]func(x *Answer){
+		"the first change is missing":  func(x *Answer) { x.Changes = x.Changes[1:] },
+		"the last change is missing":   func(x *Answer) { x.Changes = x.Changes[:1] },
+		"a change differs":             func(x *Answer) { x.Changes[1].Key = "other" },
+		"a change comes twice":         func(x *Answer) { x.Changes = append(x.Changes, x.Changes[1]) },
+		"of another place":             func(x *Answer) { x.From-- },
+		"of another epoch":             func(x *Answer) { x.Epoch++ },
+		"another chain":                func(x *Answer) { x.Chain++ },
+		"no topic":                     func(x *Answer) { x.Changes[0].Topic = "" },
+		"a value over its bound":       func(x *Answer) { x.Changes[0].Value = make([]byte, valueMost+1) },
+		"an age below nothing":         func(x *Answer) { x.Age = -1 },
+		"state of an earlier epoch":    func(x *Answer) { x.Buckets, x.Epoch, x.Settled = map[int][]Change{}, 6, true },
+		"state of an earlier revision": func(x *Answer) { x.Buckets, x.Revision, x.Settled = map[int][]Change{}, 2, true },
+		"a key in another's bucket": func(x *Answer) {
+			x.Buckets = map[int][]Change{bucketOf(keyOf(value(0, "a", ""))) ^ 1: {value(1, "a", "1")}}
+		},
+		"an event as state":                func(x *Answer) { x.Buckets = map[int][]Change{bucketOf(keyOf(event(0, "x"))): {event(1, "x")}} },
+		"a ring that doesn't lead there":   func(x *Answer) { x.Buckets, x.Ring = map[int][]Change{}, []Change{event(1, "x")} },
+		"below the floor, and yet changes": func(x *Answer) { x.Below = true },
+	} {
+		d := &desk{}
+		f := NewFollower(d, 0, usualTerms, nil, Unsafe{})
+		d.meet(t, f, l)
+		more := l.clone()
+		for i, c := range []Change{event(0, "y"), value(0, "a", "3")} {
+			c.Revision = uint64(4 + i)
+			if err := more.Add(c); err != nil {
+				t.Fatal(err)
+			}
+		}
+		now := d.next(f)
+		x := more.Answer(d.ask, 0)
+		if x.Changes = append([]Change(nil), x.Changes...); len(x.Changes) != 2 {
+			t.Fatal(x)
+		}
+		spoil(&x)
+		place, state, told, parent := f.Place(), maps.Clone(f.State()), len(d.applied), d.last()
+		age, _ := f.Age(now)
+		err := f.Answered(now, d.ask.ID, x)
+		if !errors.Is(err, ErrForm) && !errors.Is(err, ErrEpoch) {
+			t.Errorf("%s: %v", what, err)
+		}
+		after, _ := f.Age(now)
+		if f.Place() != place || !reflect.DeepEqual(f.State(), state) || len(d.applied) != told || age != after || f.staged != nil {
+			t.Errorf("%s: from %+v to %+v, state %v, %d told, age %d to %d", what, place, f.Place(), f.State(), len(d.applied)-told, age, after)
+		}
+		if d.next(f); d.last() == parent {
+			t.Errorf("%s: the same parent is asked again", what)
+		}
+		d.meet(t, f, more)
+		if f.Place() != more.Place() {
+			t.Errorf("%s: at %+v afterwards, want %+v", what, f.Place(), more.Place())
+		}
+	}
+}
+
+// A child far behind takes as much as it says at a time, from its own place; what it takes holds up no sibling and drops nothing.
+func TestASlowChild(t *testing.T) {
+	l := sourceOf(t, 7, 1<<20)
+	slow, quick := &desk{}, &desk{}
+	terms := usualTerms
+	terms.Most = 1000
+	s, q := NewFollower(slow, 0, terms, nil, Unsafe{}), NewFollower(quick, 0, usualTerms, nil, Unsafe{})
+	slow.meet(t, s, l)
+	quick.meet(t, q, l)
+	const many = 2000
+	each := size(event(1, fmt.Sprintf("%016d", 0)))
+	for i := range many {
+		if err := l.Add(event(uint64(i+1), fmt.Sprintf("%016d", i))); err != nil {
+			t.Fatal(err)
+		}
+		if i%500 == 499 {
+			if asked, want := quick.meet(t, q, l), 500/(usualTerms.Most/each)+2; asked > want {
+				t.Errorf("the quick one asked %d times for 500, want %d", asked, want)
+			}
+		}
+	}
+	if asked, want := slow.meet(t, s, l), many/(terms.Most/each)+2; asked > want {
+		t.Errorf("the slow one asked %d times, want %d", asked, want)
+	}
+	for _, d := range []*desk{slow, quick} {
+		for i, c := range d.applied {
+			if c.Revision != uint64(i+1) || len(d.applied) != many {
+				t.Fatalf("change %d of %d is %d", i, len(d.applied), c.Revision)
+			}
+		}
+	}
+}
+
+// Who comes back from before the ring has the state that differs, bucket by bucket, in one step, and is told what it missed.
+func TestBackAfterDays(t *testing.T) {
+	l := sourceOf(t, 7, 200)
+	add := func(c Change) {
+		c.Revision = l.Place().Revision + 1
+		if err := l.Add(c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 400 {
+		add(value(0, fmt.Sprint("key-", i), fmt.Sprint(i)))
+	}
+	saved := Saved{l.Place(), maps.Clone(l.State())}
+	for i := range 300 {
+		add(event(0, fmt.Sprint(i)))
+	}
+	add(value(0, "key-7", "other"))
+	add(Change{Topic: "configuration", Key: "key-8", Gone: true})
+	d := &desk{}
+	f := NewFollower(d, 0, usualTerms, &saved, Unsafe{})
+	now := d.next(f)
+	x := l.Answer(d.ask, 0)
+	if !x.Below {
+		t.Fatalf("%+v", x)
+	}
+	_ = f.Answered(now, d.ask.ID, x)
+	now = d.next(f)
+	if x = l.Answer(d.ask, 0); !x.Settled || len(x.Buckets) != 2 {
+		t.Errorf("%d buckets, want the two that differ", len(x.Buckets))
+	}
+	_ = f.Answered(now, d.ask.ID, x)
+	if want := [][3]uint64{{7, 400, 702}}; f.Place() != l.Place() || !reflect.DeepEqual(f.State(), l.State()) || !reflect.DeepEqual(d.missed, want) {
+		t.Errorf("at %+v, missed %v; want %+v, %v", f.Place(), d.missed, l.Place(), want)
+	}
+	if _, known := f.Age(now); !known {
+		t.Error("no age")
+	}
+}
+
+// Its own region's relays come first, in turn; then others; and after ten seconds there it looks for its own again.
+func TestParentsInTurn(t *testing.T) {
+	l := sourceOf(t, 7, 200, event(0, "x"))
+	d := &desk{}
+	f := NewFollower(d, 0, usualTerms, nil, Unsafe{})
+	alive := map[int]bool{3: true}
+	var began Time
+	for now := d.next(f); now < 30_000*lease.Millisecond; now = d.next(f) {
+		if alive[d.last()] {
+			if began == 0 {
+				began = now
+			}
+			_ = f.Answered(now, d.ask.ID, l.Answer(d.ask, 0))
+		} else {
+			f.Unanswered(now, d.ask.ID)
+		}
+	}
+	if fmt.Sprint(d.parents[:4]) != "[0 1 2 3]" || began > 2000*lease.Millisecond {
+		t.Errorf("%v, the first answer after %d ms", d.parents[:4], began/lease.Millisecond)
+	}
+	home := 0
+	for _, p := range d.parents[4:] {
+		if p == 0 {
+			home++
+		}
+	}
+	if home != 2 {
+		t.Errorf("it looked for its own %d times in 30 s, want 2: %v", home, d.parents)
+	}
+	alive = map[int]bool{}
+	all := len(d.parents)
+	for now := d.next(f); now < 60_000*lease.Millisecond; now = d.next(f) {
+		f.Unanswered(now, d.ask.ID)
+	}
+	if asked := len(d.parents) - all; asked > 40 {
+		t.Errorf("%d askings in 30 s where nobody answers", asked)
+	}
+}
+
+func changes(t *rapid.T) (all []Change) {
+	for i := range rapid.IntRange(0, 20).Draw(t, "many") {
+		c := Change{Revision: uint64(i + rapid.SampledFrom([]int{1, 1, 1, 7}).Draw(t, "revision")), Topic: rapid.StringMatching(`[a-c]{1,3}`).Draw(t, "topic"),
+			Key: rapid.StringN(0, 40, nameMost).Draw(t, "key"), Event: rapid.Bool().Draw(t, "event")}
+		if v := rapid.SliceOfN(rapid.Byte(), 0, 50).Draw(t, "value"); len(v) > 0 {
+			c.Value = v
+		}
+		if !c.Event && c.Value == nil {
+			c.Gone = rapid.Bool().Draw(t, "gone")
+		}
+		all = append(all, c)
+	}
+	return all
+}
+
+// What is packed is read as it was; what is cut short or has a byte changed is read otherwise or refused by name, never more.
+func TestPackedIsReadAsItWas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := changes(t)
+		b := Pack(all)
+		got, err := Unpack(b)
+		if err != nil || !reflect.DeepEqual(got, all) {
+			t.Fatalf("%v %v, want %v", got, err, all)
+		}
+		if again := Pack(got); !bytes.Equal(again, b) {
+			t.Fatalf("%x, want %x", again, b)
+		}
+		cut := rapid.IntRange(0, len(b)).Draw(t, "cut")
+		if got, err := Unpack(b[:cut]); err == nil && len(got) > len(all) || err != nil && !errors.Is(err, ErrForm) {
+			t.Fatalf("cut at %d: %d changes, %v", cut, len(got), err)
+		}
+		at := rapid.IntRange(0, len(b)-1).Draw(t, "at")
+		b[at] ^= byte(rapid.IntRange(1, 255).Draw(t, "by"))
+		if _, err := Unpack(b); err != nil && !errors.Is(err, ErrForm) {
+			t.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/changes/explore_test.go
@@ -0,0 +1,162 @@
+package changes
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+)
+
+const statesMost = 400_000 // far beyond what the bounds below reach: an exploration that stops there is none of all histories
+
+// explore plays all that can happen within the bounds, and gives the first history that breaks a rule.
+func explore(u Unsafe, before []move, b bounds) (states int, history []move, fault string) {
+	type node struct {
+		w    *world
+		from int
+		by   move
+	}
+	w := newWorld(u, ringSmall, 1, bounds{steps: 99, agrees: 99, deposed: 9})
+	for _, m := range before {
+		w.play(m)
+	}
+	w.left = b
+	all, seen, h := []node{{w: w, from: -1}}, map[uint64]bool{}, xxhash.New()
+	for at := 0; at < len(all) && at < statesMost; at++ {
+		now := all[at].w
+		for _, m := range now.moves() {
+			next := now.clone()
+			next.play(m)
+			if next.fault != "" {
+				for history = []move{m}; all[at].from >= 0; at = all[at].from {
+					history = append([]move{all[at].by}, history...)
+				}
+				return len(seen), history, next.fault
+			}
+			if p := next.print(h); !seen[p] {
+				seen[p] = true
+				all = append(all, node{next, at, m})
+			}
+		}
+		all[at].w = nil // its children are made
+	}
+	return len(seen), nil, ""
+}
+
+const ringSmall = 45 // bytes: two changes
+
+var usual = []string{"tick", "agree", "hear", "tell"}
+
+// walk plays a history of chance, with more of everything than can be explored.
+func walk(u Unsafe, seed uint64, moves int) (w *world, history []move) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	w = newWorld(u, []int{0, ringSmall, 90, 1000}[rnd.IntN(4)], 1+rnd.IntN(2),
+		bounds{steps: 1 << 20, agrees: 60, lost: 20, late: 20, deposed: 4, founded: 2, restarts: 6, garbled: 6})
+	switch rnd.IntN(4) {
+	case 0: // nothing fails
+		w.left = bounds{steps: 1 << 20, agrees: 60}
+	case 1: // relays and nodes start again and again
+		w.left = bounds{steps: 1 << 20, agrees: 60, restarts: 40}
+	}
+	for range moves {
+		all := w.moves()
+		m := all[rnd.IntN(len(all))]
+		for faults, agrees := rnd.IntN(12) == 0, rnd.IntN(4) == 0; !faults && !slices.Contains(usual, m.what) || !agrees && m.what == "agree"; {
+			m = all[rnd.IntN(len(all))] // faults and changes are spread over the whole history
+		}
+		w.play(m)
+		if history = append(history, m); w.fault != "" {
+			break
+		}
+	}
+	return w, history
+}
+
+func TestHistoriesOfChance(t *testing.T) {
+	told, missed, runs := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		w, history := walk(Unsafe{}, rapid.Uint64().Draw(t, "seed"), 400)
+		if w.fault != "" {
+			t.Fatalf("%s after %v", w.fault, history)
+		}
+		runs++
+		told, missed = told+w.events, missed+w.gaps
+	})
+	t.Logf("%d histories, %d events told, %d gaps told", runs, told, missed)
+	if told < 3*runs || missed < runs {
+		t.Errorf("%d events told, %d gaps in %d histories: they show nothing", told, missed, runs)
+	}
+}
+
+var safeguards = map[string]Unsafe{"garbled": {Garbled: true}, "epoch": {Epoch: true}, "missed": {Missed: true}, "count-from-answer": {Answer: true},
+	"parent's age": {Parent: true}, "partial": {Partial: true}, "late": {Late: true}, "torn": {Torn: true}, "ring": {Ring: true}, "drift": {Drift: true}}
+
+// With any one safeguard taken out some history breaks a rule: otherwise the histories above prove nothing.
+func TestEachSafeguardIsNeeded(t *testing.T) {
+	for without, u := range safeguards {
+		t.Run(without, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(5_000) {
+				if w, history := walk(u, seed, 400); w.fault != "" {
+					t.Log(fmt.Sprintf("seed %d, %d moves: %s", seed, len(history), w.fault))
+					return
+				}
+			}
+			t.Error("no history breaks a rule without it")
+		})
+	}
+}
+
+// The same with a safeguard taken out, where such short histories can show it.
+func TestSmallHistoriesShowWhatIsMissing(t *testing.T) {
+	for without, b := range map[string]bounds{"garbled": {steps: 1, agrees: 2, garbled: 1}, "count-from-answer": {steps: 2, agrees: 1},
+		"parent's age": {steps: 3, agrees: 1, deposed: 1}, "partial": {steps: 2, agrees: 2}, "late": {steps: 3, agrees: 1, late: 1},
+		"missed": {steps: 3, agrees: 1, restarts: 1}, "torn": {steps: 3, agrees: 1, restarts: 1}, "drift": {steps: 3, agrees: 1}} {
+		t.Run(without, func(t *testing.T) {
+			t.Parallel()
+			states, history, fault := explore(safeguards[without], followed(3), b)
+			if t.Logf("%d states; %s after %v", states, fault, history); fault == "" {
+				t.Error("none of them shows it")
+			}
+		})
+	}
+}
+
+// followed brings the children to where they follow, a few changes in.
+func followed(agrees int) (all []move) {
+	pass := func() {
+		all = append(all, move{what: "tick"})
+		for range 1 + relays { // whatever is on its way arrives, the first asked first
+			all = append(all, move{what: "hear"}, move{what: "tell"})
+		}
+	}
+	pass()
+	pass()
+	for range agrees {
+		all = append(all, move{what: "agree"})
+		pass()
+		pass()
+	}
+	return all
+}
+
+// All histories of a small fleet within bounds, from where its node follows: two relays, a node, a ring of two changes.
+func TestAllSmallHistories(t *testing.T) {
+	for _, b := range []bounds{{steps: 3, agrees: 1}, {steps: 2, agrees: 2, late: 1}, {steps: 2, agrees: 1, deposed: 1}, {steps: 2, agrees: 1, founded: 1},
+		{steps: 2, agrees: 2, restarts: 1}, {steps: 2, agrees: 2, lost: 1, garbled: 1}} {
+		t.Run(fmt.Sprintf("%+v", b), func(t *testing.T) {
+			if testing.Short() {
+				t.Skip("too many for the race detector")
+			}
+			t.Parallel()
+			states, history, fault := explore(Unsafe{}, followed(3), b)
+			t.Log(states, "states")
+			if fault != "" || states >= statesMost {
+				t.Errorf("%d states; %s after %v", states, fault, history)
+			}
+		})
+	}
+}
