--- a/budget/bench_test.go
+++ b/budget/bench_test.go
@@ -105,7 +105,7 @@
 // BenchmarkAskings is a leader's second in steady demand by parts: each node asks once a second, waits in vain, and asks
 // again. One op is one node's asking and the alarm at its end. The leader's share of a core is nodes times that.
 func BenchmarkAskings(b *testing.B) {
-	for _, nodes := range []int{100, 232, 500, 1000, 2000, 4000} {
+	for _, nodes := range []int{100, 232, 500, 1000, 2000, 4090} {
 		b.Run(fmt.Sprint("nodes=", nodes), func(b *testing.B) {
 			var before, after runtime.MemStats
 			runtime.GC()
@@ -145,7 +145,7 @@
 // BenchmarkDivisions is what one entry of the log costs the leader: a node wants another part, the budget is divided, and
 // all nodes that wait are looked at for news.
 func BenchmarkDivisions(b *testing.B) {
-	for _, nodes := range []int{100, 232, 500, 1000, 2000, 4000} {
+	for _, nodes := range []int{100, 232, 500, 1000, 2000, 4090} {
 		b.Run(fmt.Sprint("nodes=", nodes), func(b *testing.B) {
 			c := newCrowd(nodes, 2)
 			for _, m := range c.d.members {
--- a/internal/net/fellows/bench_test.go
+++ b/internal/net/fellows/bench_test.go
@@ -276,7 +276,7 @@
 // BenchmarkHolders renews so many leases of 3 s at the rate at which their holders would, once a second each, and tells the
 // processor time of holders and voters together, and how late the last renewals were.
 func BenchmarkHolders(b *testing.B) {
-	for _, holders := range []int{50, 100, 200, 400, 800} {
+	for _, holders := range []int{50, 100, 200, 400, 800, 900, 1000} {
 		b.Run(fmt.Sprint("holders=", holders), func(b *testing.B) {
 			all := fleetOf(b, 3)
 			for _, f := range all {
--- a/lease/bench_test.go
+++ b/lease/bench_test.go
@@ -33,7 +33,7 @@
 	return d, all
 }
 
-var holderCounts = []int{100, 232, 500, 1000, 2000, 4000} // up to namesMost
+var holderCounts = []int{100, 232, 500, 1000, 2000, 4090} // up to namesMost
 
 // BenchmarkRenewal is what one renewal costs the leader's memory, without wire and voters: alone in its round to a majority,
 // and with fifteen others. The leader's share of a core is holders times that, at a renewal a second each.
