Measure that a stall of a third of a lease costs leases from 512 nodes on

Seen: stopped for 1 s, 100 to 500 holders lose none and 600 or 800 lose most. Ruled out: too little processor time (11% of a core at 800). Cause: calls that are given up turn to another voter, and Client.drop keeps the old connection for half a lease (fellows/client.go), so that each node has two; from 512 on that is linesMost (wire.go), and who comes next is closed unread.

--- a/internal/net/fellows/bench_test.go
+++ b/internal/net/fellows/bench_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/rpc/jsonrpc"
+	"os"
+	"os/exec"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -273,41 +275,47 @@
 	b.ReportMetric(100*(processorTime()-used).Seconds()/span, "%core")
 }
 
-// BenchmarkHolders renews so many leases of 3 s at the rate at which their holders would, once a second each, and tells the
-// processor time of holders and voters together, and how late the last renewals were.
+// keepers hold so many leases of 3 s, each over a connection of its own, and count what is lost.
+func keepers(b *testing.B, holders int) (lost *atomic.Int64) {
+	all := fleetOf(b, 3)
+	for _, f := range all {
+		f.Lease, f.Delay = 3*time.Second, 50*time.Millisecond
+	}
+	nodes := founded(b, all)
+	eventually(b, "no leader", func() bool { s, err := nodes[0].client.Status(); return err == nil && len(s.Leases) == 3 })
+	ctx, stop := context.WithCancel(context.Background())
+	lost = new(atomic.Int64)
+	var held, keeping sync.WaitGroup
+	b.Cleanup(func() { stop(); keeping.Wait() })
+	for i := range holders {
+		f := *all[0]
+		f.Node, f.Folder = fmt.Sprintf("edge-%05d", i), ""
+		c := NewClient(&f, zap.NewNop())
+		held.Add(1)
+		first := sync.OnceFunc(held.Done)
+		keeping.Go(func() {
+			defer c.Close()
+			c.Keep(ctx, session(f.Node), func(holds context.Context, _ *Grip) bool {
+				first()
+				<-holds.Done()
+				if ctx.Err() == nil {
+					lost.Add(1)
+				}
+				return true
+			})
+		})
+	}
+	held.Wait()
+	time.Sleep(time.Second)
+	return lost
+}
+
+// BenchmarkHolders renews so many leases at the rate at which their holders do, once a second each, and tells the processor
+// time of holders and voters together.
 func BenchmarkHolders(b *testing.B) {
 	for _, holders := range []int{50, 100, 200, 400, 800, 900, 1000} {
 		b.Run(fmt.Sprint("holders=", holders), func(b *testing.B) {
-			all := fleetOf(b, 3)
-			for _, f := range all {
-				f.Lease, f.Delay = 3*time.Second, 50*time.Millisecond
-			}
-			nodes := founded(b, all)
-			eventually(b, "no leader", func() bool { s, err := nodes[0].client.Status(); return err == nil && len(s.Leases) == 3 })
-			ctx, stop := context.WithCancel(b.Context())
-			var held sync.WaitGroup
-			var lost atomic.Int64
-			var keeping sync.WaitGroup
-			for i := range holders {
-				f := *all[0]
-				f.Node, f.Folder = fmt.Sprintf("edge-%05d", i), ""
-				c := NewClient(&f, zap.NewNop())
-				held.Add(1)
-				first := sync.OnceFunc(held.Done)
-				keeping.Go(func() {
-					defer c.Close()
-					c.Keep(ctx, session(f.Node), func(holds context.Context, _ *Grip) bool {
-						first()
-						<-holds.Done()
-						if ctx.Err() == nil {
-							lost.Add(1)
-						}
-						return true
-					})
-				})
-			}
-			held.Wait()
-			time.Sleep(time.Second)
+			lost := keepers(b, holders)
 			used := processorTime()
 			began := time.Now()
 			for b.Loop() {
@@ -316,8 +324,24 @@
 			span := time.Since(began).Seconds()
 			b.ReportMetric(100*(processorTime()-used).Seconds()/span, "%core")
 			b.ReportMetric(float64(lost.Load()), "lost")
-			stop()
-			keeping.Wait()
+		})
+	}
+}
+
+// BenchmarkStall stops voters and holders, which are one process, for a third of a lease: all calls are given up, another voter
+// leads, and all holders come anew. It tells how many lose their leases over that. Run it with -benchtime 1x.
+func BenchmarkStall(b *testing.B) {
+	for _, holders := range []int{100, 200, 400, 500, 600, 800} {
+		b.Run(fmt.Sprint("holders=", holders), func(b *testing.B) {
+			lost := keepers(b, holders)
+			for b.Loop() {
+				pid := os.Getpid()
+				if err := exec.Command("sh", "-c", fmt.Sprintf("kill -STOP %d; sleep 1; kill -CONT %d", pid, pid)).Run(); err != nil {
+					b.Fatal(err)
+				}
+				time.Sleep(4 * time.Second)
+			}
+			b.ReportMetric(float64(lost.Load())/float64(b.N), "lost/op")
 		})
 	}
 }
