--- /dev/null
+++ b/changes/fleet_test.go
@@ -0,0 +1,377 @@
+package changes
+
+import (
+	"container/heap"
+	"fmt"
+	"hash/fnv"
+	"testing"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/thistlerudder/thistlerudder/lease"
+)
+
+// A whole fleet in simulated time: a leader, two relays a region, nodes; askings that wait for news, ways of some length, parents
+// that fall silent. What is agreed goes through the package's own code to each node.
+
+const (
+	ms        = lease.Millisecond
+	longPoll  = 500 * ms // an asking waits for news
+	callMost  = 800 * ms // and is given up
+	gather    = 50 * ms  // the leader brings what came in so long to the log in one entry
+	nearWay   = 2 * ms   // one way in a region, about
+	farWay    = 80 * ms  // and between two
+	purgeRate = 120      // a second
+	none      = -2       // no region; the leader is in -1
+	changeGap = 7200 * ms
+)
+
+type moment struct {
+	at Time
+	n  int // order of those at one time
+	do func()
+}
+
+type moments []moment
+
+func (q moments) Len() int { return len(q) }
+func (q moments) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].n < q[j].n
+}
+func (q moments) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *moments) Push(x any)   { *q = append(*q, x.(moment)) }
+func (q *moments) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// poll is an asking that waits at a parent.
+type poll struct {
+	from  *member
+	ask   Ask
+	until Time
+}
+
+// member is the leader, a relay or a node.
+type member struct {
+	s       *simulation
+	name    string
+	region  int
+	log     *Log      // the leader's
+	f       *Follower // else
+	parents []*member
+	waits   []poll
+	down    bool
+	wake    Time
+	from    uint64 // the revision after which a change is awaited here
+	behind  Time   // since when its age has been past the bound, 0: it is not
+	missed  uint64
+}
+
+type simulation struct {
+	now     Time
+	queue   moments
+	n       int
+	leader  *member
+	relays  []*member
+	nodes   []*member
+	cut     int // region that is cut off
+	agreed  []Time
+	took    *hdrhistogram.Histogram // of each change to each node, in tenths of a millisecond
+	last    []Time                  // to the last node, by revision
+	oldest  Time                    // age at any node that is up, as sampled
+	asked   int
+	changes int
+}
+
+func (s *simulation) at(t Time, do func()) {
+	s.n++
+	heap.Push(&s.queue, moment{t, s.n, do})
+}
+
+func (s *simulation) run(until Time) {
+	for len(s.queue) > 0 && s.queue[0].at <= until {
+		m := heap.Pop(&s.queue).(moment)
+		s.now = m.at
+		m.do()
+	}
+	s.now = until
+}
+
+func hashOf(parts ...any) uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, parts...)
+	return h.Sum64()
+}
+
+// way gives how long a message takes, and whether it gets there.
+func (s *simulation) way(a, b *member) (Time, bool) {
+	if a.down || b.down {
+		return 0, false
+	}
+	base := nearWay
+	if a.region != b.region {
+		if a.region == s.cut || b.region == s.cut {
+			return 0, false
+		}
+		base = farWay
+	}
+	s.n++
+	return base/2 + Time(hashOf(a.name, b.name, s.n)%uint64(base)), true
+}
+
+func (m *member) Wake(at Time) {
+	m.wake = max(at, m.s.now)
+	m.s.at(m.wake, func() {
+		if m.s.now == m.wake && !m.down {
+			m.f.Alarm(m.s.now)
+		}
+	})
+}
+
+func (m *member) Ask(parent int, a Ask) {
+	s, f := m.s, m.f
+	s.asked++
+	to := m.parents[parent]
+	if way, there := s.way(m, to); there {
+		s.at(s.now+way, func() { to.hear(m, a) })
+	}
+	s.at(s.now+callMost, func() {
+		if m.f == f && !m.down {
+			f.Unanswered(s.now, a.ID)
+		}
+	})
+}
+
+func (m *member) hear(from *member, a Ask) {
+	if m.down {
+		return
+	}
+	if !m.tell(from, a, false) {
+		m.waits = append(m.waits, poll{from, a, m.s.now + longPoll})
+		m.s.at(m.s.now+longPoll, m.news)
+	}
+}
+
+// tell answers an asking, if there is news or it has waited long enough.
+func (m *member) tell(from *member, a Ask, late bool) bool {
+	s := m.s
+	var x Answer
+	if m.log != nil {
+		x = m.log.Answer(a, 0)
+	} else {
+		x = m.f.Serve(s.now, a)
+	}
+	if x.Err == nil && !x.Below && x.Buckets == nil && len(x.Changes) == 0 && !late {
+		return false
+	}
+	f := from.f
+	if way, there := s.way(m, from); there {
+		s.at(s.now+way, func() {
+			if from.f == f && !from.down {
+				_ = f.Answered(s.now, a.ID, x)
+				from.news()
+			}
+		})
+	}
+	return true
+}
+
+// news looks at all that wait.
+func (m *member) news() {
+	if m.down || len(m.waits) == 0 {
+		return
+	}
+	waits := m.waits
+	m.waits = nil
+	for _, p := range waits {
+		if !m.tell(p.from, p.ask, m.s.now >= p.until) {
+			m.waits = append(m.waits, p)
+		}
+	}
+}
+
+func (m *member) Apply(c Change) {
+	if m.region < 0 || m.f.terms.Ring > 0 || c.Revision <= m.from {
+		return
+	}
+	took := m.s.now - m.s.agreed[c.Revision-1]
+	_ = m.s.took.RecordValue(int64(took))
+	m.s.last[c.Revision-1] = max(m.s.last[c.Revision-1], took)
+}
+func (m *member) Replace() {}
+func (m *member) Missed(_, after, upTo uint64) {
+	if after > 0 {
+		m.missed += upTo - after
+	}
+}
+
+func (m *member) start() {
+	t := Terms{Parents: len(m.parents), Home: min(2, len(m.parents)), Every: 250 * ms, Again: 100 * ms, Stale: 2350 * ms, Most: usualTerms.Most, Drift: 0.01,
+		Seed: hashOf(m.name)}
+	if m.log == nil && m.parents[0] == m.s.leader {
+		t.Every, t.Again, t.Ring, t.Most = 50*ms, 25*ms, 10<<20, 1<<20
+	}
+	m.from = uint64(len(m.s.agreed))
+	m.f = NewFollower(m, m.s.now, t, nil, Unsafe{})
+}
+
+func newSimulation(regions, each int) *simulation {
+	s := &simulation{cut: none, took: hdrhistogram.New(1, int64(1000_000*ms), 2)}
+	s.leader = &member{s: s, name: "leader", region: -1, log: NewLog(10 << 20)}
+	s.leader.log.Found(1)
+	for r := range regions {
+		for i := range 2 {
+			s.relays = append(s.relays, &member{s: s, name: fmt.Sprint("relay-", r, "-", i), region: r, parents: []*member{s.leader}})
+		}
+	}
+	for r := range regions {
+		for i := range each {
+			m := &member{s: s, name: fmt.Sprint("node-", r, "-", i), region: r}
+			turn := int(hashOf(m.name) % uint64(len(s.relays)))
+			m.parents = []*member{s.relays[2*r+turn%2], s.relays[2*r+1-turn%2]}
+			for k := range s.relays {
+				if o := s.relays[(turn+k)%len(s.relays)]; o.region != r {
+					m.parents = append(m.parents, o)
+				}
+			}
+			s.nodes = append(s.nodes, m)
+		}
+	}
+	for _, m := range s.relays {
+		s.at(0, m.start)
+	}
+	for i, m := range s.nodes {
+		s.at(Time(i)%(500*ms), m.start)
+	}
+	s.at(gather, s.agree)
+	s.at(100*ms, s.look)
+	return s
+}
+
+// agree brings one entry to the log.
+func (s *simulation) agree() {
+	add := func(c Change) {
+		c.Revision = s.leader.log.Place().Revision + 1
+		if err := s.leader.log.Add(c); err != nil {
+			panic(err)
+		}
+		s.agreed, s.last = append(s.agreed, s.now), append(s.last, 0)
+	}
+	for range purgeRate * int(gather) / int(1000*ms) {
+		add(Change{Topic: "purge", Key: hashed(len(s.agreed)), Event: true})
+	}
+	if s.changes++; s.changes%int(changeGap/gather) == 0 {
+		add(Change{Topic: "configuration", Key: fmt.Sprint("part-", s.changes%25), Value: make([]byte, 2000)})
+	}
+	s.leader.news()
+	s.at(s.now+gather, s.agree)
+}
+
+// look samples the ages of all nodes that are up.
+func (s *simulation) look() {
+	s.oldest = 0
+	for _, m := range s.nodes {
+		if m.f == nil { // not started yet
+			continue
+		}
+		age, known := m.f.Age(s.now)
+		if !known {
+			age = 1 << 40
+		}
+		if !m.down {
+			s.oldest = max(s.oldest, age)
+		}
+	}
+	s.at(s.now+100*ms, s.look)
+}
+
+// strain lets a fault come and go, and gives how old the oldest view was within a time from its beginning, by node that may be
+// judged, and how long after its end all were within a bound again.
+func (s *simulation) strain(begin, end func(), lasts, watch, bound Time) (oldest, back Time) {
+	begin()
+	from := s.now
+	for s.now < from+lasts {
+		s.run(s.now + 100*ms)
+		oldest = max(oldest, s.oldest)
+	}
+	end()
+	over := s.now
+	for s.now < over+watch {
+		s.run(s.now + 100*ms)
+		if oldest = max(oldest, s.oldest); s.oldest > bound {
+			back = s.now - over
+		}
+	}
+	return oldest, back
+}
+
+// The bounds of docs/design-changes.md hold in simulated time: in peace, and when relays and the leader fall silent, a region is cut
+// off, and all of a region start together.
+func TestAFleetKeepsItsBounds(t *testing.T) {
+	regions, each := 4, 30
+	if testing.Short() {
+		regions, each = 3, 8
+	}
+	bound := 4700 * ms
+	nothing := func() {}
+	for _, c := range []struct {
+		what                string
+		begin, end          func(s *simulation) func()
+		lasts, oldest, back Time
+	}{
+		{"peace", nil, nil, 5000 * ms, 1600 * ms, 0},
+		{"a relay falls silent", func(s *simulation) func() { return func() { s.relays[0].down = true } }, nil, 5000 * ms, 2400 * ms, 0},
+		{"its twin too, a second later", func(s *simulation) func() {
+			return func() {
+				s.relays[0].down = true
+				s.at(s.now+1000*ms, func() { s.relays[1].down = true })
+			}
+		}, nil, 8000 * ms, 4000 * ms, 0},
+		{"the leader for two seconds", func(s *simulation) func() { return func() { s.leader.down = true } },
+			func(s *simulation) func() { return func() { s.leader.down = false } }, 2000 * ms, 4600 * ms, 0},
+		{"a region for a minute", func(s *simulation) func() { return func() { s.cut = 0 } },
+			func(s *simulation) func() { return func() { s.cut = none } }, 60_000 * ms, 75_000 * ms, 2 * 4700 * ms},
+		{"all nodes of a region start again", func(s *simulation) func() {
+			return func() {
+				for _, m := range s.nodes {
+					if m.region == 0 {
+						m.start()
+					}
+				}
+			}
+		}, nil, 5000 * ms, 1 << 41, 2000 * ms},
+	} {
+		t.Run(c.what, func(t *testing.T) {
+			t.Parallel()
+			s := newSimulation(regions, each)
+			s.run(20_000 * ms)
+			begin, end := nothing, nothing
+			if c.begin != nil {
+				begin = c.begin(s)
+			}
+			if c.end != nil {
+				end = c.end(s)
+			}
+			before := len(s.agreed)
+			s.took.Reset()
+			oldest, back := s.strain(begin, end, c.lasts, 20_000*ms, bound)
+			worst, late := Time(0), 0
+			for _, l := range s.last[before : len(s.last)-2*purgeRate] {
+				if worst = max(worst, l); l > bound {
+					late++
+				}
+			}
+			missed := uint64(0)
+			for _, m := range s.nodes {
+				missed += m.missed
+			}
+			t.Logf("%d changes to %d nodes: p50 %d, p99 %d ms; worst at a last node %d ms, %d past the bound; oldest view %d ms; back %d ms after the end; missed %d",
+				len(s.agreed)-before, len(s.nodes), s.took.ValueAtQuantile(50)/int64(ms), s.took.ValueAtQuantile(99)/int64(ms), worst/ms, late, oldest/ms, back/ms, missed)
+			if oldest > c.oldest || back > c.back || missed > 0 {
+				t.Errorf("oldest view %d ms, want %d at the most; back after %d ms, want %d; %d events missed", oldest/ms, c.oldest/ms, back/ms, c.back/ms, missed)
+			}
+		})
+	}
+}
--- a/changes/pack.go
+++ b/changes/pack.go
@@ -5,7 +5,7 @@
 	"fmt"
 )
 
-// Changes stand in one field of a message: 10 bytes for a purge of a key's hash, where names beside the values would take eight times that.
+// Changes stand in one field of a message: 8 bytes for a purge by six of its key's hash, where names beside the values would take ten times that.
 // What can't be read is refused whole, with where it went wrong.
 
 const (
