Let the longest idle connection of a node make way when a voter is full

Seen by reading: the porch takes one connection of each node and twelve more (its part of the descriptors, limits.go, split), and after a stall or a change of leaders Client.drop leaves a node's old connection open for half a lease beside the new one. A full porch closed the new one at once, so nodes could be kept out by connections that nobody used any more.

Change: when it is full, the connection of askings that has been without a call for longest makes way, if that is a third of a renewal's period (a ninth of the lease) at the least. One with a call in hand doesn't, nor one whose call has come and waits to be read, nor one in its greeting, nor one for votes or of a voter's rounds. Where all are in use the new one is closed as before. The bound stays: what makes way is closed, and its descriptor free, before the new one is greeted. A call that comes on what has made way isn't run.

--- a/internal/net/fellows/fellows.go
+++ b/internal/net/fellows/fellows.go
@@ -87,7 +87,7 @@
 		return
 	}
 	f.alone(true)
-	f.porch = newPorch(l, f.lines, f.fleet.Name, f.client.within(), f.id, f.answer)
+	f.porch = newPorch(l, f.lines, f.fleet.Lease/idlePart, f.fleet.Name, f.client.within(), f.id, f.answer)
 	if f.fleet.Folder != "" {
 		f.open()
 	}
--- a/internal/net/fellows/fellows_test.go
+++ b/internal/net/fellows/fellows_test.go
@@ -428,7 +428,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		porch := newPorch(l, 256, f.Name, time.Second, func() string { return p.ID }, nil)
+		porch := newPorch(l, 256, time.Second, f.Name, time.Second, func() string { return p.ID }, nil)
 		go porch.serve()
 		v, err := startVoter(f, p, layer{porch, dialer{f.Name, f.Node, nil}, f.Address}, zap.NewNop())
 		if err != nil {
--- a/internal/net/fellows/service.go
+++ b/internal/net/fellows/service.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net"
 	"net/rpc"
 	"net/rpc/jsonrpc"
 	"slices"
@@ -95,9 +94,10 @@
 	gone chan struct{}
 }
 
-// codec bounds what is out on a connection, and notices its end.
+// codec bounds what is out on a connection, tells the porch of its calls, and notices its end.
 type codec struct {
 	rpc.ServerCodec
+	in     *inbound
 	places chan struct{}
 	end    func()
 }
@@ -105,6 +105,9 @@
 func (c *codec) ReadRequestHeader(r *rpc.Request) error {
 	c.places <- struct{}{}
 	err := c.ServerCodec.ReadRequestHeader(r)
+	if err == nil {
+		err = c.in.begin()
+	}
 	if err != nil {
 		c.end()
 	}
@@ -113,12 +116,13 @@
 
 func (c *codec) WriteResponse(r *rpc.Response, x any) error {
 	err := c.ServerCodec.WriteResponse(r, x)
+	c.in.end(time.Now())
 	<-c.places
 	return err
 }
 
 // answer serves a connection until its end.
-func (f *Fellows) answer(c net.Conn) {
+func (f *Fellows) answer(c *inbound) {
 	l := &line{f: f, gone: make(chan struct{})}
 	s := rpc.NewServer()
 	if err := s.RegisterName("Fleet", l); err != nil {
@@ -130,7 +134,7 @@
 		io.Reader
 		io.Writer
 		io.Closer
-	}{c, c, c}), make(chan struct{}, callsMost), func() { once.Do(func() { close(l.gone) }) }})
+	}{c, c, c}), c, make(chan struct{}, callsMost), func() { once.Do(func() { close(l.gone) }) }})
 }
 
 // Ask is a claimant's call.
--- a/internal/net/fellows/wire.go
+++ b/internal/net/fellows/wire.go
@@ -1,15 +1,18 @@
 package fellows
 
 import (
+	"container/list"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/raft"
+	"golang.org/x/sys/unix"
 
 	"github.com/thistlerudder/thistlerudder/internal/faults"
 	"github.com/thistlerudder/thistlerudder/lease"
@@ -21,6 +24,8 @@
 	forAsks  = "asks"  // JSON-RPC: askings and operators' calls
 
 	helloMost = 1 << 10
+
+	idlePart = 9 // a ninth of a lease without a call, a third of a renewal's period: who is in use rests longer only between two renewals
 )
 
 // hello is the first line from who dials.
@@ -86,25 +91,45 @@
 	return errors.New("no line of a fellow's")
 }
 
-// porch takes connections in and hands them on by their kind.
+// porch takes connections in and hands them on by their kind. When it is full, the connection of askings that has been idle for
+// longest makes way for the next one: after a stall, or when another voter leads, each node comes anew while what it came by
+// before is still open, and two of each node are more than a node's part of the descriptors holds.
 type porch struct {
 	listener net.Listener
-	most     int // connections at once; each node holds one to the leader
+	most     int           // connections at once; each node holds one to the leader
+	rest     time.Duration // without a call, before a connection makes way
 	fleet    string
 	id       func() string // of our own vote, empty: none
 	within   time.Duration
-	asks     func(net.Conn)
+	asks     func(*inbound)
 	votes    chan net.Conn
 
 	mu     sync.Mutex
-	open   map[net.Conn]bool
+	open   map[*inbound]bool
+	idle   *list.List // of *inbound, all in open, the longest idle first
 	closed bool
 	done   chan struct{}
 }
 
-func newPorch(l net.Listener, most int, fleet string, within time.Duration, id func() string, asks func(net.Conn)) *porch {
-	return &porch{listener: l, most: most, fleet: fleet, id: id, within: within, asks: asks, votes: make(chan net.Conn),
-		open: map[net.Conn]bool{}, done: make(chan struct{})}
+// inbound is a connection that was taken in. It makes way only while it is in idle: not during its greeting, which has a bound,
+// nor with a call in hand, and never one for votes, nor a voter's for its rounds: these are few, and a leader shows by them that it leads.
+type inbound struct {
+	net.Conn
+	p      *porch
+	unread func() bool // bytes have come that nobody has read yet; nil: not known
+
+	node  bool          // it is a node's, for askings; the porch's lock guards this and what follows
+	calls int           // in hand
+	since time.Time     // without a call
+	place *list.Element // in idle; nil: it isn't there
+}
+
+// errWay ends the reading of a connection that has made way: a call that comes after that isn't run.
+var errWay = errors.New("made way for another connection")
+
+func newPorch(l net.Listener, most int, rest time.Duration, fleet string, within time.Duration, id func() string, asks func(*inbound)) *porch {
+	return &porch{listener: l, most: most, rest: rest, fleet: fleet, id: id, within: within, asks: asks, votes: make(chan net.Conn),
+		open: map[*inbound]bool{}, idle: list.New(), done: make(chan struct{})}
 }
 
 // serve takes connections until close.
@@ -119,33 +144,130 @@
 				continue
 			}
 		}
-		c = faults.Counted("taken", c)
-		p.mu.Lock()
-		full := p.closed || len(p.open) >= p.most
-		if !full {
-			p.open[c] = true
+		in := &inbound{Conn: faults.Counted("taken", c), p: p, unread: unread(c)}
+		taken, way := p.admit(in, time.Now())
+		if way != nil {
+			_ = way.Close() // this waits until its descriptor is free, so that the bound holds for these too
 		}
-		p.mu.Unlock()
-		if full {
-			_ = c.Close()
+		if !taken {
+			_ = in.Close()
 			continue
 		}
-		go p.greet(c)
+		go p.greet(in)
+	}
+}
+
+// admit takes a connection in if there is room, or if one makes way, which is then the caller's to close.
+func (p *porch) admit(in *inbound, at time.Time) (taken bool, way *inbound) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false, nil
+	}
+	if len(p.open) >= p.most {
+		if way = p.longest(at); way == nil {
+			return false, nil
+		}
+		p.remove(way)
+	}
+	p.open[in] = true
+	return true, way
+}
+
+// longest gives the connection that has been idle for longest, if it has been so for long enough. One whose call has come and
+// waits to be read has it in hand too: after a stall that may be so with all.
+func (p *porch) longest(at time.Time) *inbound {
+	for e := p.idle.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*inbound)
+		if at.Sub(c.since) < p.rest {
+			return nil
+		}
+		if c.unread == nil || !c.unread() {
+			return c
+		}
+	}
+	return nil
+}
+
+// unread gives a look at whether bytes wait in a connection; nil: it can't be seen.
+func unread(c net.Conn) func() bool {
+	s, is := c.(syscall.Conn)
+	if !is {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return func() bool {
+		n := 0
+		_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+		return n > 0
+	}
+}
+
+// remove takes a connection out, with the lock held.
+func (p *porch) remove(in *inbound) {
+	delete(p.open, in)
+	if in.place != nil {
+		p.idle.Remove(in.place)
+		in.place = nil
+	}
+}
+
+// rests makes a connection idle from now on, with the lock held.
+func (p *porch) rests(in *inbound, at time.Time) {
+	if in.node && p.open[in] && in.place == nil {
+		in.since, in.place = at, p.idle.PushBack(in)
+	}
+}
+
+// greeted says that a connection is a node's.
+func (p *porch) greeted(in *inbound, at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	in.node = true
+	p.rests(in, at)
+}
+
+// begin says that a call has come in; an error, that its connection is no longer there to answer it.
+func (in *inbound) begin() error {
+	p := in.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.open[in] {
+		return errWay
 	}
+	if in.place != nil {
+		p.idle.Remove(in.place)
+		in.place = nil
+	}
+	in.calls++
+	return nil
 }
 
-func (p *porch) forget(c net.Conn) {
-	_ = c.Close()
+// end says that a call was answered.
+func (in *inbound) end(at time.Time) {
+	p := in.p
 	p.mu.Lock()
-	delete(p.open, c)
+	defer p.mu.Unlock()
+	if in.calls--; in.calls == 0 {
+		p.rests(in, at)
+	}
+}
+
+func (p *porch) forget(in *inbound) {
+	_ = in.Conn.Close()
+	p.mu.Lock()
+	p.remove(in)
 	p.mu.Unlock()
 }
 
-func (p *porch) greet(c net.Conn) {
-	_ = c.SetDeadline(time.Now().Add(p.within))
+func (p *porch) greet(in *inbound) {
+	_ = in.SetDeadline(time.Now().Add(p.within))
 	var h hello
-	if err := readLine(c, &h); err != nil {
-		p.forget(c)
+	if err := readLine(in, &h); err != nil {
+		p.forget(in)
 		return
 	}
 	var w welcome
@@ -162,31 +284,31 @@
 		w.Refused = "expected a connection for votes or asks"
 	}
 	line, _ := json.Marshal(w)
-	if _, err := c.Write(append(line, '\n')); err != nil || w.Refused != "" {
-		p.forget(c)
+	if _, err := in.Write(append(line, '\n')); err != nil || w.Refused != "" {
+		p.forget(in)
 		return
 	}
-	_ = c.SetDeadline(time.Time{})
+	_ = in.SetDeadline(time.Time{})
 	if h.For == forAsks {
-		defer p.forget(c)
-		p.asks(c)
+		defer p.forget(in)
+		if h.To == "" {
+			p.greeted(in, time.Now())
+		}
+		p.asks(in)
 		return
 	}
 	select {
-	case p.votes <- &vote{Conn: c, p: p}:
+	case p.votes <- &vote{in}:
 	case <-p.done:
-		p.forget(c)
+		p.forget(in)
 	}
 }
 
 // vote is a voters' connection, forgotten when the library closes it.
-type vote struct {
-	net.Conn
-	p *porch
-}
+type vote struct{ *inbound }
 
 func (v *vote) Close() error {
-	v.p.forget(v.Conn)
+	v.p.forget(v.inbound)
 	return nil
 }
 
@@ -200,8 +322,8 @@
 	p.closed = true
 	close(p.done)
 	_ = p.listener.Close()
-	for c := range p.open {
-		_ = c.Close()
+	for in := range p.open {
+		_ = in.Close()
 	}
 	p.mu.Unlock()
 }
