Size the voters' descriptors by the fleet in trial scale, and name the wall of the leases

Seen by reading: size.go and docs/scale.md told of linesMost, which is gone, and the voters ran with limits.sockets 1024, of which a leader now gets 456 connections at most, so that a played fleet of more nodes would have been turned away by its own leader.

Change: a voter's file says 2 x (nodes + 36) + 512, or the process's own limit if that is lower; Fits refuses what a voter's part couldn't hold, and in place of linesMost names what comes first now, the 4,096 leases that are held at once (lease/state.go, namesMost): 4,091 hollow nodes beside three voters and two tasks.

TestTheLeasesBoundAFleet takes the place of TestTheLeadersConnectionsBoundAFleet, which held a limit that is no more: one node more doesn't fit, the number that would is told, it does fit, without leases more do, and the state itself refuses the 4,097th. Seen red with namesMost 4097 ("lease 4096: as many as are kept at once"), without the voters' own leases, and without the voters' need (TestTheVotersDescriptorsBoundAFleet).

--- a/internal/net/node/limits_test.go
+++ b/internal/net/node/limits_test.go
@@ -89,3 +89,14 @@
 		}
 	}
 }
+
+// A voter of a fleet of any size holds a connection of each node and some more, where it may have twice that and what is set apart.
+func TestAVotersPartHoldsAllNodes(t *testing.T) {
+	for nodes := 1; nodes <= 4096; nodes++ {
+		s := &terms.Station{Cores: 1, MemoryMB: 256, Descriptors: 2*(nodes+36) + 64, Terms: &terms.Terms{Module: map[string]any{"nodes": nodes}},
+			Fleet: &terms.Fleet{Voters: make([]terms.Voter, 3)}}
+		if l := (process{most: 20_000, open: 10}).split(s, 1); l.fellows < nodes+12 {
+			t.Fatalf("%d nodes: %+v", nodes, l)
+		}
+	}
+}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -39,6 +39,7 @@
 // world is one run.
 type world struct {
 	*Plan
+	room    Room
 	ctx     context.Context
 	folder  string
 	say     func(format string, args ...any)
@@ -95,7 +96,7 @@
 	defer stop()
 	guarded, fail := context.WithCancelCause(bounded)
 	defer fail(nil)
-	w := &world{Plan: &plan, ctx: guarded, say: say, done: make(chan struct{}), whole: eachNode * float64(plan.Nodes+plan.Real+voters)}
+	w := &world{Plan: &plan, room: room, ctx: guarded, say: say, done: make(chan struct{}), whole: eachNode * float64(plan.Nodes+plan.Real+voters)}
 	if w.folder, err = os.MkdirTemp("", "scale-"); err != nil {
 		return r, err
 	}
@@ -210,8 +211,12 @@
 		votes = append(votes, map[string]string{"name": fmt.Sprint("v", i), "address": at})
 		routes[at] = fmt.Sprintf("%s:%d", ip(relaysAt), relayPort+i)
 	}
+	sockets := 1024
+	if vote {
+		sockets = w.voterSockets(w.room.Descriptors)
+	}
 	x := map[string]any{"name": name, "listen": fmt.Sprintf("%s:%d", ip(address), clientsPort), "discovery": discovery,
-		"limits": map[string]any{"cores": 1, "memory_mb": 256, "sockets": 1024},
+		"limits": map[string]any{"cores": 1, "memory_mb": 256, "sockets": sockets},
 		"settings": map[string]any{"balancers": w.Nodes + w.Real, "models": []string{"box", "origin"},
 			"domain":      map[string]any{"mode": "aside", "origin-kind": 1},
 			"permissions": map[string]any{"most-shots": 3},
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/thistlerudder/thistlerudder/lease"
 )
 
 func TestWhatIsPlayedIsReadAndRefusedByName(t *testing.T) {
@@ -78,15 +80,55 @@
 	}
 }
 
-// The wall of a leader's connections is told by name, and only where there is a leader.
-func TestTheLeadersConnectionsBoundAFleet(t *testing.T) {
-	p := Plan{Nodes: 1500, Servers: 100, Span: time.Second, Faster: 1, What: []string{List, Lease}}
-	r := Room{64 << 30, 20_000}
-	if err := p.Fits(r); err == nil || !strings.Contains(err.Error(), "linesMost") || !strings.Contains(err.Error(), "1000 would fit") {
+// The wall of the leases that are held at once is told by name, with the number of nodes that fits, and only where there are leases.
+func TestTheLeasesBoundAFleet(t *testing.T) {
+	for _, c := range []struct{ real, fit int }{{0, 4091}, {6, 4085}} { // three voters and two tasks hold one each, and real nodes
+		p := Plan{Nodes: c.fit + 1, Real: c.real, Servers: 100, Span: time.Second, Faster: 1, What: []string{List, Lease}}
+		r := Room{64 << 30, 20_000}
+		if err := p.Fits(r); err == nil || !strings.Contains(err.Error(), "namesMost") || !strings.Contains(err.Error(), fmt.Sprintf("; %d would fit", c.fit)) {
+			t.Error(err)
+		}
+		p.Nodes = c.fit
+		if err := p.Fits(r); err != nil {
+			t.Error(err)
+		}
+		p.Nodes, p.What = 5000, []string{List}
+		if err := p.Fits(r); err != nil {
+			t.Error(err)
+		}
+	}
+	s := lease.NewState()
+	apply := func(kind, name string) error {
+		return s.Apply(lease.Entry{Version: 1, Kind: kind, Name: name, Holder: lease.Holder{Name: name}}).Err
+	}
+	if err := apply(lease.Found, "f"); err != nil {
+		t.Fatal(err)
+	}
+	for i := range namesMost {
+		if err := apply(lease.Grant, fmt.Sprint("node/", i)); err != nil {
+			t.Fatalf("lease %d: %v", i, err)
+		}
+	}
+	if err := apply(lease.Grant, "node/more"); !errors.Is(err, lease.ErrFull) {
+		t.Errorf("%d leases are held, and one more: %v", namesMost, err)
+	}
+}
+
+// The voters' descriptors bound a fleet where a process may have few: half of what is left is for the leader's connections.
+func TestTheVotersDescriptorsBoundAFleet(t *testing.T) {
+	p := Plan{Nodes: 1000, Real: 2, Servers: 100, Span: time.Second, Faster: 1, What: []string{List, Lease}}
+	need := 2*(1000+2+36) + 64
+	if err := p.Fits(Room{64 << 30, need}); err != nil {
+		t.Error(err)
+	}
+	if err := p.Fits(Room{64 << 30, need - 1}); err == nil || !strings.Contains(err.Error(), "descriptors in one process") || !strings.Contains(err.Error(), "; 999 would fit") {
 		t.Error(err)
 	}
+	if few, many := p.voterSockets(need), p.voterSockets(20_000); few != need || many != 2*(1000+2+36)+512 {
+		t.Errorf("a voter's file has %d and %d", few, many)
+	}
 	p.What = []string{List}
-	if err := p.Fits(r); err != nil {
+	if err := p.Fits(Room{64 << 30, need - 1}); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/scale/size.go
+++ b/internal/scale/size.go
@@ -89,10 +89,28 @@
 	perProcess   = 96
 )
 
-// fleetMost is the most connections that a voter takes (fellows/wire.go, linesMost); a leader has one of each node.
-const fleetMost = 1024
+// What a voter's file says of descriptors: a voter that leads has a connection from each node.
+const (
+	fleetOwn     = 36  // of a voter's part beside one for each node (node/limits.go, fleetOwn and fleetVoter),
+	fleetPart    = 2   // which is half at most of what is left when
+	reserveMost  = 64  // these are set apart;
+	voterLookups = 448 // and so many more for clients and servers
+)
+
+// namesMost is the most leases that are held at once (lease/state.go). Each node holds that of its name, each voter too, and
+// each of the fleet's tasks is one: probe and roll-up.
+const (
+	namesMost = 4096
+	tasks     = 2
+)
 
-const fleetSpare = 24 // connections of voters among each other, and of operators
+// voterNeeds gives how many descriptors a voter's process has to have, so that it holds connections of all nodes as the leader.
+func (p *Plan) voterNeeds() int { return fleetPart*(p.Nodes+p.Real+fleetOwn) + reserveMost }
+
+// voterSockets is what a voter's file has as limits.sockets, where a process may have so many descriptors.
+func (p *Plan) voterSockets(descriptors int) int {
+	return min(p.voterNeeds()+voterLookups, descriptors)
+}
 
 // Zones gives how many zones there are.
 func (p *Plan) Zones() int { return min(zonesMost, max(zonesLeast, p.Nodes/zoneNodes)) }
@@ -127,16 +145,20 @@
 		2*int64(p.FileKB)<<10*int64(p.Nodes)
 	memoryMost := min(memoryAll, r.Memory*3/4)
 	host := (p.Nodes+racks-1)/racks*perNode + perProcess
-	most := max(host, p.Nodes+p.Real+voters+perProcess, min(cachesMost, p.Servers)+4*p.Real*cachesMost/8+perProcess)
-	switch held := p.Nodes + p.Real + fleetSpare; {
+	voter := 0
+	if p.Has(Lease) {
+		voter = p.voterNeeds()
+	}
+	most := max(host, voter, p.Nodes+p.Real+voters+perProcess, min(cachesMost, p.Servers)+4*p.Real*cachesMost/8+perProcess)
+	switch held := p.Nodes + p.Real + voters + tasks; {
 	case processes > processesAll:
 		return fmt.Sprintf("%d processes, over %d", processes, processesAll)
 	case memory > memoryMost:
 		return fmt.Sprintf("%d MB, over %d", memory>>20, memoryMost>>20)
 	case most > r.Descriptors:
 		return fmt.Sprintf("%d descriptors in one process, over %d", most, r.Descriptors)
-	case p.Has(Lease) && held > fleetMost:
-		return fmt.Sprintf("%d connections at the leader, which takes %d (fellows/wire.go, linesMost)", held, fleetMost)
+	case p.Has(Lease) && held > namesMost:
+		return fmt.Sprintf("%d leases, over the %d that are held at once (lease/state.go, namesMost)", held, namesMost)
 	}
 	return ""
 }
