Close a connection that leads to no leader with its last call, not half a lease later

Seen: over a stall of 1 s of voters and holders in one process, with a third of a lease of 3 s, holders look for the leader at each voter in turn, and Client.drop left each connection open for half a lease. An idle connection making way for the next, alone, doesn't mend it: those that are left have been idle for too short.

Change: the client counts the calls that are out by connection; one that was dropped is closed with the last of them, at once if there is none. Other askings on it get their answers as before.

Seen red without: TestADroppedConnectionIsClosedWithItsLastCall ("the other's connection stays"; closed with the first call's end instead: "the call on what was dropped: 0 ... use of closed network connection"). go test ./internal/net/fellows ./internal/scale ./internal/net/node: ok (37.1, 0.04, 41.9 s).

--- a/internal/net/fellows/client.go
+++ b/internal/net/fellows/client.go
@@ -33,15 +33,17 @@
 	places chan struct{}
 	mu     sync.Mutex
 	conn   *rpc.Client
-	at     string // whom it leads to
-	next   int    // the voter to try, where nobody is known to lead
+	out    map[*rpc.Client]int // calls by connection: by the one that is kept, and by those that were dropped with calls out
+	at     string              // whom the one that is kept leads to
+	next   int                 // the voter to try, where nobody is known to lead
 	told   time.Duration
 	claims int64
 }
 
 // NewClient makes one; nothing is opened before it is asked something.
 func NewClient(f *terms.Fleet, log *zap.Logger) *Client {
-	return &Client{fleet: f, dialer: dialer{f.Name, f.Node, f.Routes}, log: log, places: make(chan struct{}, asksMost)}
+	return &Client{fleet: f, dialer: dialer{f.Name, f.Node, f.Routes}, log: log, places: make(chan struct{}, asksMost),
+		out: map[*rpc.Client]int{}}
 }
 
 // Close lets the connection go.
@@ -54,28 +56,42 @@
 	}
 }
 
-// drop closes the connection, if it is still this one, and goes elsewhere next.
+// drop gives the connection up, if it is still this one, and goes elsewhere next. Other askings may be out on it and get their
+// answers yet, so it is closed with the last of them; not later, since it takes the place of another node's at a voter.
 func (c *Client) drop(conn *rpc.Client, elsewhere string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn != conn {
 		return
 	}
-	if c.conn != nil { // other askings may be out on it, and get their answers yet
-		old := c.conn
-		time.AfterFunc(c.fleet.Lease/2, func() { _ = old.Close() })
-	}
 	c.conn, c.at = nil, elsewhere
 	if elsewhere == "" {
 		c.next++
 	}
+	if c.out[conn] == 0 {
+		_ = conn.Close()
+	}
 }
 
-// line gives the connection, opened if need be.
+// over says that a call on what line gave has ended.
+func (c *Client) over(conn *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.out[conn]--; c.out[conn] > 0 {
+		return
+	}
+	delete(c.out, conn)
+	if c.conn != conn {
+		_ = conn.Close()
+	}
+}
+
+// line gives the connection, opened if need be, for one call; over is told of its end.
 func (c *Client) line() (*rpc.Client, string, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn != nil {
+		c.out[c.conn]++
 		return c.conn, c.at, nil
 	}
 	if c.at == "" {
@@ -89,6 +105,7 @@
 		return nil, "", fmt.Errorf("%s: %w", at, err)
 	}
 	c.conn = jsonrpc.NewClient(n)
+	c.out[c.conn]++
 	return c.conn, c.at, nil
 }
 
@@ -150,7 +167,9 @@
 			return lease.Answer{}, err
 		}
 		var x Answered
-		if err := call(conn, "Fleet.Ask", args, &x, span(a.Wait)+c.within()); err != nil {
+		err = call(conn, "Fleet.Ask", args, &x, span(a.Wait)+c.within())
+		c.over(conn)
+		if err != nil {
 			c.drop(conn, "")
 			return lease.Answer{}, err
 		}
--- a/internal/net/fellows/porch_test.go
+++ b/internal/net/fellows/porch_test.go
@@ -11,6 +11,11 @@
 	"sync"
 	"testing"
 	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+	"github.com/thistlerudder/thistlerudder/lease"
 )
 
 // Fellows hold no more connections than their part of the descriptors: the next is closed, and finds a place once one has gone.
@@ -245,6 +250,80 @@
 	}
 }
 
+// counter stands for a voter: it tells who leads, or gives a token, and keeps one asking waiting.
+type counter struct {
+	leader      string // empty: it leads itself
+	asked, told chan struct{}
+}
+
+func (v *counter) Ask(a *Asked, x *Answered) error {
+	switch {
+	case a.Name == "slow":
+		v.asked <- struct{}{}
+		<-v.told
+		x.Token = 2
+	case v.leader != "":
+		*x = Answered{Refusal: refusalOf(lease.ErrNotLeader), Leader: v.leader}
+	default:
+		x.Token = 1
+	}
+	return nil
+}
+
+// A connection that leads to no leader is closed with the last asking on it, which has its answer, and not half a lease later.
+func TestADroppedConnectionIsClosedWithItsLastCall(t *testing.T) {
+	serve := func(v *counter) (p *porch, at string) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		p = newPorch(l, 8, time.Minute, "f", 5*time.Second, func() string { return "" }, func(c *inbound) {
+			s := rpc.NewServer()
+			_ = s.RegisterName("Fleet", v)
+			s.ServeCodec(jsonrpc.NewServerCodec(c))
+		})
+		go p.serve()
+		t.Cleanup(p.close)
+		return p, l.Addr().String()
+	}
+	leads, at := serve(&counter{})
+	v := &counter{at, make(chan struct{}), make(chan struct{})}
+	other, otherAt := serve(v)
+	c := NewClient(&terms.Fleet{Name: "f", Node: "n", Lease: 10 * time.Minute, Delay: 10 * time.Second,
+		Voters: []terms.Voter{{Name: "a", Address: otherAt}}}, zap.NewNop())
+	defer c.Close()
+	over := make(chan string, 1)
+	go func() {
+		x, err := c.ask(lease.Ask{Name: "slow"})
+		over <- fmt.Sprint(x.Token, err, x.Err)
+	}()
+	<-v.asked
+	for range 3 {
+		if x, err := c.ask(lease.Ask{Name: "n"}); err != nil || x.Err != nil || x.Token != 1 {
+			t.Fatalf("%+v, %v", x, err)
+		}
+	}
+	if here, _ := leads.held(); here != 1 {
+		t.Errorf("%d connections to the leader", here)
+	}
+	if there, _ := other.held(); there != 1 {
+		t.Errorf("%d connections to the other, by which a call is out", there)
+	}
+	close(v.told)
+	if got := <-over; got != "2 <nil> <nil>" {
+		t.Errorf("the call on what was dropped: %s", got)
+	}
+	eventually(t, "the other's connection stays", func() bool { there, _ := other.held(); return there == 0 })
+	if x, err := c.ask(lease.Ask{Name: "n"}); err != nil || x.Token != 1 {
+		t.Errorf("%+v, %v", x, err)
+	}
+	if here, _ := leads.held(); here != 1 || len(c.out) != 0 {
+		t.Errorf("%d connections to the leader, calls out: %v", here, c.out)
+	}
+	c.drop(c.conn, "") // with none out
+	eventually(t, "the leader's connection stays", func() bool { here, _ := leads.held(); return here == 0 })
+}
+
 // Whatever comes and goes: no more are held than there is room for, who makes way has been idle for longest of all that may, and
 // nobody is turned away while one may.
 func TestWhoMakesWayIsTheLongestIdle(t *testing.T) {
--- a/internal/net/fellows/probe.go
+++ b/internal/net/fellows/probe.go
@@ -88,7 +88,9 @@
 	if err != nil {
 		return err
 	}
-	if err := call(conn, method, args, reply, within); err != nil {
+	err = call(conn, method, args, reply, within)
+	c.over(conn)
+	if err != nil {
 		if err.Error() != lease.ErrNotLeader.Error() { // claims look for the leader; this only goes along
 			c.drop(conn, "")
 		}
--- a/internal/net/fellows/wire.go
+++ b/internal/net/fellows/wire.go
@@ -92,8 +92,7 @@
 }
 
 // porch takes connections in and hands them on by their kind. When it is full, the connection of askings that has been idle for
-// longest makes way for the next one: after a stall, or when another voter leads, each node comes anew while what it came by
-// before is still open, and two of each node are more than a node's part of the descriptors holds.
+// longest makes way for the next one: a node that turned elsewhere, or vanished without closing what it held, keeps no other out.
 type porch struct {
 	listener net.Listener
 	most     int           // connections at once; each node holds one to the leader
