Round a cold cache's part of a shot by chance, so that the sum of all nodes holds

A cold cache bears N requests in a window and 2 x root of N + 2 by chance. Each node saved up a whole shot before it sent one (max(1, most/2) in coldBudget), so thirty nodes could hold thirty, which came due together where their rates were alike; and coldLeast always allowed six in a window, where N may be one. Ruled out: a fresh process (it begins with nothing saved), tries of suspects (they are paid from the budget as well).

What fills is kept as it is, but less than a lookup's work is rounded by chance to all of it or to nothing at each asking: the sum has the mean that has filled, whenever lookups come, and varies less than a Poisson count. No more is saved up than half a window's, or one lookup's part. In place of six the least follows from the settings: a cache has a capacity of at least one request in the shortest target time. A lookup of over twice the mean work, which alone may be more than N, goes elsewhere until so much may be saved up (it did by the old cap of one).

--- /dev/null
+++ b/logic/cold_test.go
@@ -0,0 +1,267 @@
+package logic
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/thistlerudder/thistlerudder/budget/allowance"
+)
+
+// coldCase is a fleet before a cache that starts cold again and again.
+type coldCase struct {
+	nodes    int
+	bears    float64 // N at the start: overload factor x cold share x capacity x window
+	overload float64
+	from     float64 // the cold share at the start
+	usual    float64 // share of its capacity that a warm cache's usual demand takes
+	hot      float64 // share of all lookups whose keys are the cold cache's, beside its part of the rest
+	lull     float64 // times that, up to
+	burst    float64 // times that, for a tenth of the warm-up somewhere in it
+	works    bool    // works differ exponentially, and are hinted
+	quiet    bool    // nobody asks for the cold cache's keys before the burst, and half of all lookups do in it
+	all      bool    // all caches start cold together
+	warmUp   Time
+	rolling  bool // the nodes are restarted one after another meanwhile
+	budget   bool // the fleet has a budget of N for each cold cache
+	starts   int
+}
+
+const (
+	coldCaches = 6
+	coldWindow = 1000 * Millisecond
+)
+
+// coldNode is a Host whose shots wait to be settled.
+type coldNode struct {
+	b    *Balancer
+	told bool // of the latest start
+	out  []int
+}
+
+func (n *coldNode) Shoot(_, server int, _ Time) { n.out = append(n.out, server) }
+func (n *coldNode) Defer(int, Time)             {}
+func (n *coldNode) Abandon(int)                 {}
+func (n *coldNode) Subscribe()                  {}
+func (n *coldNode) HangUp(int, int)             {}
+func (n *coldNode) Wake(Time, int)              {}
+
+// coldSum is what came of it.
+type coldSum struct {
+	falls  int         // starts at which more came in a window than 2 x root of N and 2 beyond N
+	most   float64     // the fullest window, as a share of that
+	shares [10]float64 // of a warm cache's shots, by tenth of the warm-up
+}
+
+// play lets cache 0 start cold so many times. Each lookup has a key of its own and is answered at once; one node in ten is
+// asked ten times as much as the others. What nodes send that haven't heard of the start yet doesn't count.
+func (c coldCase) play() (sum coldSum) {
+	rnd, now := rand.New(rand.NewSource(int64(c.nodes)*1000+int64(c.bears))), 10000*Millisecond
+	capacity := c.bears / (c.overload * c.from * seconds(coldWindow))
+	var boxes []Box
+	for i := range coldCaches {
+		boxes = append(boxes, Box{Server: i, ID: fmt.Sprint("c", i)})
+	}
+	fleet, begun := make([]*coldNode, c.nodes), 0
+	// A unit of the budget is worth one at once. Where there are fewer than nodes they go round.
+	units, from := max(1, int(c.bears/4)), 0
+	part := func(i int) {
+		has := float64(units / c.nodes)
+		if (i-from+c.nodes)%c.nodes < units%c.nodes {
+			has++
+		}
+		fleet[i].b.Part(now, ColdRate, 0, allowance.Part{Rate: has * c.bears / seconds(coldWindow) / float64(units), Most: has,
+			Until: math.MaxInt64})
+	}
+	begin := func(i int) {
+		n := &coldNode{told: true}
+		begun++
+		n.b = New(n, uint64(begun), now, map[string]any{"nodes": c.nodes, "most shots": 3, "cold share": c.from,
+			"warm-up": c.warmUp, "overload factor": c.overload, "fall window": coldWindow,
+			"namespaces": []map[string]any{{"repeat": "replayable", "target time": 200 * Millisecond}}})
+		if fleet[i] = n; c.budget {
+			part(i)
+		}
+		n.b.List(now, Whole, boxes)
+	}
+	for i := range fleet {
+		begin(i)
+	}
+	asked := func(factor, hot float64, until Time, shot func(server int, told bool, work float64)) {
+		for {
+			now += 1 + Time(rnd.ExpFloat64()/(coldCaches*c.usual*capacity*factor)*float64(1000*Millisecond))
+			if now >= until {
+				now = until
+				return
+			}
+			i := rnd.Intn(c.nodes)
+			if rnd.Intn(2) == 0 {
+				i = i / 10 * 10
+			}
+			n := fleet[i]
+			key := fmt.Sprint(rnd.Int63())
+			if is := rnd.Float64() < hot; is || hot < 0 {
+				for (pointOf(xxhash.Sum64String(key)|1) < bins/coldCaches) != is {
+					key = fmt.Sprint(rnd.Int63())
+				}
+			}
+			work := 1.0
+			if c.works {
+				work = rnd.ExpFloat64()
+			}
+			n.b.Lookup(now, 0, Lookup{Partner: -1, Key: key, Limit: now + 8000, Work: 20 * work})
+			for k, to := range n.out {
+				shot(to, n.told, work)
+				n.b.Settled(now, 0, k, Answered, true)
+			}
+			n.out = n.out[:0]
+		}
+	}
+	asked(1, c.hot, now+10*coldWindow, func(int, bool, float64) {})
+	for range c.starts {
+		began, fell := now, false
+		for i := range boxes {
+			if i == 0 || c.all {
+				boxes[i].Since = now
+			}
+		}
+		for _, n := range fleet {
+			n.told = false
+		}
+		var arrivals []Time
+		var works []float64
+		const steps = 300
+		high, next := rnd.Intn(steps*9/10), 0
+		var shots [10][2]float64
+		for step := range steps {
+			for i, n := range fleet {
+				if !n.told && (step > 2 || rnd.Intn(2) == 0) { // within four tenths of a second
+					n.told = true
+					n.b.List(now, Changes, boxes)
+				}
+				if c.rolling && next*steps < step*c.nodes && i == next {
+					begin(i)
+					next++
+				}
+			}
+			if c.budget && step%5 == 0 {
+				was := from
+				from = (from + 1) % c.nodes
+				part(was)
+				for i := range fleet {
+					part(i)
+				}
+			}
+			factor, hot := 1.0, c.hot
+			if step < high {
+				if factor = c.lull; c.quiet {
+					hot = -1
+				}
+			} else if step < high+steps/10 {
+				if factor = c.burst; c.quiet {
+					hot = 0.5
+				}
+			}
+			asked(factor, hot, began+c.warmUp*Time(step+1)/steps, func(server int, told bool, work float64) {
+				if server != 0 {
+					shots[step*10/steps][1] += 1.0 / (coldCaches - 1)
+					return
+				}
+				if shots[step*10/steps][0]++; !told {
+					return
+				}
+				arrivals, works = append(arrivals, now), append(works, work)
+				for arrivals[0] <= now-coldWindow {
+					arrivals, works = arrivals[1:], works[1:]
+				}
+				came := 0.0
+				for _, w := range works {
+					came += w
+				}
+				bears := c.bears * (1 + (1/c.from-1)*float64(now-began)/float64(c.warmUp))
+				full := came / (bears + 2*math.Sqrt(bears) + 2)
+				sum.most, fell = max(sum.most, full), fell || full > 1
+			})
+		}
+		for i, s := range shots {
+			sum.shares[i] += s[0] / max(1, s[1]) / float64(c.starts)
+		}
+		if fell {
+			sum.falls++
+		}
+		asked(1, c.hot, now+5*coldWindow, func(int, bool, float64) {})
+	}
+	return sum
+}
+
+// Many nodes before a cache that starts cold, with uneven traffic, hot keys, bursts and restarts of the nodes: the sum of
+// what they send stays under what the settings allow in any window, beyond which only 2 roots of that and 2 are put down to
+// chance, and it rises until the cache is warm. Each node saved up a whole shot, and six in a window were always allowed:
+// where N is 1, one start in seven went beyond.
+func TestTheSumOfAllSparesAColdCache(t *testing.T) {
+	plain := coldCase{nodes: 30, overload: 1.5, from: 0.05, usual: 0.7, hot: 0.2, lull: 1, burst: 2, rolling: true,
+		warmUp: 30000 * Millisecond}
+	for _, c := range []struct {
+		name   string
+		bears  float64
+		starts int
+		change func(c *coldCase)
+	}{
+		{"N is 1", 1, 80, func(*coldCase) {}},
+		{"20 nodes", 1, 40, func(c *coldCase) { c.nodes = 20 }},
+		{"300 nodes", 1, 15, func(c *coldCase) { c.nodes = 300 }},
+		{"300 nodes, N is 10", 10, 2, func(c *coldCase) { c.nodes = 300 }},
+		{"N is 2", 2, 30, func(*coldCase) {}},
+		{"N is 4, cold share 0.1", 4, 15, func(c *coldCase) { c.overload, c.from = 2, 0.1 }},
+		{"N is 10", 10, 4, func(*coldCase) {}},
+		{"N is 30", 30, 1, func(*coldCase) {}},
+		{"a burst after a lull", 1, 40, func(c *coldCase) { c.lull, c.burst = 0.1, 3 }},
+		{"a burst on what was quiet", 2, 10, func(c *coldCase) { c.quiet, c.warmUp, c.rolling = true, 120000*Millisecond, false }},
+		{"all caches start cold", 1, 40, func(c *coldCase) { c.all = true }},
+		{"works differ", 1, 40, func(c *coldCase) { c.works = true }},
+		{"a budget of N", 10, 3, func(c *coldCase) { c.budget = true }},
+	} {
+		x := plain
+		x.bears, x.starts = c.bears, c.starts
+		if testing.Short() {
+			x.starts = (c.starts + 3) / 4
+		}
+		c.change(&x)
+		s := x.play()
+		t.Logf("%s: %d falls at %d starts, the fullest window %.2f, shares %.2f", c.name, s.falls, x.starts, s.most, s.shares)
+		if s.falls > 0 {
+			t.Errorf("%s: the cold cache falls at %d starts of %d, the fullest window is %.2f of what it bears", c.name, s.falls, x.starts, s.most)
+		}
+		if s.shares[9] < coldMargin*x.overload/2 && !x.budget || s.shares[9] == 0 {
+			t.Errorf("%s: the cold cache must warm up, it has %.2f of a warm one's shots", c.name, s.shares)
+		}
+	}
+}
+
+// One lookup of many times the mean work may be more than all that a cold cache bears: it goes elsewhere, until so much may
+// be saved up.
+func TestAHeavyLookupSparesAColdCache(t *testing.T) {
+	for _, perCache := range []float64{1, 100} {
+		f, sent := newFake(1, 2), map[float64]int{}
+		for i := range 4000 {
+			f.now += 100 * Millisecond
+			s := f.b.servers[0]
+			s.Since, f.b.perCache, f.b.halved = f.now-1000*Millisecond, perCache, f.now
+			work := []float64{10, 100}[i%10/9]
+			f.lkps = append(f.lkps[:0], &client{kind: kinds[0], limit: f.now + 8000})
+			f.b.Lookup(f.now, 0, Lookup{Partner: -1, Key: key(f.b, 0), Work: work, Limit: f.now + 8000})
+			for n, shot := range f.lkps[0].shots {
+				if shot.server == 0 {
+					sent[work]++
+				}
+				f.settle(0, n, Answered)
+			}
+		}
+		if sent[10] == 0 || (sent[100] > 0) != (perCache > 1) {
+			t.Errorf("%g answers a second from a warm cache: light and heavy shots at the cold one %v", perCache, sent)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -57,8 +57,9 @@
 	suspectLeast = 250 * Millisecond  // first rest of a suspect: a few connect time-outs
 	suspectMost  = 4000 * Millisecond // longest rest: the list takes about that long to tell
 
-	coldMargin = 0.3 // share of the cold budget that is used: misses flatter warm caches, and hints of work err
-	coldLeast  = 6.0 // shots of all nodes in a fall window that a cold cache always gets, or it never warms
+	coldMargin = 0.3 // share of the cold budget that is used: misses flatter warm caches, hints of work err, and
+	// what all nodes send varies by chance: beyond the budget only 2 x root of it and 2 more may come
+	coldWork = 2.0 // most work of a shot, in mean ones, but for what may be saved up: one alone could push a cache over
 
 	creditEarned = 0.25 // credit for an answer: further shots stay near a quarter of all
 	creditMost   = 5.0  // most credit kept, and a server's first: no longer burst of further shots
@@ -269,7 +270,7 @@
 	if (cold || s.rest > 0) && b.lacks(l, s.cold) || b.lacks(l, s.links) {
 		return true
 	}
-	return cold && s.cold == nil && b.coldBudget(s) < l.work
+	return cold && s.cold == nil && b.coldBudget(l, s) < l.work
 }
 
 // room bounds what is in flight at a cache: by rate times time, as measured, with its root for chance, and
@@ -294,14 +295,18 @@
 	return cold + (1-cold)*max(0, float64(age)/float64(max(1, warmUp)))
 }
 
-// coldBudget fills with time. All nodes together must stay under factor x cold share x capacity x window: a
-// warm cache's answers to our first shots are our part of its capacity; further ones only look round.
-func (b *Balancer) coldBudget(s *server) float64 {
-	window := term(b.terms, "fall window", 1000*Millisecond)
-	most := max(coldLeast/b.nodes, coldMargin*term(b.terms, "overload factor", 2.0)*b.coldShare(s)*
-		b.perCache*seconds(window))
-	s.budget = min(max(1, most/2), s.budget+most*float64(b.now-s.budgetAt)/float64(max(1, window)))
-	s.budgetAt = b.now
+// coldBudget fills with time. All nodes together must stay under factor x cold share x capacity x window: a warm
+// cache's answers to our first shots are our part of its capacity, which is one in the shortest target time at
+// least. What is less than a shot is rounded by chance: were it saved up, many nodes would send a whole one at
+// once. So the sum of all has the mean that has filled, whenever their lookups come.
+func (b *Balancer) coldBudget(l *lookup, s *server) float64 {
+	share := coldMargin * term(b.terms, "overload factor", 2.0) * b.coldShare(s)
+	rate := share * max(b.perCache, 1/(b.nodes*seconds(max(1, b.soonest))))
+	most := max(share, rate*seconds(term(b.terms, "fall window", 1000*Millisecond))/2)
+	s.budget, s.budgetAt = min(most, s.budget+rate*seconds(b.now-s.budgetAt)), b.now
+	if s.budget < l.work && l.work <= max(coldWork, most) {
+		s.budget = l.work * math.Floor(s.budget/l.work+b.draw())
+	}
 	return s.budget
 }
 
@@ -309,20 +314,15 @@
 func (b *Balancer) shoot(lkp, i int) {
 	l, s := &b.lookups[lkp], b.servers[i]
 	s.trial = s.trial || s.rest > 0
-	cold := b.coldShare(s) < 1
-	if cold || s.rest > 0 {
+	if b.coldShare(s) < 1 || s.rest > 0 {
 		s.cold.Spend()
+		s.budget -= l.work
 	}
 	if s.links.Spend(); s.origin {
 		b.parts[OriginRate].Spend()
 		b.parts[OriginRoom].Spend()
-	} else {
-		if len(l.shots) > 0 && !l.missed {
-			s.credit--
-		}
-		if cold {
-			s.budget -= l.work
-		}
+	} else if len(l.shots) > 0 && !l.missed {
+		s.credit--
 	}
 	if !l.Long {
 		s.inFlight++ // a server begins with the last byte
