Hold the ramp of a cold cache also where the fleet has a budget for it

A budget of the fleet took the place of the ramp. Now both bound it, the ramp first, so that only what the ramp lets pass counts as wanted. Resting caches that are warm have the budget alone, as before.

--- a/logic/cold_test.go
+++ b/logic/cold_test.go
@@ -25,8 +25,8 @@
 	quiet    bool    // nobody asks for the cold cache's keys before the burst, and half of all lookups do in it
 	all      bool    // all caches start cold together
 	warmUp   Time
-	rolling  bool // the nodes are restarted one after another meanwhile
-	budget   bool // the fleet has a budget of N for each cold cache
+	rolling  bool    // the nodes are restarted one after another meanwhile
+	budget   float64 // the fleet has one of so many times N for each cold cache; 0: it has none
 	starts   int
 }
 
@@ -67,13 +67,13 @@
 	}
 	fleet, begun := make([]*coldNode, c.nodes), 0
 	// A unit of the budget is worth one at once. Where there are fewer than nodes they go round.
-	units, from := max(1, int(c.bears/4)), 0
+	units, from := max(1, int(c.budget*c.bears/4)), 0
 	part := func(i int) {
 		has := float64(units / c.nodes)
 		if (i-from+c.nodes)%c.nodes < units%c.nodes {
 			has++
 		}
-		fleet[i].b.Part(now, ColdRate, 0, allowance.Part{Rate: has * c.bears / seconds(coldWindow) / float64(units), Most: has,
+		fleet[i].b.Part(now, ColdRate, 0, allowance.Part{Rate: has * c.budget * c.bears / seconds(coldWindow) / float64(units), Most: has,
 			Until: math.MaxInt64})
 	}
 	begin := func(i int) {
@@ -82,7 +82,7 @@
 		n.b = New(n, uint64(begun), now, map[string]any{"nodes": c.nodes, "most shots": 3, "cold share": c.from,
 			"warm-up": c.warmUp, "overload factor": c.overload, "fall window": coldWindow,
 			"namespaces": []map[string]any{{"repeat": "replayable", "target time": 200 * Millisecond}}})
-		if fleet[i] = n; c.budget {
+		if fleet[i] = n; c.budget > 0 {
 			part(i)
 		}
 		n.b.List(now, Whole, boxes)
@@ -147,7 +147,7 @@
 					next++
 				}
 			}
-			if c.budget && step%5 == 0 {
+			if c.budget > 0 && step%5 == 0 {
 				was := from
 				from = (from + 1) % c.nodes
 				part(was)
@@ -222,7 +222,8 @@
 		{"a burst on what was quiet", 2, 10, func(c *coldCase) { c.quiet, c.warmUp, c.rolling = true, 120000*Millisecond, false }},
 		{"all caches start cold", 1, 40, func(c *coldCase) { c.all = true }},
 		{"works differ", 1, 40, func(c *coldCase) { c.works = true }},
-		{"a budget of N", 10, 3, func(c *coldCase) { c.budget = true }},
+		{"a budget of N", 10, 3, func(c *coldCase) { c.budget = 1 }},
+		{"a budget far beyond N", 2, 10, func(c *coldCase) { c.budget = 100 }},
 	} {
 		x := plain
 		x.bears, x.starts = c.bears, c.starts
@@ -235,7 +236,7 @@
 		if s.falls > 0 {
 			t.Errorf("%s: the cold cache falls at %d starts of %d, the fullest window is %.2f of what it bears", c.name, s.falls, x.starts, s.most)
 		}
-		if s.shares[9] < coldMargin*x.overload/2 && !x.budget || s.shares[9] == 0 {
+		if s.shares[9] < coldMargin*x.overload/2 && x.budget == 0 || s.shares[9] == 0 {
 			t.Errorf("%s: the cold cache must warm up, it has %.2f of a warm one's shots", c.name, s.shares)
 		}
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -267,10 +267,10 @@
 		return true // a further shot wants credit, lest a jam feed itself
 	}
 	cold := b.coldShare(s) < 1
-	if (cold || s.rest > 0) && b.lacks(l, s.cold) || b.lacks(l, s.links) {
-		return true
+	if cold && b.coldBudget(l, s) < l.work {
+		return true // also where the fleet has a budget: its whole is one figure, what a cold cache bears grows
 	}
-	return cold && s.cold == nil && b.coldBudget(l, s) < l.work
+	return (cold || s.rest > 0) && b.lacks(l, s.cold) || b.lacks(l, s.links)
 }
 
 // room bounds what is in flight at a cache: by rate times time, as measured, with its root for chance, and
