Look anew at a client and a connection where the look took long, just before a write

The rule "an attempt that begins more than 0.1 s after its client has gone is a break" was held by one look just before a request's first byte (conn.Write). What the look saw was taken to be true however long it took: a process that has no core between the kernel's answer and the write (it waits for a P after the call, or is stopped) wrote what was no longer wanted, and took half a line that had come from the server meanwhile for the beginning of the answer. The time by which a first byte has to be out was looked at before the calls of the kernel, too, not after them. net/http's own look covers the first only where no bytes lie behind the request.

The look is now made anew where it took longer than 25 ms (a quarter of the 0.1 s; it takes microseconds), and the clock is looked at last.

--- /dev/null
+++ b/internal/net/node/gone_test.go
@@ -0,0 +1,436 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/clients"
+	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
+	"github.com/thistlerudder/thistlerudder/internal/net/servers"
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+// goneFor is beyond the 0.1 s after which no attempt may begin for a client that has gone.
+const goneFor = 120 * time.Millisecond
+
+// steered is the server side of a node, whose attempts go where the test says.
+type steered struct {
+	*servers.Servers
+	mu    sync.Mutex
+	tries map[string]int
+	steer func(a *exchange.Shot, nth int) // may hold it up
+}
+
+func (s *steered) Carry(a *exchange.Shot) {
+	s.mu.Lock()
+	s.tries[a.Trace]++
+	nth := s.tries[a.Trace]
+	s.mu.Unlock()
+	go func() {
+		s.steer(a, nth)
+		s.Servers.Carry(a)
+	}()
+}
+
+// unlisted follows no list.
+type unlisted struct{}
+
+func (unlisted) Subscribe() {}
+
+// stand serves requests and counts connections on which a byte of one has come, and requests behind them.
+func stand(t *testing.T, l net.Listener, f http.HandlerFunc) *atomic.Int64 {
+	came := new(atomic.Int64)
+	s := &http.Server{Handler: f, ConnState: func(_ net.Conn, state http.ConnState) {
+		if state == http.StateActive {
+			came.Add(1)
+		}
+	}}
+	t.Cleanup(func() { s.Close() })
+	go func() { _ = s.Serve(l) }()
+	return came
+}
+
+func loopback(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// Places where an attempt of a request waits.
+const (
+	aFetch   = "behind a fetch of its key"
+	attempts = "between two attempts"
+	aCore    = "for a core, ordered and not begun"
+	aDial    = "for a connection"
+	dials    = "between two connections of one attempt"
+	aWrite   = "for a core, between the look at its client and the write"
+	itsBody  = "with its body half come"
+	queue    = "in the kernel's queue"
+)
+
+// waiting is a row: where a request waits, with which attempt, how its client goes, and whether bytes lie behind the request.
+type waiting struct {
+	place   string
+	attempt int
+	goes    string
+	behind  bool
+}
+
+const stays = "stays"
+
+// standing is a node with its stand-ins.
+type standing struct {
+	waiting
+	t         *testing.T
+	x         *exchange.Exchange
+	at, open  chan struct{} // the request is at its place; it may go on
+	there     func()
+	other     chan struct{} // the request of the same key is to come,
+	fetching  chan struct{} // and its fetch is out
+	target    string
+	came      *atomic.Int64 // at the target
+	first     chan net.Conn // the target's first connection, where two are wanted
+	addresses map[string]string
+	behinds   *atomic.Int64
+	tally     exchange.Tally
+}
+
+// tallied waits for something in the exchange's counts.
+func (s *standing) tallied(f func(y exchange.Tally) bool) {
+	for by := time.Now().Add(4 * time.Second); ; time.Sleep(2 * time.Millisecond) {
+		y := s.x.Tally()
+		s.tally.Lookups += y.Lookups
+		s.tally.Ends[exchange.TurnedAway] += y.Ends[exchange.TurnedAway]
+		if f(s.tally) {
+			return
+		} else if time.Now().After(by) {
+			s.t.Errorf("the counts are %+v", s.tally)
+			return
+		}
+	}
+}
+
+func (s *standing) await(c chan struct{}, what string) {
+	select {
+	case <-c:
+	case <-time.After(4 * time.Second):
+		s.t.Errorf("waited in vain: %s", what)
+	}
+}
+
+func value(to http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err == nil {
+		fmt.Fprint(to, "value")
+	}
+}
+
+// answers makes the stand-ins.
+func (s *standing) answers() {
+	away := func(to http.ResponseWriter) {
+		to.Header().Set("X-Never-Ran", "1")
+		to.WriteHeader(http.StatusServiceUnavailable)
+	}
+	s.addresses = map[string]string{}
+	for name, f := range map[string]http.HandlerFunc{
+		"away": func(to http.ResponseWriter, _ *http.Request) { away(to) },
+		"before": func(to http.ResponseWriter, _ *http.Request) { // the attempt before the one that is looked at
+			if s.place == attempts {
+				s.there()
+				<-s.open
+			} else if s.place == aFetch {
+				close(s.other)
+				<-s.fetching
+			}
+			away(to)
+		},
+		"miss": func(to http.ResponseWriter, _ *http.Request) { to.WriteHeader(http.StatusNotFound) },
+		"fetch": func(to http.ResponseWriter, r *http.Request) {
+			close(s.fetching)
+			<-s.open
+			value(to, r)
+		},
+		"plain": value,
+	} {
+		l := loopback(s.t)
+		s.addresses[name] = l.Addr().String()
+		if came := stand(s.t, l, f); name == "plain" {
+			s.behinds = came
+		}
+	}
+	switch s.place {
+	case aDial, itsBody:
+		address, hear := deaf(s.t)
+		s.target, s.came = address, new(atomic.Int64)
+		go func() {
+			<-s.open
+			server := &http.Server{Handler: http.HandlerFunc(value), ConnState: func(_ net.Conn, state http.ConnState) {
+				if state == http.StateActive {
+					s.came.Add(1)
+				}
+			}}
+			s.t.Cleanup(func() { server.Close() })
+			_ = server.Serve(hear())
+		}()
+	case dials:
+		l, second := loopback(s.t), loopback(s.t)
+		s.target = l.Addr().String()
+		s.came = stand(s.t, second, value)
+		go func() { // the first connection is the test's, the next lead to the second stand-in
+			for n := 0; ; n++ {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				if n == 0 {
+					s.first <- c
+					go func() {
+						if n, _ := c.Read(make([]byte, 1)); n > 0 {
+							s.came.Add(100) // behind bytes that are not its answer
+						}
+					}()
+					continue
+				}
+				to, err := net.Dial("tcp", second.Addr().String())
+				if err != nil {
+					return
+				}
+				go func() { _, _ = io.Copy(to, c); to.Close() }()
+				go func() { _, _ = io.Copy(c, to); c.Close() }()
+			}
+		}()
+	default:
+		l := loopback(s.t)
+		s.target, s.came = l.Addr().String(), stand(s.t, l, value)
+	}
+}
+
+// steer sends attempts to the stand-ins, and holds the one that is looked at.
+func (s *standing) steer(a *exchange.Shot, nth int) {
+	a.Place = uint64(100*nth + int(a.Trace[0])) // connections of its own
+	switch {
+	case a.Trace == "o" && nth == 1:
+		a.Address = s.addresses["miss"]
+	case a.Trace == "o":
+		a.Address = s.addresses["fetch"]
+	case a.Trace != "t":
+		a.Address = s.addresses["plain"]
+	case nth < s.attempt && a.Rest != nil:
+		l, err := net.Listen("tcp", own())
+		if err == nil {
+			a.Address = l.Addr().String()
+			l.Close() // refused, so that nothing of the body has gone
+		}
+	case nth == s.attempt-1:
+		a.Address = s.addresses["before"]
+	case nth < s.attempt:
+		a.Address = s.addresses["away"]
+	case nth == s.attempt:
+		a.Address = s.target
+		s.hold(a)
+	default:
+		a.Address = s.target
+	}
+}
+
+func (s *standing) hold(a *exchange.Shot) {
+	in := *a.Lookup
+	gone, looks := in.Gone, 0
+	switch s.place {
+	case aDial, itsBody:
+		s.there()
+	case aCore:
+		s.there()
+		<-s.open
+	case aWrite:
+		in.Gone = func() bool {
+			saw := gone()
+			if looks++; looks == 1 {
+				s.there()
+				<-s.open // the process has no core
+			}
+			return saw
+		}
+	case dials:
+		in.Gone = func() bool {
+			switch looks++; looks {
+			case 1: // half a line comes in the very moment, so that nothing is written
+				c := <-s.first
+				fmt.Fprint(c, "HTTP/1.1 2")
+				time.Sleep(50 * time.Millisecond)
+			case 3: // on the second connection
+				s.there()
+				<-s.open
+			}
+			return gone()
+		}
+	}
+	a.Lookup = &in
+}
+
+// start makes the node between them, and gives its address and what lets it take connections.
+func (s *standing) start() (address string, serve func()) {
+	namespace := func(name, repeat string) map[string]any {
+		return map[string]any{"name": name, "repeat": repeat, "target-time-ms": 4800., "time-limit-ms": 5000.}
+	}
+	d, err := terms.Of(map[string]any{"models": []any{"box", "origin"}, "domain": map[string]any{"mode": "aside", "origin-kind": 1.},
+		"permissions": map[string]any{"most-shots": 3., "connect-timeout-ms": 4500.},
+		"namespaces":  []any{namespace("read", "safe"), namespace("once", "unsafe")}})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.x = exchange.New(d, zap.NewNop())
+	carrier := servers.New(servers.Bounds{Descriptors: 32, Shots: 32, ConnectWithin: d.ConnectWithin, IdleFor: d.IdleFor, Body: bodyMost,
+		Long: longMost}, zap.NewNop())
+	s.t.Cleanup(carrier.Close)
+	s.x.Start(1, &steered{Servers: carrier, tries: map[string]int{}, steer: s.steer}, unlisted{})
+	list := []exchange.Box{{ID: "z", Address: "z:1", Machine: "origin"}}
+	for _, id := range []string{"a", "b", "c"} {
+		list = append(list, exchange.Box{ID: id, Address: id + ":1", Machine: "box"})
+	}
+	s.x.List(logic.Whole, list)
+	front := clients.New(s.x, clients.Bounds{Descriptors: 16, Beyond: 2, LongestLimit: d.LongestLimit, Body: bodyMost, Long: longMost}, zap.NewNop())
+	l := loopback(s.t)
+	return l.Addr().String(), func() { go func() { _ = front.Serve(l) }() }
+}
+
+func (s *standing) dial(address string) *net.TCPConn {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { c.Close() })
+	return c.(*net.TCPConn)
+}
+
+// An attempt that waits begins no later than 0.1 s after its client has gone, whichever attempt it is, however the client went and
+// whatever lies behind its request; that of one that stays is served. Without the look at the client's connection every place fails,
+// with bytes behind or, where net/http can't see an end yet, without. Without the look made anew where it took long fail those between
+// the look and the write that have bytes behind, and all between two connections, also where the client stays: what came in the very
+// moment was taken for the beginning of the answer.
+func TestNoAttemptBeginsForAClientThatHasGone(t *testing.T) {
+	half := strings.Repeat("x", bodyMost)
+	play := func(t *testing.T, w waiting) {
+		s := &standing{waiting: w, t: t, at: make(chan struct{}), open: make(chan struct{}), other: make(chan struct{}),
+			fetching: make(chan struct{}), first: make(chan net.Conn, 1)}
+		s.there = sync.OnceFunc(func() { close(s.at) })
+		release := sync.OnceFunc(func() { close(s.open) })
+		defer release()
+		s.answers()
+		address, serve := s.start()
+		if w.place != queue {
+			serve()
+		}
+		if w.place == aFetch && w.attempt == 1 {
+			fmt.Fprint(s.dial(address), lookup("GET /read/k", "o", ""))
+			s.await(s.fetching, "the other's fetch")
+		}
+		c := s.dial(address)
+		if w.place == itsBody {
+			fmt.Fprint(c, lookup("PUT /once/k", "t", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 2*len(half), half)))
+		} else {
+			fmt.Fprint(c, lookup("GET /read/k", "t", ""))
+		}
+		switch {
+		case w.place == queue:
+		case w.place == aFetch && w.attempt > 1:
+			s.await(s.other, "the attempt before")
+			fmt.Fprint(s.dial(address), lookup("GET /read/k", "o", ""))
+			s.tallied(func(y exchange.Tally) bool { return y.Ends[exchange.TurnedAway] == w.attempt-1 })
+		case w.place == aFetch:
+			s.tallied(func(y exchange.Tally) bool { return y.Lookups == 2 })
+		default:
+			s.await(s.at, "the attempt")
+		}
+		if w.behind {
+			fmt.Fprint(c, lookup("GET /read/other", "u", ""))
+		}
+		switch w.goes {
+		case "closes":
+			c.Close()
+		case "shuts its sending side":
+			_ = c.CloseWrite()
+		case "resets":
+			_ = c.SetLinger(0)
+			c.Close()
+		}
+		time.Sleep(goneFor)
+		release()
+		if w.place == queue {
+			serve()
+		}
+		if w.goes != stays {
+			if w.place == queue {
+				time.Sleep(goneFor) // it is taken, or not: nobody tells
+			}
+			for by := time.Now().Add(4 * time.Second); s.x.Out() > 0; time.Sleep(2 * time.Millisecond) {
+				if time.Now().After(by) {
+					t.Error("not over")
+					break
+				}
+			}
+			time.Sleep(20 * time.Millisecond)
+			if came, behind := s.came.Load(), s.behinds.Load(); came > 0 || behind > 0 {
+				t.Errorf("sent on: %d, and %d of what lay behind", came, behind)
+			}
+			return
+		}
+		if w.place == itsBody {
+			fmt.Fprint(c, half)
+		}
+		in, want := bufio.NewReader(c), 1
+		if w.behind {
+			want = 2
+		}
+		for range want {
+			_ = c.SetReadDeadline(time.Now().Add(6 * time.Second))
+			r, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if body, err := io.ReadAll(r.Body); r.StatusCode != http.StatusOK || string(body) != "value" || err != nil {
+				t.Errorf("a client that stays: %d %q, %v", r.StatusCode, body, err)
+			}
+		}
+		if came, behind := s.came.Load(), s.behinds.Load(); came != 1 || int(behind) != want-1 {
+			t.Errorf("sent on: %d, and %d of what lay behind", came, behind)
+		}
+	}
+	var rows sync.WaitGroup
+	defer rows.Wait()
+	room := make(chan struct{}, 32) // most of them only wait
+	for _, place := range []string{aFetch, attempts, aCore, aDial, dials, aWrite, itsBody, queue} {
+		for attempt := 1; attempt <= 3; attempt++ {
+			if place == attempts && attempt == 1 || place == queue && attempt > 1 {
+				continue // there is no such attempt
+			}
+			for _, goes := range []string{"closes", "shuts its sending side", "resets", stays} {
+				for _, behind := range []bool{false, true} {
+					if place == itsBody && behind {
+						continue // its own bytes are in the way
+					}
+					w := waiting{place, attempt, goes, behind}
+					rows.Go(func() {
+						room <- struct{}{}
+						defer func() { <-room }()
+						t.Run(fmt.Sprintf("%s, attempt %d, %s, behind %v", place, attempt, goes, behind), func(t *testing.T) { play(t, w) })
+					})
+				}
+			}
+		}
+	}
+}
--- a/internal/net/servers/dial.go
+++ b/internal/net/servers/dial.go
@@ -212,8 +212,7 @@
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(takenIn)) // first: nothing lies between the looks and the write
 	c.mu.Lock()
 	if !c.begun {
-		c.early = c.early || c.gone || c.waiting() || !c.by.IsZero() && time.Now().After(c.by)
-		c.dropped = c.wanted != nil && !c.wanted()
+		c.look()
 	}
 	c.begun = true
 	stray, dropped := c.early, c.dropped
@@ -234,6 +233,27 @@
 	return n, err
 }
 
+const (
+	lookFor   = 25 * time.Millisecond // a look takes microseconds: one that took longer is old by its end, and is made anew. An
+	looksMost = 4                     // attempt may begin up to 0.1 s after its client left; after so many there is no core to keep that
+)
+
+// look says whether a request's first byte may be written now: early and dropped tell why not. A process that has no core for a
+// while between a look and the write would act on what was true before, so what it saw has to be fresh. Called with the lock held.
+func (c *conn) look() {
+	for n := 1; ; n++ {
+		began := time.Now()
+		c.early = c.early || c.gone || c.waiting()
+		c.dropped = c.wanted != nil && !c.wanted()
+		now := time.Now() // last, and no call of the kernel
+		c.early = c.early || !c.by.IsZero() && now.After(c.by)
+		if fresh := now.Sub(began) < lookFor; fresh || c.early || c.dropped {
+			return
+		}
+		c.early = n == looksMost
+	}
+}
+
 // last says that the request's last byte is in the transport's buffer, so that the next write brings it out.
 func (c *conn) last(whole func()) {
 	c.mu.Lock()
