Count a repeat's span and a drain's grace from the decision, not from when it is carried out

Read, then forced: host.Shoot took the time anew, after the module had decided. The module orders a repeat within half of the memory span by the clock it was given, and the repeat had a quarter of the span more from Shoot's own clock: 3/4 in all, unless the process has no core between the two (or HangUp, the list's lock and other lookups' steps take long). Then the quarter, the half of a drain's grace and the 50 ms of a part of the fleet's budgets began only when the process ran again, and what was decided before could go out after the span or the grace.

An attempt is now sent at the time that the module was told (Exchange.now, also where a settled shot is told), so the sum holds: a repeat's first byte leaves within 3/4 of the span counted from the decision on the first attempt that may have run, which comes before that one's first byte, or not at all. Slow dials only make it stricter. Spans of some tenths of a millisecond, and of 0 (no repeat), were looked at and are right by the same sum.

--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -46,6 +46,7 @@
 
 	mu       sync.Mutex
 	balancer *logic.Balancer
+	decided  time.Time // when the module was told of what it acts on
 	tickets  []*Ticket // by the module's index
 	free     []int
 	out      map[string]*Ticket // by the client's id, until all shots have settled
@@ -97,7 +98,13 @@
 			}
 		}
 	}()
-	f(x.clock.now())
+	f(x.now())
+}
+
+// now gives the time of what is told to the module, and keeps it as that of the decisions that follow.
+func (x *Exchange) now() logic.Time {
+	x.decided = time.Now()
+	return x.clock.at(x.decided)
 }
 
 // ErrNamespace says that a lookup names no namespace of the terms.
@@ -217,7 +224,7 @@
 		Address: h.boxes[server].address,
 		Place:   h.boxes[server].nth,
 		server:  server,
-		sent:    time.Now(),
+		sent:    h.decided, // not when this line runs: a process that had no core meanwhile would count spans from too late
 		Within:  spanOf(timeout),
 		ticket:  t,
 		number:  t.shots,
--- /dev/null
+++ b/internal/net/exchange/repeats_test.go
@@ -0,0 +1,88 @@
+package exchange
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+// still is a server side whose process has no core for a while in the middle of a decision.
+type still struct {
+	*fleet
+	stall time.Duration
+	began time.Time // of the latest stall
+}
+
+func (s *still) HangUp(uint64, int) {
+	s.began = time.Now()
+	time.Sleep(s.stall)
+}
+
+// A repeat of what may have run begins within the span of its settings, counted from the first attempt, or not at all: whatever the
+// span is, some tenths of a millisecond included, whichever attempt it is, and where the process stood still amid the decision. A drain's
+// grace counts from the decision too.
+func TestARepeatBeginsWithinItsSpan(t *testing.T) {
+	r := rand.New(rand.NewSource(3))
+	repeats, stood := 0, 0
+	for range 150 {
+		span := time.Duration(r.Intn(50)) * time.Millisecond / 10
+		if r.Intn(2) == 0 {
+			span = time.Duration(1+r.Intn(30)) * time.Millisecond
+		}
+		grace := time.Duration(r.Intn(2)*(1+r.Intn(100))) * time.Millisecond
+		settings := map[string]any{"models": []any{"box", "origin"}, "domain": map[string]any{"mode": "aside", "origin-kind": 1.},
+			"permissions": map[string]any{"most-shots": 4.},
+			"namespaces": []any{map[string]any{"name": "marked", "repeat": "keyed", "group": "all", "memory-span-ms": float64(span) / 1e6,
+				"target-time-ms": 2000., "time-limit-ms": 3000.}}}
+		if grace > 0 {
+			settings["invariants"] = map[string]any{"stop-sending-within-ms": float64(grace) / 1e6}
+		}
+		d, err := terms.Of(settings)
+		if err != nil {
+			t.Fatal(err)
+		}
+		carrier := &still{fleet: &fleet{}}
+		x := New(d, zap.NewNop())
+		x.Start(uint64(r.Int63()), carrier, nobody{})
+		x.List(logic.Whole, boxes)
+		take(t, x, Lookup{Namespace: "marked", Key: "k", Write: true}, 3*time.Second)
+		var first time.Time // the earliest that the first attempt that may have run can have begun
+		for n := 0; ; n++ {
+			s := carrier.take(0)
+			if s == nil {
+				break
+			}
+			if !first.IsZero() {
+				repeats++
+				if by := s.BeginBy.Sub(first); s.BeginBy.IsZero() || by >= span {
+					t.Errorf("span %v, stalled for %v, attempt %d may begin by %v after the first, %v", span, carrier.stall, n, by, s.BeginBy)
+				}
+			}
+			if grace > 0 && n > 0 && s.BeginBy.After(carrier.began.Add(grace/gracePart)) {
+				t.Errorf("grace %v, stalled for %v: attempt %d may begin %v after the decision", grace, carrier.stall, n, s.BeginBy.Sub(carrier.began))
+			}
+			end := []End{Lost, Lost, Lost, CutShort, Failing, Silent, Unwritten, Overtaken}[r.Intn(8)]
+			if first.IsZero() && end != Unwritten && end != Overtaken {
+				first = s.sent
+			}
+			carrier.stall = 0
+			if r.Intn(2) == 0 {
+				carrier.stall = time.Duration(r.Int63n(int64(span) + 1))
+				stood++
+			}
+			time.Sleep(time.Duration(r.Int63n(int64(span)/3 + 1))) // its dial, its way to the server
+			s.Settle(end, Answer{})
+		}
+		if x.Tally().Panics > 0 || x.Out() > 0 {
+			t.Fatal("a panic, or a lookup left over")
+		}
+	}
+	if repeats < 20 || stood < 20 {
+		t.Errorf("only %d repeats, %d stalls", repeats, stood)
+	}
+}
--- a/internal/net/exchange/ticket.go
+++ b/internal/net/exchange/ticket.go
@@ -199,7 +199,7 @@
 func (s *Shot) begins() {
 	if s.Rest != nil && !s.began && !s.told {
 		s.began, s.sent = true, time.Now()
-		s.ticket.x.balancer.Sent(s.ticket.x.clock.now(), s.ticket.index, s.number)
+		s.ticket.x.balancer.Sent(s.ticket.x.now(), s.ticket.index, s.number)
 	}
 }
 
@@ -227,5 +227,5 @@
 	t := s.ticket
 	t.x.tally.Ends[end]++
 	t.x.boxes[s.server].drop(s)
-	t.x.balancer.Settled(t.x.clock.now(), t.index, s.number, end.Code(), end == Whole || t.over.Load())
+	t.x.balancer.Settled(t.x.now(), t.index, s.number, end.Code(), end == Whole || t.over.Load())
 }
