Tell a reset from an end where a write has met the reset, and force answers that break off

The kernel tells of a reset once. Where a write failed by it (a long upload that the server answers early, with no length, and then resets), the write took the word, and the next read of the connection found a plain end: an answer of no told length, broken off by a reset, was whole. Shown on a pair of sockets; who reads first is chance. Ruled out as other takers of the word: the look before a request (nothing is written then), the runtime's poller, the dial.

conn.Read now gives an end only when no write is under way and none has failed; else it is a reset (conn.ended). An end beside a write that waits is told when that write is over, as it may be an early answer of a server that goes on reading; closing the connection ends the wait.

New in answers_test.go, sound but for the above: resets behind answers with a length, chunked and with none, at once, later, over unread bytes, after an end (18 rows); half a line from a server, with its end or a reset behind it, as its connection rests, is closed, is chosen for it, is taken, is about to be written (15 rows of 20 shots); heads, provisional answers and bodies that go on byte by byte without an end; a connection that comes up after its shot was given up; the time by which a request has to begin passing amid the look.

--- /dev/null
+++ b/internal/net/servers/answers_test.go
@@ -0,0 +1,371 @@
+package servers
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
+)
+
+// reset ends a connection by one, whatever the kernel still holds.
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
+
+// A reset is no end: an answer that it breaks off is never whole, however its length is told, whether the bytes before it have been
+// read by then, and whether the server resets by itself or since it closes over bytes that it has not read. What has ended before
+// is whole.
+func TestAResetIsNoEnd(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for _, c := range []struct{ text, end, want string }{
+		{ok + "Content-Length: 9\r\n\r\nshort", "reset", "cut short"},
+		{ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n", "reset", "cut short"},
+		{ok + "\r\nshort", "reset", "cut short"},
+		{ok + "\r\n", "reset", "cut short"},
+		{"HTTP/1.0 200 OK\r\n\r\nshort", "reset", "cut short"},
+		{ok + "Connection: close\r\n\r\nshort", "reset", "cut short"},
+		{ok + "\r\nshort", "over unread bytes", "cut short"},
+		{ok + "\r\nshort", "reset later", "cut short"},
+		{"HTTP/1.1 404 Not Found\r\n\r\nshort", "reset", "cut short"},
+		{"HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\n\r\nshort", "reset", "cut short"},
+		{ok + "A: b\r\n", "reset", "lost"},
+		{ok + "Content-Len", "reset", "spoilt"},
+		{ok + "Content-Length: 9\r\n\r\nshort", "ended, then reset", "cut short"},
+		{ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n", "ended, then reset", "cut short"},
+		{ok + "\r\nwhole", "ended, then reset", "whole"},
+		{ok + "Content-Length: 5\r\n\r\nwhole", "reset later", "whole"},
+		{ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", "reset later", "whole"},
+		{ok + "\r\nwhole", "ended", "whole"},
+	} {
+		t.Run(c.end+" "+strconv.Quote(c.text), func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() { // each by itself: a connection of somebody else's may come to a port that is used anew
+						// The head only; a body stays unread.
+						for b, head := make([]byte, 1), ""; !strings.HasSuffix(head, "\r\n\r\n"); head += string(b) {
+							if _, err := conn.Read(b); err != nil {
+								break
+							}
+						}
+						_, _ = io.WriteString(conn, c.text)
+						switch c.end {
+						case "reset":
+							reset(conn)
+						case "reset later":
+							time.Sleep(10 * time.Millisecond)
+							reset(conn)
+						case "ended, then reset":
+							_ = conn.(*net.TCPConn).CloseWrite()
+							time.Sleep(5 * time.Millisecond)
+							reset(conn)
+						case "over unread bytes":
+							waitFor(conn) // the body
+							conn.Close()
+						default:
+							conn.Close()
+						}
+					}()
+				}
+			}()
+			for range 10 {
+				sh := shot(l.Addr().String(), "GET", "")
+				if c.end == "over unread bytes" {
+					sh = shot(l.Addr().String(), "PUT", "value")
+				}
+				end, a := side(t).send(sh)
+				if end.String() != c.want || (string(a.Body) == "whole") != (c.want == "whole") {
+					t.Errorf("%v %q, want %s", end, a.Body, c.want)
+				}
+			}
+		})
+	}
+}
+
+// waitFor waits until bytes lie unread.
+func waitFor(c net.Conn) {
+	own := newConn(c.(socket), nil)
+	for by := time.Now().Add(time.Second); !own.waiting() && time.Now().Before(by); {
+		time.Sleep(100 * time.Microsecond)
+	}
+}
+
+// The kernel tells of a reset once. Where a write has taken its word, as of a long upload that the server answers early, the next read
+// must not find an end that would make an answer of no told length whole.
+func TestAResetThatAWriteHasMetIsNoEnd(t *testing.T) {
+	near, far := tcp(t)
+	c := newConn(near, func() {})
+	c.take(false, time.Time{}, nil)
+	if _, err := c.Write([]byte("head")); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\n\r\nhalf")
+	waitFor(near)
+	reset(far)
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if _, err := c.Write([]byte("body")); err != nil {
+			break
+		}
+	}
+	if !c.failed.Load() {
+		t.Fatal("no write has met the reset")
+	}
+	_, err := io.ReadAll(c)
+	if !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the answer ends with %v, want a reset", err)
+	}
+}
+
+// The same while the write is on its way: its end is waited for, and a server that has ended its answer, but not reset, is believed.
+func TestAnEndWaitsForTheWriteBesideIt(t *testing.T) {
+	for _, resets := range []bool{true, false} {
+		near, far := tcp(t)
+		c := newConn(near, func() {})
+		c.take(false, time.Time{}, nil)
+		wrote := make(chan error, 1)
+		go func() {
+			_, err := c.Write(make([]byte, 32<<20)) // more than the kernel holds
+			wrote <- err
+		}()
+		waitFor(far)
+		_ = far.CloseWrite() // an end, while the write waits for room
+		read := make(chan error, 1)
+		go func() {
+			_, err := io.ReadAll(c)
+			read <- err
+		}()
+		select {
+		case err := <-read:
+			t.Errorf("resets %v: the end was told before the write was over: %v", resets, err)
+			continue
+		case <-time.After(30 * time.Millisecond):
+		}
+		if resets {
+			reset(far)
+		} else {
+			go func() { _, _ = io.Copy(io.Discard, far) }()
+		}
+		if err := <-read; errors.Is(err, syscall.ECONNRESET) != resets || !resets && err != nil {
+			t.Errorf("resets %v: the answer ends with %v", resets, err)
+		}
+		<-wrote
+	}
+}
+
+// Half a line from a server, alone, with its end or with a reset behind it, may come at any moment in which a connection rests, is
+// closed or is taken: it is no answer to anything, its connection takes no request any more, and each request reaches a server once.
+func TestHalfALineFromAServer(t *testing.T) {
+	const half = "HTTP/1.1 200 OK\r\nContent-Le"
+	for _, moment := range []string{"resting", "closed", "being closed", "taken", "before its request"} {
+		for _, behind := range []string{"", "end", "reset"} {
+			t.Run(moment+" "+behind, func(t *testing.T) {
+				t.Parallel()
+				var mu sync.Mutex
+				seen, conns := map[string]int{}, make(chan net.Conn, 100)
+				address := raw(t, func(c net.Conn, r *http.Request, nth int) {
+					mu.Lock()
+					seen[r.Header.Get("X-Trace-Id")]++
+					mu.Unlock()
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(r.Header.Get("X-Trace-Id")), r.Header.Get("X-Trace-Id"))
+					conns <- c
+				})
+				s := side(t)
+				last := latest(s)
+				line := func() { // of the connection that answered last
+					c := <-conns
+					_, _ = io.WriteString(c, half)
+					switch behind {
+					case "end":
+						_ = c.(*net.TCPConn).CloseWrite()
+					case "reset":
+						reset(c)
+					}
+				}
+				for i := range 20 {
+					trace := fmt.Sprint("t", i)
+					sh := shot(address, "GET", "")
+					sh.Trace = trace
+					if i > 0 {
+						switch moment {
+						case "resting":
+							line()
+							time.Sleep(5 * time.Millisecond)
+						case "closed":
+							s.dialer.hangUp(hostOf(0)+":80", 0)
+							line()
+						case "being closed": // chosen, and not closed yet
+							c := *last
+							c.retire()
+							line()
+						case "taken":
+							line()
+						case "before its request":
+							met := false
+							sh.Gone = func() bool {
+								if !met {
+									met = true
+									line()
+									time.Sleep(lookFor + 5*time.Millisecond)
+								}
+								return false
+							}
+						}
+					}
+					if end, a := s.send(sh); end != exchange.Whole || string(a.Body) != trace {
+						t.Errorf("shot %d: %v %q", i, end, a.Body)
+					}
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				for trace, n := range seen {
+					if n != 1 {
+						t.Errorf("%s reached the server %d times", trace, n)
+					}
+				}
+			})
+		}
+	}
+}
+
+// The time by which a request has to begin may pass while the kernel is asked for the client.
+func TestARequestTooLateByTheEndOfTheLookIsNotWritten(t *testing.T) {
+	var came atomic.Int64
+	address := raw(t, func(c net.Conn, _ *http.Request, _ int) {
+		came.Add(1)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv")
+	})
+	for left, want := range map[time.Duration]exchange.End{10 * time.Millisecond: exchange.Unwritten, 5 * time.Second: exchange.Whole} {
+		sh := shot(address, "PUT", "v")
+		sh.BeginBy = time.Now().Add(left)
+		sh.Gone = func() bool {
+			time.Sleep(15 * time.Millisecond)
+			return false
+		}
+		if end, _ := side(t).send(sh); end != want {
+			t.Errorf("%v left: %v, want %v", left, end, want)
+		}
+	}
+	if came.Load() != 1 {
+		t.Errorf("%d came, want one", came.Load())
+	}
+}
+
+// A connection that comes up long after its shot was given up: the shot ends in its own time, nothing is written to it, whoever comes
+// next may have it, and its descriptor comes back.
+func TestAConnectionThatComesUpLate(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, _ := syscall.Getsockname(fd)
+	address := (&net.TCPAddr{IP: net.IP{127, 0, 0, 1}, Port: name.(*syscall.SockaddrInet4).Port}).String()
+	var fill []net.Conn
+	for { // its queue of new ones is full: the kernel tries again after a second
+		c, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
+		if err != nil {
+			break
+		}
+		fill = append(fill, c)
+	}
+	s := New(Bounds{Descriptors: 8, Shots: 8, ConnectWithin: 4 * time.Second, IdleFor: 500 * time.Millisecond, Body: 1 << 10, Long: 1 << 10}, zap.NewNop())
+	defer s.Close()
+	began := time.Now()
+	sh := shot(address, "GET", "")
+	sh.Within = 200 * time.Millisecond
+	if end, _ := s.send(sh); end != exchange.Overtaken || time.Since(began) < sh.Within || time.Since(began) > 2*time.Second {
+		t.Errorf("%v after %v", end, time.Since(began))
+	}
+	for range fill {
+		c, _, err := syscall.Accept(fd)
+		if err != nil {
+			t.Fatal(err)
+		}
+		syscall.Close(c)
+	}
+	for _, c := range fill {
+		c.Close()
+	}
+	c, _, err := syscall.Accept(fd) // waits for it
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(c)
+	_ = syscall.SetsockoptTimeval(c, syscall.SOL_SOCKET, syscall.SO_RCVTIMEO, &syscall.Timeval{Sec: 3})
+	if n, err := syscall.Read(c, make([]byte, 100)); n != 0 || err != nil { // it idles, and is closed
+		t.Errorf("read %d, %v, want its end and nothing before", n, err)
+	}
+	for by := time.Now().Add(2 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		s.dialer.mu.Lock()
+		open, dialing := s.dialer.open, s.dialer.dialing
+		s.dialer.mu.Unlock()
+		if open == 0 && dialing == 0 {
+			break
+		} else if time.Now().After(by) {
+			t.Fatalf("%d open, %d dials", open, dialing)
+		}
+	}
+}
+
+// Answers that go on without an end, byte by byte, so that no pause tells: heads, provisional answers, bodies with a length. Each ends in
+// its shot's own time, and leaves no goroutine and no connection.
+func TestAnswersThatGoOnByByte(t *testing.T) {
+	before := runtime.NumGoroutine()
+	s := side(t)
+	for _, text := range []string{"HTTP/1.1 200 OK\r\nX-More: \x00x", "\x00HTTP/1.1 103 Hints\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n\x00x",
+		"HTTP/1.1 500 Oops\r\nTransfer-Encoding: chunked\r\n\r\n\x001\r\nx\r\n", "HTTP/1.1 500 Oops\r\n\r\n\x00x"} {
+		ended := make(chan bool, 1)
+		address := raw(t, func(c net.Conn, _ *http.Request, _ int) {
+			first, again, _ := strings.Cut(text, "\x00")
+			_, err := io.WriteString(c, first)
+			for ; err == nil; time.Sleep(2 * time.Millisecond) {
+				_, err = io.WriteString(c, again)
+			}
+			ended <- true
+		})
+		began := time.Now()
+		sh := shot(address, "GET", "")
+		sh.Within = 300 * time.Millisecond
+		end, a := s.send(sh)
+		if took := time.Since(began); end != exchange.Silent && end != exchange.Spoilt || took > 3*time.Second || len(a.Body) > 0 {
+			t.Errorf("%q: %v after %v", text, end, took)
+		}
+		select {
+		case <-ended:
+		case <-time.After(3 * time.Second):
+			t.Errorf("%q: its connection is open still", text)
+		}
+	}
+	s.Close()
+	for by := time.Now().Add(3 * time.Second); runtime.NumGoroutine() > before+10; time.Sleep(5 * time.Millisecond) { // five listeners, and what they hold
+		if time.Now().After(by) {
+			t.Fatalf("%d goroutines, %d before", runtime.NumGoroutine(), before)
+		}
+	}
+}
--- a/internal/net/servers/dial.go
+++ b/internal/net/servers/dial.go
@@ -175,7 +175,7 @@
 	failed  atomic.Bool  // a write came to an end before its last byte
 
 	mu      sync.Mutex
-	change  sync.Cond   // of reading and gone
+	change  sync.Cond   // of reading, gone and writing
 	reading bool        // the transport waits for bytes, so it has none left over
 	gone    bool        // closed on our side, or about to be
 	busy    int         // requests it was taken for that are not over
@@ -189,6 +189,7 @@
 	read    int64
 	heard   time.Time     // when the latest bytes of the present answer came; zero: none have
 	pause   time.Duration // the longest between two of its reads
+	writing bool          // a write is under way
 }
 
 // socket is a connection that has a descriptor to look at.
@@ -216,6 +217,7 @@
 	}
 	c.begun = true
 	stray, dropped := c.early, c.dropped
+	c.writing = !stray && !dropped
 	c.mu.Unlock()
 	switch {
 	case dropped:
@@ -225,8 +227,14 @@
 	}
 	n, err := c.Conn.Write(b)
 	c.written.Add(int64(n))
+	c.mu.Lock()
 	if n < len(b) {
 		c.failed.Store(true)
+	}
+	c.writing = false
+	c.change.Broadcast()
+	c.mu.Unlock()
+	if n < len(b) {
 		return n, err
 	}
 	c.flushed()
@@ -337,11 +345,25 @@
 	case err != nil:
 		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
 	case n == 0 && len(b) > 0:
-		return 0, io.EOF
+		return 0, c.ended()
 	}
 	return n, nil
 }
 
+// ended tells an end that the server made from a reset. The kernel tells of a reset once: a write that fails by it takes the word,
+// and the next read finds a plain end, which would make an answer of no told length whole.
+func (c *conn) ended() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.writing && !c.gone {
+		c.change.Wait()
+	}
+	if c.writing || c.failed.Load() {
+		return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", syscall.ECONNRESET)}
+	}
+	return io.EOF
+}
+
 // take makes the connection ready for a request. After an answer the transport goes on to read, or closes if
 // there is more than the answer: one of the two must have happened.
 func (c *conn) take(reused bool, by time.Time, wanted func() bool) (written, read int64) {
