Tell a server what is left of a shot's time when its connection is up

X-Expires-In was computed when the shot began, before its dial, and stayed the same on the second and third connection of a shot: one that came up 1 s late was told 1 s more than its client had left.

It is computed anew when the shot has its connection, where that took over 50 ms. Long uploads keep theirs: their time counts from their last byte.

TestAServerHearsWhatIsLeft, red without the mend: "told 2s of 2s, 0.2 s and more before its request".

--- a/internal/net/servers/answers_test.go
+++ b/internal/net/servers/answers_test.go
@@ -1,6 +1,7 @@
 package servers
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -273,6 +274,33 @@
 	}
 }
 
+// A server hears what is left of a shot's time, also where its connection came up late.
+func TestAServerHearsWhatIsLeft(t *testing.T) {
+	told := make(chan string, 10)
+	address := raw(t, func(c net.Conn, r *http.Request, _ int) {
+		told <- r.Header.Get("X-Expires-In")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv")
+	})
+	s, dials := side(t), 0
+	dial := s.transport.DialContext
+	s.transport.DialContext = func(ctx context.Context, network, to string) (net.Conn, error) {
+		time.Sleep(100 * time.Millisecond)
+		if dials++; dials == 1 {
+			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNRESET} // another is tried
+		}
+		return dial(ctx, network, to)
+	}
+	sh := shot(address, "GET", "")
+	sh.Within = 2 * time.Second
+	if end, _ := s.send(sh); end != exchange.Whole {
+		t.Fatal(end)
+	}
+	us, err := strconv.Atoi(strings.TrimSuffix(<-told, "u"))
+	if left := time.Duration(us) * time.Microsecond; err != nil || left > sh.Within-200*time.Millisecond || left <= 0 {
+		t.Errorf("told %v of %v, 0.2 s and more before its request: %v", left, sh.Within, err)
+	}
+}
+
 // A connection that comes up long after its shot was given up: the shot ends in its own time, nothing is written to it, whoever comes
 // next may have it, and its descriptor comes back.
 func TestAConnectionThatComesUpLate(t *testing.T) {
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	triesMost = 3               // connections tried: more than that don't break by chance
-	takenIn   = 5 * time.Second // for bytes that are written to a server, or to a client, to find room there
+	triesMost = 3                     // connections tried: more than that don't break by chance
+	tellAnew  = 50 * time.Millisecond // a server hears what is left of a shot's time, up to so much
+	takenIn   = 5 * time.Second       // for bytes that are written to a server, or to a client, to find room there
 )
 
 // onceOnly is a body that the transport can't rewind, and so won't send again when a kept connection
@@ -40,7 +41,7 @@
 		Header: http.Header{
 			"User-Agent":   nil,
 			"X-Trace-Id":   {shot.Trace},
-			"X-Expires-In": {strconv.FormatInt(within(shot).Microseconds(), 10) + "u"},
+			"X-Expires-In": {expiresIn(within(shot))},
 		},
 		Body: onceOnly{bytes.NewReader(shot.Body)}, ContentLength: int64(len(shot.Body))}
 	if shot.Rest != nil {
@@ -52,6 +53,8 @@
 	return r.WithContext(context.WithValue(ctx, toAddress{}, target{shot.Address, !shot.Origin}))
 }
 
+func expiresIn(left time.Duration) string { return strconv.FormatInt(left.Microseconds(), 10) + "u" }
+
 // within is how long an answer is waited for, counted from the last byte of a body with a rest.
 func within(shot *exchange.Shot) time.Duration {
 	if shot.Rest != nil {
@@ -164,8 +167,14 @@
 	watch := s.watch(shot, on, halt)
 	defer watch.Stop()
 	defer on.release()
-	resp, err := s.transport.RoundTrip(request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) { on.got(i.Conn, i.Reused, shot) },
+	var r *http.Request
+	r = request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			on.got(i.Conn, i.Reused, shot)
+			if left := time.Until(until); shot.Rest == nil && shot.Within-left > tellAnew {
+				r.Header["X-Expires-In"] = []string{expiresIn(max(0, left))} // its connection came up late
+			}
+		},
 		// From the first byte of a long body on, its time counts from its last.
 		WroteHeaders: func() {
 			if shot.Rest != nil {
@@ -182,7 +191,8 @@
 				limit.Reset(within(shot))
 			}
 		},
-	}), shot))
+	}), shot)
+	resp, err := s.transport.RoundTrip(r)
 	if err != nil {
 		return s.broken(ctx, err, shot, on), exchange.Answer{}, err
 	}
