--- a/internal/net/node/gone_test.go
+++ b/internal/net/node/gone_test.go
@@ -61,8 +61,9 @@
 	return came
 }
 
+// loopback listens where nobody else does: at a port that is used anew connections of other processes may come.
 func loopback(t *testing.T) net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", own())
 	if err != nil {
 		t.Fatal(err)
 	}
