--- a/internal/net/node/gone_test.go
+++ b/internal/net/node/gone_test.go
@@ -80,6 +80,8 @@
 	dials    = "between two connections of one attempt"
 	aWrite   = "for a core, between the look at its client and the write"
 	itsBody  = "with its body half come"
+	muchOfIt = "with megabytes of its body come"
+	bothOf   = "with megabytes of its body come, for a core" // and a connection that comes up at once
 	queue    = "in the kernel's queue"
 )
 
@@ -173,7 +175,7 @@
 		}
 	}
 	switch s.place {
-	case aDial, itsBody:
+	case aDial, itsBody, muchOfIt:
 		address, hear := deaf(s.t)
 		s.target, s.came = address, new(atomic.Int64)
 		go func() {
@@ -251,9 +253,9 @@
 	in := *a.Lookup
 	gone, looks := in.Gone, 0
 	switch s.place {
-	case aDial, itsBody:
+	case aDial, itsBody, muchOfIt:
 		s.there()
-	case aCore:
+	case aCore, bothOf:
 		s.there()
 		<-s.open
 	case aWrite:
@@ -323,7 +325,6 @@
 // the look and the write that have bytes behind, and all between two connections, also where the client stays: what came in the very
 // moment was taken for the beginning of the answer.
 func TestNoAttemptBeginsForAClientThatHasGone(t *testing.T) {
-	half := strings.Repeat("x", bodyMost)
 	play := func(t *testing.T, w waiting) {
 		s := &standing{waiting: w, t: t, at: make(chan struct{}), open: make(chan struct{}), other: make(chan struct{}),
 			fetching: make(chan struct{}), first: make(chan net.Conn, 1)}
@@ -340,10 +341,19 @@
 			s.await(s.fetching, "the other's fetch")
 		}
 		c := s.dial(address)
-		if w.place == itsBody {
+		half := strings.Repeat("x", map[string]int{itsBody: bodyMost, muchOfIt: 12 << 20, bothOf: 12 << 20}[w.place])
+		written := make(chan bool)
+		go func() {
+			defer close(written)
+			if half == "" {
+				fmt.Fprint(c, lookup("GET /read/k", "t", ""))
+				return
+			}
+			// More than the kernels hold, where it is much: its end is behind bytes that nobody takes.
 			fmt.Fprint(c, lookup("PUT /once/k", "t", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 2*len(half), half)))
-		} else {
-			fmt.Fprint(c, lookup("GET /read/k", "t", ""))
+		}()
+		if w.place != muchOfIt && w.place != bothOf {
+			<-written
 		}
 		switch {
 		case w.place == queue:
@@ -389,9 +399,8 @@
 			}
 			return
 		}
-		if w.place == itsBody {
-			fmt.Fprint(c, half)
-		}
+		<-written
+		fmt.Fprint(c, half)
 		in, want := bufio.NewReader(c), 1
 		if w.behind {
 			want = 2
@@ -414,14 +423,14 @@
 	var rows sync.WaitGroup
 	defer rows.Wait()
 	room := make(chan struct{}, 32) // most of them only wait
-	for _, place := range []string{aFetch, attempts, aCore, aDial, dials, aWrite, itsBody, queue} {
+	for _, place := range []string{aFetch, attempts, aCore, aDial, dials, aWrite, itsBody, muchOfIt, bothOf, queue} {
 		for attempt := 1; attempt <= 3; attempt++ {
 			if place == attempts && attempt == 1 || place == queue && attempt > 1 {
 				continue // there is no such attempt
 			}
 			for _, goes := range []string{"closes", "shuts its sending side", "resets", stays} {
 				for _, behind := range []bool{false, true} {
-					if place == itsBody && behind {
+					if (place == itsBody || place == muchOfIt || place == bothOf) && behind {
 						continue // its own bytes are in the way
 					}
 					w := waiting{place, attempt, goes, behind}
