See a client's end behind a flood before an attempt is sent on for it

A client that sends much at once and goes: what it wrote behind its request fills the window, so that its end stays in its own kernel, and the look at its connection (poll) finds it there.

Where 4 KiB and more lie unread, placed.gone now reads on, up to 4 MB of a connection and 8 MB of all, until two spans of a millisecond bring nothing more (10 at the most), and then looks again. What was read ahead is what the next read gets: the kernel's bytes are taken under one lock, whoever reads (placed.take); a read's deadline holds as before. It is given back as it is read, or at the close. Beyond these bounds it is as it was; less than 4 KiB behind costs one more call.

Seen red without the mend: its 6 rows that close or shut their sending side ("sent on: 1, and 255 of what lay behind"); those that reset are seen by poll.

--- a/internal/net/clients/listener.go
+++ b/internal/net/clients/listener.go
@@ -17,6 +17,7 @@
 	net.Listener
 	most   atomic.Int64
 	taken  atomic.Int64 // places; only Accept takes one
+	ahead  atomic.Int64 // bytes read ahead of all connections
 	came   atomic.Int64 // when the latest connection did, Unix time in nanoseconds
 	closed chan struct{}
 	close  func() error
@@ -63,7 +64,7 @@
 	b.came.Store(time.Now().UnixNano())
 	if tcp, ok := c.(*net.TCPConn); ok {
 		raw, _ := tcp.SyscallConn() // fails for a nil connection only
-		return &placed{TCPConn: tcp, raw: raw, leave: leave, accepted: time.Now()}, nil
+		return &placed{TCPConn: tcp, raw: raw, leave: leave, accepted: time.Now(), ahead: ahead{of: &b.ahead}}, nil
 	}
 	leave()
 	return c, nil
@@ -105,10 +106,11 @@
 	// Unix times in nanoseconds: of the latest bytes, of the first ones since the connection's state changed, and of that.
 	heard, began, turn atomic.Int64
 	framing            framing
+	ahead              ahead
 }
 
 func (p *placed) Read(b []byte) (int, error) {
-	n, err := p.TCPConn.Read(b)
+	n, err := p.take(b)
 	if p.framing.read(b[:n]); n > 0 {
 		now := time.Now().UnixNano()
 		if p.heard.Swap(now) <= p.turn.Load() {
@@ -121,11 +123,13 @@
 // gone looks whether the client has ended its connection, also where bytes that it sent before are not read yet, behind
 // which net/http sees no end. It can't tell who has closed from who has only ended its sending; both have left.
 func (p *placed) gone() bool {
-	return shows(p.raw, unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR)
+	const end = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	return shows(p.raw, end) || p.lookBehind() && shows(p.raw, end)
 }
 
 func (p *placed) Close() error {
 	err := p.TCPConn.Close()
+	p.forgo()
 	p.leave()
 	return err
 }
--- a/internal/net/node/gone_test.go
+++ b/internal/net/node/gone_test.go
@@ -82,6 +82,7 @@
 	itsBody  = "with its body half come"
 	muchOfIt = "with megabytes of its body come"
 	bothOf   = "with megabytes of its body come, for a core" // and a connection that comes up at once
+	aFlood   = "for a core, a megabyte behind it"            // more than the kernel takes
 	queue    = "in the kernel's queue"
 )
 
@@ -93,7 +94,10 @@
 	behind  bool
 }
 
-const stays = "stays"
+const (
+	stays   = "stays"
+	floodOf = 256 // requests of 4 KiB
+)
 
 // standing is a node with its stand-ins.
 type standing struct {
@@ -255,7 +259,7 @@
 	switch s.place {
 	case aDial, itsBody, muchOfIt:
 		s.there()
-	case aCore, bothOf:
+	case aCore, bothOf, aFlood:
 		s.there()
 		<-s.open
 	case aWrite:
@@ -366,7 +370,20 @@
 		default:
 			s.await(s.at, "the attempt")
 		}
-		if w.behind {
+		flooded := make(chan bool)
+		switch {
+		case w.place == aFlood:
+			go func() {
+				defer close(flooded)
+				for i := range floodOf {
+					fmt.Fprint(c, lookup("GET /read/other", fmt.Sprint("u", i), "X-More: "+strings.Repeat("x", 4<<10)+"\r\n\r\n"))
+				}
+			}()
+			select { // the kernels are full, or all is out
+			case <-flooded:
+			case <-time.After(50 * time.Millisecond):
+			}
+		case w.behind:
 			fmt.Fprint(c, lookup("GET /read/other", "u", ""))
 		}
 		switch w.goes {
@@ -405,6 +422,9 @@
 		if w.behind {
 			want = 2
 		}
+		if w.place == aFlood {
+			want = 1 + floodOf
+		}
 		for range want {
 			_ = c.SetReadDeadline(time.Now().Add(6 * time.Second))
 			r, err := http.ReadResponse(in, nil)
@@ -423,14 +443,14 @@
 	var rows sync.WaitGroup
 	defer rows.Wait()
 	room := make(chan struct{}, 32) // most of them only wait
-	for _, place := range []string{aFetch, attempts, aCore, aDial, dials, aWrite, itsBody, muchOfIt, bothOf, queue} {
+	for _, place := range []string{aFetch, attempts, aCore, aDial, dials, aWrite, itsBody, muchOfIt, bothOf, aFlood, queue} {
 		for attempt := 1; attempt <= 3; attempt++ {
 			if place == attempts && attempt == 1 || place == queue && attempt > 1 {
 				continue // there is no such attempt
 			}
 			for _, goes := range []string{"closes", "shuts its sending side", "resets", stays} {
 				for _, behind := range []bool{false, true} {
-					if (place == itsBody || place == muchOfIt || place == bothOf) && behind {
+					if (place == itsBody || place == muchOfIt || place == bothOf) && behind || place == aFlood && !behind {
 						continue // its own bytes are in the way
 					}
 					w := waiting{place, attempt, goes, behind}
