--- a/internal/net/node/gone_stop_test.go
+++ b/internal/net/node/gone_stop_test.go
@@ -33,7 +33,8 @@
 		return map[string]any{"name": name, "repeat": repeat, "target-time-ms": 4800., "time-limit-ms": 5000.}
 	}
 	d, err := terms.Of(map[string]any{"models": []any{"box", "origin"}, "domain": map[string]any{"mode": "aside", "origin-kind": 1.},
-		"permissions": map[string]any{"most-shots": 3., "connect-timeout-ms": 4500.}, "namespaces": []any{namespace("read", "safe"), namespace("once", "unsafe")}})
+		"permissions": map[string]any{"most-shots": 3., "connect-timeout-ms": 4500.},
+		"namespaces":  []any{namespace("read", "safe"), namespace("once", "unsafe")}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/net/servers/answers_test.go
+++ b/internal/net/servers/answers_test.go
@@ -322,7 +322,8 @@
 		}
 		fill = append(fill, c)
 	}
-	s := New(Bounds{Descriptors: 8, Shots: 8, ConnectWithin: 4 * time.Second, IdleFor: 500 * time.Millisecond, Body: 1 << 10, Long: 1 << 10}, zap.NewNop())
+	s := New(Bounds{Descriptors: 8, Shots: 8, ConnectWithin: 4 * time.Second, IdleFor: 500 * time.Millisecond, Body: 1 << 10,
+		Long: 1 << 10}, zap.NewNop())
 	defer s.Close()
 	began := time.Now()
 	sh := shot(address, "GET", "")
@@ -366,7 +367,8 @@
 func TestAnswersThatGoOnByByte(t *testing.T) {
 	before := runtime.NumGoroutine()
 	s := side(t)
-	for _, text := range []string{"HTTP/1.1 200 OK\r\nX-More: \x00x", "\x00HTTP/1.1 103 Hints\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n\x00x",
+	for _, text := range []string{"HTTP/1.1 200 OK\r\nX-More: \x00x", "\x00HTTP/1.1 103 Hints\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n\x00x",
 		"HTTP/1.1 500 Oops\r\nTransfer-Encoding: chunked\r\n\r\n\x001\r\nx\r\n", "HTTP/1.1 500 Oops\r\n\r\n\x00x"} {
 		ended := make(chan bool, 1)
 		address := raw(t, func(c net.Conn, _ *http.Request, _ int) {
@@ -391,7 +393,8 @@
 		}
 	}
 	s.Close()
-	for by := time.Now().Add(3 * time.Second); runtime.NumGoroutine() > before+10; time.Sleep(5 * time.Millisecond) { // five listeners, and what they hold
+	// Five listeners are left, and what they hold.
+	for by := time.Now().Add(3 * time.Second); runtime.NumGoroutine() > before+10; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(by) {
 			t.Fatalf("%d goroutines, %d before", runtime.NumGoroutine(), before)
 		}
