Give a client its time for a long body from when it is read, not while it waits

A long body is read once its connection to a server is up, while the client's time for it (2 s, or 2.6 s after its connection came) ran from the lookup's head.

The time runs from the first read now. What waits before is bounded by the connect time-out and the attempts.

--- a/internal/net/clients/message.go
+++ b/internal/net/clients/message.go
@@ -76,19 +76,20 @@
 type steady struct {
 	*call
 	from io.Reader
-	by   time.Time // moved on as bytes come
+	by   time.Time // moved on as bytes come; zero: none was wanted yet
 }
 
 func (a *call) steady() *steady {
-	now := time.Now()
-	by := now.Add(bodyIn)
-	if a.conn.accepted.Add(bodyBy).After(by) {
-		by = a.conn.accepted.Add(bodyBy)
-	}
-	return &steady{a, http.MaxBytesReader(a.w, a.r.Body, a.bounds.Long), by}
+	return &steady{call: a, from: http.MaxBytesReader(a.w, a.r.Body, a.bounds.Long)}
 }
 
 func (s *steady) Read(b []byte) (int, error) {
+	if s.by.IsZero() { // from here on: what a long body waits for before is not its client's fault
+		s.by = time.Now().Add(bodyIn)
+		if least := s.conn.accepted.Add(bodyBy); least.After(s.by) {
+			s.by = least
+		}
+	}
 	by := s.by
 	if pause := time.Now().Add(bodyPause); pause.Before(by) {
 		by = pause
