--- a/internal/net/exchange/ticket.go
+++ b/internal/net/exchange/ticket.go
@@ -1,7 +1,9 @@
 package exchange
 
 import (
+	"errors"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +25,44 @@
 	Gone               func() bool   // looks whether the client has ended its connection; nil: nobody can tell
 }
 
+// Rest is what of a long body is passed on as it comes, to one server only: it can't be read twice.
+type Rest struct {
+	begun, whole atomic.Bool
+
+	mu   sync.Mutex // who carries it and who takes back what is left may read at once
+	from io.Reader  // nil: closed
+}
+
+// NewRest makes one of what is still to be read.
+func NewRest(from io.Reader) *Rest { return &Rest{from: from} }
+
+func (r *Rest) Read(b []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.from == nil {
+		return 0, io.ErrClosedPipe
+	}
+	r.begun.Store(true)
+	n, err := r.from.Read(b)
+	if errors.Is(err, io.EOF) {
+		r.whole.Store(true)
+	}
+	return n, err
+}
+
+// Close ends reading: nothing of the client's connection is touched from then on.
+func (r *Rest) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.from = nil
+}
+
+// Begun says that some of it was read, or tried to be.
+func (r *Rest) Begun() bool { return r.begun.Load() }
+
+// Whole says that it was read to its end.
+func (r *Rest) Whole() bool { return r.whole.Load() }
+
 // Outcome is how a lookup ended for its client.
 type Outcome int
 
--- a/internal/net/node/gone_test.go
+++ b/internal/net/node/gone_test.go
@@ -325,7 +325,7 @@
 }
 
 // xs are more than two kernels hold, so that a client's end behind them is not told before they are taken.
-var xs = bytes.Repeat([]byte("x"), 6<<20)
+var xs = bytes.Repeat([]byte("x"), 8<<20)
 
 // play brings the request to its place, has its client go or stay, lets it go on after a while, and looks what came.
 func (w waiting) play(t *testing.T, held time.Duration) {
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -170,9 +170,6 @@
 	var r *http.Request
 	r = request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			if shot.Rest != nil && shot.Rest.Waits() > tellAnew {
-				shot.Rest.Ahead(&s.ahead) // its client may have gone meanwhile, behind bytes that nobody has taken
-			}
 			on.got(i.Conn, i.Reused, shot)
 			if left := time.Until(until); shot.Rest == nil && shot.Within-left > tellAnew {
 				r.Header["X-Expires-In"] = []string{expiresIn(max(0, left))} // its connection came up late
--- a/internal/net/servers/servers.go
+++ b/internal/net/servers/servers.go
@@ -40,7 +40,6 @@
 	dialer    *dialer
 	bounds    Bounds
 	out       atomic.Int64
-	ahead     atomic.Int64 // bytes of long bodies that were read before anybody could take them
 	pauses    pauses
 	context   context.Context
 	stop      context.CancelFunc
