Keep the sum of shots in flight, so that a lookup looks at no caches but its own

Cause: pick added up inFlight over all ready caches at each lookup, to have their mean: with 5,700 caches that was nearly all of a lookup's time.

Change: the sum over ready caches is kept where inFlight changes (shoot, Sent, judge, by way of count) and taken anew at each List; mean gives it over their number. The walk's comparisons stand as they were, and decide the same to the last one. Beside a tie (a cache's shots at 1.5 times the mean, or at twice it and one) the two sides lie 1/2n apart at least, while the plain sum's rounding is below n x 2^-53 of the sum: it can't have decided there as long as S x n is under 3e15. At a tie (2 at one cache and 5 at all of ten) it did, so where a tie is possible, and only there, the plain sum is taken as before; at 5,700 caches that wants 2,850 shots in flight.

Tests, against the plain sum: after every step of 200 random runs (other boxes under an index whose shots are out, drains, gone caches, long lookups, the origin) what is kept is what a count gives and both comparisons are the same, 8,869 ties among them; 5,000 random fleets of 1 to 5,700 caches, 502 ties, of which the rounding takes 137 for more; a lookup with all caches off its walk taken away, which the old loop doesn't survive. Taken out, one at a time, and each seen red: count's two conditions, the reset and the sum at List, each of the three places that count, the plain sum at ties (whole, and for each of the two factors), and the way round it where nothing is out ("4 in flight are kept, 5 are out at ready caches"; "jam: true, want false, for 3 of 10 in flight at 5 caches").

--- /dev/null
+++ b/logic/bench_test.go
@@ -0,0 +1,202 @@
+package logic
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"runtime"
+	"slices"
+	"sort"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Sizes at which the module is measured: a zone's caches and up to a whole deployment's, and nodes that share them.
+var (
+	benchCaches = []int{70, 250, 1000, 5700}
+	benchNodes  = []int{300, 19000}
+)
+
+const (
+	benchRate = 1160          // lookups a second of a node, at the peak of a large deployment
+	benchOut  = 12            // lookups out at a time: each takes some ten milliseconds
+	benchKeys = 1_200_000_000 // objects, asked for by Zipf's law
+	benchSkew = 1.1
+)
+
+// quiet is a Host that keeps only what is out; each shot is answered, the oldest first.
+type quiet struct {
+	b    *Balancer
+	now  Time
+	rest float64 // of a tick, until the next lookup
+	zipf *rand.Zipf
+	out  []int // lookups, one shot each
+	free []int
+	made int
+}
+
+func (q *quiet) Shoot(lkp, server int, _ Time) { q.out = append(q.out, lkp) }
+func (q *quiet) Defer(lkp int, _ Time)         { q.free = append(q.free, lkp) }
+func (q *quiet) Abandon(lkp int)               { q.free = append(q.free, lkp) }
+func (q *quiet) Subscribe()                    {}
+func (q *quiet) HangUp(int, int)               {}
+func (q *quiet) Wake(Time, int)                {}
+
+func (q *quiet) key() string { return fmt.Sprint("object/", q.zipf.Uint64()) }
+
+// lookup asks for a key, after the mean time between two, and brings the oldest answer.
+func (q *quiet) lookup(key string) {
+	gap := float64(1000*Millisecond)/benchRate + q.rest
+	q.now, q.rest = q.now+Time(gap), gap-math.Floor(gap)
+	lkp := q.made
+	if n := len(q.free); n > 0 {
+		lkp, q.free = q.free[n-1], q.free[:n-1]
+	} else {
+		q.made++
+	}
+	q.b.Lookup(q.now, lkp, Lookup{Partner: -1, Key: key, Limit: q.now + 750*Millisecond})
+	if len(q.out) > benchOut {
+		q.answer()
+	}
+}
+
+// answer brings the oldest answer.
+func (q *quiet) answer() {
+	lkp := q.out[0]
+	q.out = slices.Delete(q.out, 0, 1)
+	q.b.Settled(q.now, lkp, 0, Answered, true)
+	q.free = append(q.free, lkp)
+}
+
+// newQuiet starts one of some nodes before warm caches, whose ids lie in no order, and an origin.
+func newQuiet(caches, nodes int) *quiet {
+	rnd := rand.New(rand.NewSource(1))
+	q := &quiet{now: 100_000_000, zipf: rand.NewZipf(rnd, benchSkew, 1, benchKeys-1)}
+	q.b = New(q, 1, q.now, map[string]any{"nodes": nodes, "mode": "aside", "origin kind": 1, "most shots": 3,
+		"namespaces": []map[string]any{{"repeat": "replayable", "target time": 200 * Millisecond}}})
+	var boxes []Box
+	for i := range caches {
+		boxes = append(boxes, Box{Server: i, ID: fmt.Sprintf("c-%08x", rnd.Uint32())})
+	}
+	q.b.List(q.now, Whole, append(boxes, Box{Server: caches, ID: "origin", Kind: 1}))
+	return q
+}
+
+func (q *quiet) warm(lookups int) *quiet {
+	for range lookups {
+		q.lookup(q.key())
+	}
+	return q
+}
+
+func eachSize(b *testing.B, f func(b *testing.B, caches, nodes int)) {
+	for _, nodes := range benchNodes {
+		for _, caches := range benchCaches {
+			b.Run(fmt.Sprintf("nodes=%d/caches=%d", nodes, caches), func(b *testing.B) { f(b, caches, nodes) })
+		}
+	}
+}
+
+// A lookup with its answer, and its part of what is done every second or two.
+func BenchmarkLookup(b *testing.B) {
+	eachSize(b, func(b *testing.B, caches, nodes int) {
+		q := newQuiet(caches, nodes).warm(60_000)
+		keys := make([]string, 1<<16)
+		for i := range keys {
+			keys[i] = q.key()
+		}
+		for i := 0; b.Loop(); i++ {
+			q.lookup(keys[i%len(keys)])
+		}
+	})
+}
+
+// A change of the list: one cache begins to drain, or is back.
+func BenchmarkListChange(b *testing.B) {
+	eachSize(b, func(b *testing.B, caches, nodes int) {
+		q := newQuiet(caches, nodes).warm(60_000)
+		box := []Box{q.b.servers[caches/2].Box}
+		for i := 0; b.Loop(); i++ {
+			box[0].State = []State{Draining, Ready}[i%2]
+			q.b.List(q.now, Changes, box)
+		}
+	})
+}
+
+// A whole list, with nothing new in it.
+func BenchmarkListWhole(b *testing.B) {
+	eachSize(b, func(b *testing.B, caches, nodes int) {
+		q := newQuiet(caches, nodes).warm(60_000)
+		var boxes []Box
+		for _, s := range q.b.servers {
+			boxes = append(boxes, s.Box)
+		}
+		for b.Loop() {
+			q.b.List(q.now, Whole, boxes)
+		}
+	})
+}
+
+// New cuts, as every two seconds.
+func BenchmarkRecut(b *testing.B) {
+	eachSize(b, func(b *testing.B, caches, nodes int) {
+		q := newQuiet(caches, nodes).warm(60_000)
+		for b.Loop() {
+			q.b.recut()
+		}
+	})
+}
+
+// What is done each second: the histogram is compared, and what is measured is halved.
+func BenchmarkSecond(b *testing.B) {
+	eachSize(b, func(b *testing.B, caches, nodes int) {
+		q := newQuiet(caches, nodes).warm(60_000)
+		for b.Loop() {
+			q.now += 1000 * Millisecond
+			q.b.clock(q.now)
+		}
+	})
+}
+
+// What a node's state takes on the heap after 60,000 lookups, and how even its ranges are: 60,000 more lookups, each counted at its
+// range's cache, as the busiest one's over the mean and so on, and how many caches got none; and the widest range, which is the
+// largest share of all objects, over the mean. The busiest has the key that is asked for most, a tenth of all lookups.
+func BenchmarkState(b *testing.B) {
+	eachSize(b, func(b *testing.B, caches, nodes int) {
+		var state, busiest, most, middle, none, widest float64
+		for b.Loop() {
+			before := heap()
+			q := newQuiet(caches, nodes).warm(60_000)
+			state = heap() - before
+			got := make([]float64, caches)
+			for range 60_000 {
+				at := sort.SearchFloat64s(q.b.cuts, pointOf(xxhash.Sum64String(q.key())|1))
+				got[min(at, caches-1)]++
+			}
+			slices.Sort(got)
+			mean := 60_000 / float64(caches)
+			busiest, most, middle = got[caches-1]/mean, got[caches*99/100]/mean, got[caches/2]/mean
+			from := 0.0
+			for widest = 0; len(q.b.cuts) > 0; q.b.cuts = q.b.cuts[1:] {
+				widest, from = max(widest, (q.b.cuts[0]-from)*float64(caches)/bins), q.b.cuts[0]
+			}
+			none = float64(sort.SearchFloat64s(got, 0.5))
+			runtime.KeepAlive(q)
+		}
+		b.ReportMetric(state, "B/state")
+		b.ReportMetric(busiest, "busiest/mean")
+		b.ReportMetric(most, "p99/mean")
+		b.ReportMetric(middle, "p50/mean")
+		b.ReportMetric(widest, "widest/mean")
+		b.ReportMetric(none, "without")
+	})
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	m := runtime.MemStats{}
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- a/logic/fake_test.go
+++ b/logic/fake_test.go
@@ -19,6 +19,7 @@
 	hungUp int // orders to close all that idle,
 	left   int // and how many connections the latest other one left
 	faults []string
+	long   bool // reads may be long as well
 }
 
 // client is one lookup as its client and the servers see it.
@@ -139,7 +140,7 @@
 	}
 	c := &client{kind: kinds[space], limit: limit}
 	f.lkps[lkp] = c
-	c.long = write && f.rnd.Intn(4) == 0
+	c.long = (write || f.long) && f.rnd.Intn(4) == 0
 	f.b.Lookup(f.now, lkp, Lookup{Namespace: space, Partner: space % 2, Key: key, Write: write, Limit: limit,
 		Long: c.long})
 	return lkp, c
--- a/logic/host.go
+++ b/logic/host.go
@@ -130,6 +130,8 @@
 	fetches map[uint64][]int             // key to the lookups that wait for its fetch
 	parts   [bounds]*allowance.Allowance // of the fleet's budgets; none where nothing was told of one
 
+	inFlight int // shots in flight at all ready caches together
+
 	weight        []float64 // the bins, to be multiplied by fade
 	fade          float64
 	alpha         float64
@@ -232,6 +234,27 @@
 	return otherwise
 }
 
+// count books shots that begin or end at a server.
+func (b *Balancer) count(s *server, n int) {
+	if s.inFlight += n; s.State == Ready && !s.origin {
+		b.inFlight += n
+	}
+}
+
+// mean is our mean in flight at ready caches, without a look at each. Only where a cache may be at a tie with a multiple of
+// it, as 2 at one with 5 at all ten, are they added up one by one: there the rounding of that sum decides, and a few nodes'
+// lookups meet ties all the time.
+func (b *Balancer) mean() (mean float64) {
+	sum, n := float64(b.inFlight), float64(len(b.ready))
+	if sum == 0 || math.Mod(jamFactor*sum, n) != 0 && math.Mod(busyFactor*sum, n) != 0 {
+		return sum / n
+	}
+	for _, i := range b.ready {
+		mean += float64(b.servers[i].inFlight) / n
+	}
+	return mean
+}
+
 func seconds(t Time) float64 { return float64(t) / float64(1000*Millisecond) }
 
 // read takes over what the terms say of namespaces and partners.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -223,10 +223,7 @@
 	if b.now >= b.cutDue || len(b.cuts) != n {
 		b.recut()
 	}
-	mean := 0.0
-	for _, i := range b.ready {
-		mean += float64(b.servers[i].inFlight) / float64(n)
-	}
+	mean := b.mean()
 	at, busy, passed := min(sort.SearchFloat64s(b.cuts, l.point), n-1), -1, 0
 	for step := 0; step < n && passed <= walkMost; step++ {
 		i := b.ready[(at+step)%n]
@@ -325,7 +322,7 @@
 		}
 	}
 	if !l.Long {
-		s.inFlight++ // a server begins with the last byte
+		b.count(s, 1) // a server begins with the last byte
 	}
 	l.shots = append(l.shots, shot{server: i, sent: b.now, out: true})
 	b.host.Shoot(lkp, i, l.giveUp-b.now)
@@ -491,7 +488,7 @@
 func (b *Balancer) Sent(now Time, lkp, number int) {
 	t := &b.lookups[lkp].shots[number]
 	b.lookups[lkp].arrived, t.sent = now, now
-	b.servers[t.server].inFlight++
+	b.count(b.servers[t.server], 1)
 }
 
 // Settled tells how a shot ended, and whether the lookup is over.
@@ -658,13 +655,14 @@
 			s.cold, s.links = nil, nil // these budgets are of caches
 		}
 	}
-	b.ready, b.origins = b.ready[:0], b.origins[:0]
+	b.ready, b.origins, b.inFlight = b.ready[:0], b.origins[:0], 0
 	for i, s := range b.servers {
 		if s != nil && s.State == Ready {
 			if s.origin {
 				b.origins = append(b.origins, i)
 			} else {
 				b.ready = append(b.ready, i)
+				b.inFlight += s.inFlight
 			}
 		}
 	}
@@ -702,7 +700,7 @@
 
 // judge learns from an outcome, late ones too.
 func (b *Balancer) judge(s *server, number int, code Code) {
-	s.inFlight--
+	b.count(s, -1)
 	s.trial = false
 	switch code {
 	case Answered, Missing:
--- /dev/null
+++ b/logic/mean_test.go
@@ -0,0 +1,181 @@
+package logic
+
+import (
+	"fmt"
+	"math/rand"
+	"sort"
+	"testing"
+	"testing/quick"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// plainMean is our mean in flight as each lookup once added it up: cache by cache, in floating point.
+func plainMean(b *Balancer) (mean float64, sum int) {
+	for _, i := range b.ready {
+		mean += float64(b.servers[i].inFlight) / float64(len(b.ready))
+		sum += b.servers[i].inFlight
+	}
+	return mean, sum
+}
+
+// compared holds both of the walk's comparisons of a cache with our mean against those with the plain sum, and says whether
+// either is a tie.
+func compared(b *Balancer, s *server, plain float64, sum int) (tie bool, fault string) {
+	n, x, mean := len(b.ready), s.inFlight, b.mean()
+	if got, want := float64(x) <= jamFactor*mean, float64(x) <= jamFactor*plain; got != want {
+		fault = fmt.Sprintf("jam: %v, want %v, for %d of %d in flight at %d caches", got, want, x, sum, n)
+	}
+	if got, want := float64(x) <= busyFactor*mean+1, float64(x) <= busyFactor*plain+1; got != want {
+		fault = fmt.Sprintf("busy: %v, want %v, for %d of %d in flight at %d caches", got, want, x, sum, n)
+	}
+	return 2*x*n == 3*sum || (x-1)*n == 2*sum, fault
+}
+
+// After every step of random runs what is kept of shots in flight is what a count over all ready caches gives, and
+// the walk decides as by the plain sum: through restarts and other boxes under an old index, whose shots are still out, caches
+// that drain, go and come back with shots out, long lookups and the origin, whose shots don't count.
+func TestWhatIsKeptInFlightIsThePlainSum(t *testing.T) {
+	ties, carried, aside, most := 0, 0, 0, 0
+	run := func(seed int64) bool {
+		f := newFake(seed, 1+int(uint64(seed)%12))
+		f.long = true
+		for n := 0; n < 600; n++ {
+			if f.rnd.Intn(60) == 0 { // another box under an index, in whatever state
+				x := &f.boxes[f.rnd.Intn(len(f.boxes)-1)]
+				x.ID, x.State = fmt.Sprint("12.", f.rnd.Int()), State(f.rnd.Intn(3))
+				if was := f.b.servers[x.Server]; was != nil && was.inFlight > 0 {
+					carried++
+				}
+				f.b.List(f.now, Changes, []Box{*x})
+			}
+			for _, s := range f.b.servers {
+				if s != nil && seed%2 == 0 { // room for more than two at each
+					s.calm, s.answers, s.rest = calmMost, 400, 0
+				}
+			}
+			if f.step(); len(f.b.ready) == 0 {
+				continue
+			}
+			mean, sum := plainMean(f.b)
+			if f.b.inFlight != sum {
+				t.Errorf("seed %d, step %d: %d in flight are kept, %d are out at ready caches", seed, n, f.b.inFlight, sum)
+				return false
+			}
+			for _, s := range f.b.servers {
+				if s != nil && s.inFlight > 0 && (s.State != Ready || s.origin) {
+					aside++
+				}
+			}
+			for _, i := range f.b.ready {
+				tie, fault := compared(f.b, f.b.servers[i], mean, sum)
+				if fault != "" {
+					t.Errorf("seed %d, step %d: %s", seed, n, fault)
+					return false
+				}
+				if tie && sum > 0 {
+					ties++
+				}
+				most = max(most, f.b.servers[i].inFlight)
+			}
+		}
+		if len(f.faults) > 0 {
+			t.Errorf("seed %d: %v", seed, f.faults)
+		}
+		return len(f.faults) == 0
+	}
+	if err := quick.Check(run, &quick.Config{MaxCount: 200, Rand: rand.New(rand.NewSource(1))}); err != nil {
+		t.Error(err)
+	}
+	t.Logf("%d ties, %d restarts with shots out, %d sights of shots at what isn't ready, %d at one cache at the most", ties, carried, aside, most)
+	if ties < 1000 || carried < 100 || aside < 1000 || most < 6 {
+		t.Error("the runs don't reach what they are for")
+	}
+}
+
+// At any size, and with more in flight than a node ever has, the mean and the plain sum decide alike. The sum's rounding is
+// below its terms' number times 2^-53 of it, and beside a tie there is at least 1/2n.
+func TestTheMeanDecidesAsThePlainSum(t *testing.T) {
+	ties, wrong := 0, 0
+	run := func(seed int64) bool {
+		rnd := rand.New(rand.NewSource(seed))
+		n := []int{1, 2, 3, 5, 7, 10, 49, 70, 250, 999, 5700}[rnd.Intn(11)]
+		b, few := &Balancer{}, 1+rnd.Intn(4)
+		for i := range n {
+			b.servers = append(b.servers, &server{inFlight: rnd.Intn(1 + rnd.Intn(1+few*rnd.Intn(100)))})
+			b.ready = append(b.ready, i)
+			b.inFlight += b.servers[i].inFlight
+		}
+		s := b.servers[rnd.Intn(n)]
+		if rnd.Intn(2) == 0 { // as near a tie as can be: one cache takes what makes it, or all but one shot of it
+			x := rnd.Intn(60)
+			want := []int{2 * x * n / 3, (x - 1) * n / 2}[rnd.Intn(2)] + rnd.Intn(3) - 1
+			b.inFlight, s.inFlight = b.inFlight+x-s.inFlight, x
+			for _, o := range b.servers {
+				if o != s {
+					give := max(-o.inFlight, want-b.inFlight)
+					o.inFlight, b.inFlight = o.inFlight+give, b.inFlight+give
+				}
+			}
+		}
+		mean, sum := plainMean(b)
+		tie, fault := compared(b, s, mean, sum)
+		if fault != "" || sum != b.inFlight {
+			t.Errorf("seed %d: %s", seed, fault)
+		}
+		if tie {
+			ties++
+			if x := s.inFlight; 2*x*n == 3*sum && float64(x) > jamFactor*mean || (x-1)*n == 2*sum && float64(x) > busyFactor*mean+1 {
+				wrong++
+			}
+		}
+		return fault == ""
+	}
+	if err := quick.Check(run, &quick.Config{MaxCount: 5000, Rand: rand.New(rand.NewSource(1))}); err != nil {
+		t.Error(err)
+	}
+	t.Logf("%d ties, of which the plain sum's rounding takes %d for more", ties, wrong)
+	if ties < 200 || wrong < 10 {
+		t.Error("hardly any ties were met")
+	}
+}
+
+// A lookup looks at the caches of its walk, and at no other: it gets by with the others taken away, both while some are out and
+// while none is.
+func TestALookupLooksAtNoOtherCaches(t *testing.T) {
+	for _, caches := range []int{70, 5700} {
+		q := newQuiet(caches, 300).warm(2000)
+		for n := range 200 {
+			for n == 100 && len(q.out) > 0 {
+				q.answer()
+			}
+			key := q.key()
+			at := startOf(q.b, key)
+			q.now += Millisecond
+			all, near := q.b.servers, make([]*server, len(q.b.servers))
+			for step := range walkMost + 1 {
+				i := q.b.ready[(at+step)%caches]
+				near[i] = all[i]
+			}
+			near[caches] = all[caches] // the origin
+			if q.b.halved+halveSpan <= q.now {
+				q.b.clock(q.now) // each second all are looked at
+			}
+			q.b.servers = near
+			lkp := q.made + n
+			out := len(q.out)
+			q.b.Lookup(q.now, lkp, Lookup{Partner: -1, Key: key, Limit: q.now + 750*Millisecond})
+			if q.b.servers = all; len(q.out) > out {
+				q.b.Settled(q.now, lkp, 0, Answered, true)
+				q.out = q.out[:out]
+			} else {
+				q.free = q.free[:len(q.free)-1]
+			}
+		}
+	}
+}
+
+// startOf is the place of a key's own range.
+func startOf(b *Balancer, key string) int {
+	return min(sort.SearchFloat64s(b.cuts, pointOf(xxhash.Sum64String(key)|1)), len(b.ready)-1)
+}
