Count a tagged repeat's span from the order of the first shot of a long body, not from its last byte

By the same way a withheld shot gave its part of the cold budget to a server that had started since.

Change: a shot keeps when it was ordered (begun) beside when its last byte was out; rules 2 and 4 go by the former, times by the latter.

TestALongShotCountsAsBegunFromItsOrder, seen red without each of the two ("a body of 4010, and an error: 2 shots, want 1; a tagged lookup may run twice"; "a server that has started since was given back 1 shots").

--- a/logic/host.go
+++ b/logic/host.go
@@ -195,7 +195,8 @@
 
 type shot struct {
 	server int
-	sent   Time
+	begun  Time // when it was ordered: its first byte may have left since
+	sent   Time // when its last byte had, as far as we are told
 	out    bool
 	notRun bool
 }
@@ -216,11 +217,11 @@
 	shots    []shot
 }
 
-// firstRun tells when the first shot that may have run was sent, if there is one.
+// firstRun tells when the first shot that may have run was ordered, if there is one: its server may know it since.
 func (l *lookup) firstRun() (Time, bool) {
 	for _, s := range l.shots {
 		if !s.notRun {
-			return s.sent, true
+			return s.begun, true
 		}
 	}
 	return 0, false
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -324,7 +324,7 @@
 	if !l.Long {
 		b.count(s, 1) // a server begins with the last byte
 	}
-	l.shots = append(l.shots, shot{server: i, sent: b.now, out: true})
+	l.shots = append(l.shots, shot{server: i, begun: b.now, sent: b.now, out: true})
 	b.host.Shoot(lkp, i, l.giveUp-b.now)
 }
 
@@ -522,7 +522,7 @@
 		b.host.HangUp(t.server, 0)
 	}
 	switch {
-	case code == Withheld && s.Since <= t.sent: // it gives back what it took, but to no server that has begun since
+	case code == Withheld && s.Since <= t.begun: // it gives back what it took, but to no server that has begun since
 		if s.budget += l.work; number > 0 && !l.missed {
 			s.credit = min(creditMost, s.credit+1)
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -725,3 +725,42 @@
 			ease, f.b.ease)
 	}
 }
+
+// A long body's last byte may come long after its first, from which its server may know its tag: a repeat is bounded from the
+// order of the first shot. So is what a withheld shot gives back: nothing to a server that has started since.
+func TestALongShotCountsAsBegunFromItsOrder(t *testing.T) {
+	for _, c := range []struct {
+		body  Time // from the first byte to the last
+		shots int
+	}{{memorySpan / 4, 2}, {memorySpan/2 + 10, 1}, {memorySpan + 10, 1}} {
+		f := newFake(1, 3)
+		f.lkps = append(f.lkps, &client{kind: "tagged", long: true, limit: f.now + 90000})
+		f.b.Lookup(f.now, 0, Lookup{Namespace: 1, Partner: 1, Write: true, Long: true, Limit: f.now + 90000})
+		f.now += c.body
+		f.sent(0, 0)
+		f.now += 10
+		cl := f.lkps[0]
+		f.settle(0, 0, Errored)
+		if len(f.faults) > 0 || len(cl.shots) != c.shots || cl.ended != (c.shots == 1) {
+			t.Errorf("a body of %d, and an error: %d shots, want %d; ended %v, faults %v", c.body, len(cl.shots), c.shots, cl.ended, f.faults)
+		}
+	}
+	f := newFake(1, 1)
+	begin := func() {
+		f.boxes[0].Since = f.now
+		f.b.List(f.now, Changes, f.boxes[:1])
+	}
+	begin()
+	f.now += 1500 * Millisecond
+	f.lkps = append(f.lkps, &client{kind: "replayable", long: true, limit: f.now + 90000})
+	f.b.Lookup(f.now, 0, Lookup{Partner: -1, Key: "k", Long: true, Limit: f.now + 90000})
+	if len(f.lkps[0].shots) != 1 || f.lkps[0].shots[0].server != 0 {
+		t.Fatalf("shots %v, want one at the cold cache", f.lkps[0].shots)
+	}
+	f.now += 10
+	begin()
+	f.now += 10
+	if f.settle(0, 0, Withheld); f.b.servers[0].budget != 0 {
+		t.Errorf("a server that has started since was given back %g shots", f.b.servers[0].budget)
+	}
+}
