Let the emulator play 20,000 nodes or 6,000 caches, bounded by the pairs that they make

Cause: 2,000 nodes and 2,000 caches were the most, so neither a region's nodes before a deployment's list nor 19,000 nodes could be played; and nothing bounded what an experiment's policies and seeds, all played at once, or caches added later take of memory.

Change: nodes to 20,000, caches to 6,000, and together 20 million pairs, those added later included. A node keeps the list as told only where the fleet's trials read it. Of one experiment's runs only as many go on at once as stay under that sum.

TestMalformed... was seen red without the bound on pairs and without that on caches added.

--- a/cmd/thistlerudder/emulate.go
+++ b/cmd/thistlerudder/emulate.go
@@ -80,9 +80,11 @@
 	for _, e := range all {
 		runs := make([]*emulator.Series, len(e.Policies)*seeds)
 		var played sync.WaitGroup
-		errs := make([]error, len(runs))
+		errs, places := make([]error, len(runs)), make(chan struct{}, e.AtOnce())
 		for i := range runs {
 			played.Go(func() {
+				places <- struct{}{}
+				defer func() { <-places }()
 				runs[i], errs[i] = emulator.Run(e, e.Policies[i/seeds], e.Seed+uint64(i%seeds))
 			})
 		}
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -259,7 +259,13 @@
 // A malformed description is refused with the place and what was expected there.
 func TestMalformedDescriptionsAreRefused(t *testing.T) {
 	for text, want := range map[string]string{
-		"[fleet]\nnodes = 0":                                              "fleet.nodes: expected 1 to 2000, not 0",
+		"[fleet]\nnodes = 0":                    "fleet.nodes: expected 1 to 20000, not 0",
+		"[fleet]\nnodes = 20001":                "fleet.nodes: expected 1 to 20000, not 20001",
+		"[fleet]\ncaches = 6001":                "fleet.caches: expected 1 to 6000, not 6001",
+		"[fleet]\nnodes = 20000\ncaches = 1001": "fleet.nodes: expected 19980 at most with 1001 caches, those added included, not 20000",
+		"[fleet]\nnodes = 4000\ncaches = 5000\n[[event]]\nat = \"1s\"\nwhat = \"add\"\ncaches = 1":                                                     "fleet.nodes: expected 3999 at most with 5001 caches",
+		"[[event]]\nat = \"1s\"\nwhat = \"add\"\ncaches = 9999":                                                                                        "event: expected 6000 caches at most, with those added, not 10009",
+		"[[event]]\nat = \"1s\"\nwhat = \"add\"\ncaches = 9223372036854775807\n[[event]]\nat = \"1s\"\nwhat = \"add\"\ncaches = 9223372036854775807\n": "event: expected 6000 caches at most, with those added, not 2147483658",
 		"[fleet]\nnodes = \"many\"":                                       "line 2, column 9",
 		"[fleet]\nnods = 3":                                               "line 2, column 1: fleet.nods is no key",
 		"length = \"20\"":                                                 "line 1, column 10: toml: expected a time in quotes with its unit",
@@ -282,6 +288,16 @@
 	}
 }
 
+// The largest sizes are taken, and of these no two are played at once.
+func TestTheLargestSizes(t *testing.T) {
+	for _, c := range []struct{ nodes, caches, atOnce int }{{20000, 1000, 1}, {3333, 6000, 1}, {19000, 70, 15}, {4, 10, pairsMost / 40}} {
+		e := parse(t, fmt.Sprintf("[fleet]\nnodes = %d\ncaches = %d", c.nodes, c.caches))
+		if got := e.AtOnce(); got != c.atOnce {
+			t.Errorf("%+v: %d at once", c, got)
+		}
+	}
+}
+
 // Hundreds of nodes and caches play in seconds.
 func TestALargeFleet(t *testing.T) {
 	e := parse(t, "length = \"3s\"\n[fleet]\nnodes = 300\ncaches = 100\n[origin]\nslots=200\nqueue=2000\n[demand]\nrate = 12000\nkeys = 100000")
@@ -298,7 +314,7 @@
 	for _, c := range []struct{ vary, want string }{
 		{"fleet.nodes = [2, 3]\ndemand.skew = [1.5]", "[base 4 1.1] [base, demand.skew 1.5 4 1.5] [base, fleet.nodes 2 2 1.1] [base, fleet.nodes 3 3 1.1]"},
 		{`event = [[{at = "1s", what = "shift"}]]`, "[base 4 1.1] [base, event [map[at:1s what:shift]] 4 1.1]"},
-		{"fleet.nodes = [2, 0]", "vary.fleet.nodes, value 0: fleet.nodes: expected 1 to 2000, not 0"},
+		{"fleet.nodes = [2, 0]", "vary.fleet.nodes, value 0: fleet.nodes: expected 1 to 20000, not 0"},
 		{"fleet.nodes = 2", "vary.fleet.nodes: expected a list of values, not 2"},
 		{"fleet.knots = [2]", "vary.fleet.knots, value 2: fleet.knots is no key of a description"},
 		{`length = ["2"]`, "vary.length, value 2: "},
--- a/internal/emulator/experiment.go
+++ b/internal/emulator/experiment.go
@@ -156,11 +156,30 @@
 
 // most bounds what a description may ask for, so that a slip doesn't take a machine down.
 const (
-	nodesMost   = 2000
-	cachesMost  = 2000
+	nodesMost  = 20_000
+	cachesMost = 6_000
+	// pairsMost bounds what all nodes together know of caches, those added later included: some 0.35 KB a pair, as 7.1 GB with
+	// 20,000 nodes and 1,000 caches, and 7.8 GB with 3,500 and 5,700.
+	pairsMost   = 20_000_000
 	lookupsMost = 50_000_000
 )
 
+// caches counts those of the start and all that are added.
+func (e *Experiment) caches() int {
+	n := e.Fleet.Caches
+	for _, ev := range e.Events {
+		if ev.What == "add" {
+			n += max(0, min(ev.Caches, 1<<30)) // a sum of slips must not wrap round
+		}
+	}
+	return n
+}
+
+// AtOnce tells how many runs of an experiment may be played at a time, one at least: all keep their pairs in memory.
+func (e *Experiment) AtOnce() int {
+	return max(1, pairsMost/max(1, e.Fleet.Nodes*e.caches()))
+}
+
 // Read reads a description from a file, and all that it varies to. The error names each place, and what was expected there.
 func Read(path string) ([]*Experiment, error) {
 	text, err := os.ReadFile(path)
@@ -230,6 +249,11 @@
 	want(e.Length.Duration > 0, "length", "a time above 0", e.Length)
 	want(e.Fleet.Nodes >= 1 && e.Fleet.Nodes <= nodesMost, "fleet.nodes", fmt.Sprintf("1 to %d", nodesMost), e.Fleet.Nodes)
 	want(e.Fleet.Caches >= 1 && e.Fleet.Caches <= cachesMost, "fleet.caches", fmt.Sprintf("1 to %d", cachesMost), e.Fleet.Caches)
+	if all := e.caches(); e.Fleet.Caches <= cachesMost && e.Fleet.Nodes <= nodesMost {
+		want(all <= cachesMost, "event", fmt.Sprintf("%d caches at most, with those added", cachesMost), all)
+		want(all > cachesMost || e.Fleet.Nodes*all <= pairsMost, "fleet.nodes",
+			fmt.Sprintf("%d at most with %d caches, those added included", pairsMost/max(1, all), all), e.Fleet.Nodes)
+	}
 	station("fleet", e.Fleet.Station)
 	station("origin", e.Origin)
 	want(e.Fleet.Miss >= 0 && e.Fleet.Miss <= 1, "fleet.miss", "a share from 0 to 1", e.Fleet.Miss)
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -37,7 +37,7 @@
 	policy  Policy
 	lookups []*lookup
 	free    []int
-	known   map[int]logic.Box // the list as told
+	known   map[int]logic.Box // the list as told, where the fleet's trials go by it
 	drained map[int]logic.Time
 	told    uint64 // news that has come
 	leaving bool
@@ -58,7 +58,9 @@
 		} else if _, since := n.drained[b.Server]; !since {
 			n.drained[b.Server] = n.w.clock.now
 		}
-		n.known[b.Server] = b
+		if n.w.e.Fleet.Probe {
+			n.known[b.Server] = b
+		}
 	}
 	n.policy.List(n.w.clock.now, how, boxes)
 }
