End a connection whose client was turned away before its body came, within 3 s

A client that was turned away before its body was read (413, 505, 400 for two lengths, 417, a body sent to /up) and never sent that body held its connection for the longest limit and 10 s: net/http reads up to 256 KiB of a body that a handler left, on (*body).Close, up to the server's ReadTimeout (clients.go, New). Such a connection counts as busy, so it can't make way for others, and Leave waited for it to its own end.

An answer that turns a body away now ends the read for it at once (call.go, serve), and ReadTimeout is the time for a head; bodies that are read set deadlines of their own (steady), and behind them it was only the end of the look for a client that left, which keeps its span.

--- a/internal/net/clients/call.go
+++ b/internal/net/clients/call.go
@@ -83,7 +83,8 @@
 	in, status, err := a.body()
 	read := time.Now()
 	if err != nil {
-		a.w.Header().Set("Connection", "close") // what follows is not to be read as another lookup
+		a.w.Header().Set("Connection", "close") // what follows is not to be read as another lookup,
+		_ = a.control.SetReadDeadline(past)     // nor waited for: net/http would do so to the end of the body
 		plain(a.w, status, err.Error())
 		return
 	}
--- a/internal/net/clients/clients.go
+++ b/internal/net/clients/clients.go
@@ -60,7 +60,7 @@
 	c := &Clients{log: log, exchange: x, bounds: b, room: newRoom(b.Descriptors)}
 	c.most.Store(int64(b.Descriptors))
 	c.server = &http.Server{Handler: c, MaxHeaderBytes: headersMost, ReadHeaderTimeout: headersIn, DisableGeneralOptionsHandler: true,
-		ReadTimeout: b.LongestLimit + slack, WriteTimeout: b.LongestLimit + slack, IdleTimeout: idleFor,
+		ReadTimeout: headersIn, WriteTimeout: b.LongestLimit + slack, IdleTimeout: idleFor,
 		ErrorLog: zap.NewStdLog(log), ConnState: c.room.state,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, connection{}, conn)
--- a/internal/net/clients/message.go
+++ b/internal/net/clients/message.go
@@ -103,7 +103,7 @@
 }
 
 // over says that the body has come: from here on a read only tells that the client left.
-func (s *steady) over() { _ = s.control.SetReadDeadline(time.Now().Add(s.server.ReadTimeout)) }
+func (s *steady) over() { _ = s.control.SetReadDeadline(time.Now().Add(s.server.WriteTimeout)) }
 
 // decode takes out the few fields that decisions need, and keeps the rest as it came.
 func decode(r *http.Request, in *exchange.Lookup) (within time.Duration, err error) {
