Linger at each close of a client's connection until its answer has arrived

A close over unread bytes resets the connection, and what the kernel still held of the answer goes with it; where the answer has no length, as net/http's own 400, 431, 501 and 505 have none, a reset is no end for what did arrive either. net/http shuts its sending side first and waits (500 ms, reading nothing) only after 431 and where a body was left unread. Seen over loopback with 20 KB of further requests behind the first: each of 'Connection: close' by the client's wish, in a crowd, after SIGTERM, 400 for a bad head, 501, 505, 417, 503 for want of room and 400 for two lengths ended by 'connection reset by peer', and of an answer of 262144 bytes to a client that reads late 36725 arrived (placed.Close in listener.go).

Close shuts the sending side, drops what has come and comes, up to 256 KiB and 500 ms, and closes at the client's end; one on which nothing was ever written, or whose client has ended, is closed at once. What is read after the shutdown is dropped, never a request. A place is held meanwhile, so the bound on descriptors is as it was; where others want it, 50 ms are enough, and the same holds at the end of Leave, whose own end stays: it waits for 50 ms more at most, and never beyond 0.5 s, the longest limit and 0.1 s.

--- a/internal/net/clients/clients.go
+++ b/internal/net/clients/clients.go
@@ -36,7 +36,7 @@
 	slack        = 10 * time.Second        // beyond the longest limit: by then a lookup and its answer are through
 	idleFor      = 60 * time.Second        // a connection between lookups
 	comingFor    = 500 * time.Millisecond  // new connections go on coming for up to 0.4 s after SIGTERM
-	lingerFor    = 300 * time.Millisecond  // kept connections end by their next answer; only idle ones are closed later
+	keptFor      = 300 * time.Millisecond  // kept connections end by their next answer; only idle ones are closed later
 	leaveEvery   = 10 * time.Millisecond   // between looks at who may go meanwhile
 	endSlack     = 100 * time.Millisecond  // beyond the longest limit, for the last answers to be written
 	beyondAdvice = 250 * time.Millisecond  // retry-after of a deferral for want of room here
@@ -96,7 +96,7 @@
 // another process has the clients' socket too, the next connections are its own at once.
 func (c *Clients) Leave(succeeded bool) error {
 	c.leaving.Store(true)
-	began := time.Now()
+	began, last := time.Now(), time.Duration(0)
 	// Not by Shutdown or SetKeepAlivesEnabled: they close idle connections even while a lookup on them is being read.
 	for end := comingFor + c.bounds.LongestLimit + endSlack; ; time.Sleep(leaveEvery) {
 		l, span := c.listener.Load(), time.Since(began) // Serve may begin only now
@@ -104,15 +104,19 @@
 		if l != nil && (succeeded || span >= comingFor && (!l.queued() || span >= comingFor+c.bounds.LongestLimit/2)) {
 			_ = l.Close()
 		}
-		if !succeeded || span >= lingerFor {
+		if !succeeded || span >= keptFor {
 			c.room.makeWay(c.room.count(), span)
 		}
-		open := c.room.count()
+		open, lingers := c.room.count(), 0
 		if l != nil {
-			open = max(open, int(l.taken.Load())) // one may be on its way from the listener
+			lingers = l.lingers()
+			open = max(open, int(l.taken.Load())-lingers) // one may be on its way from the listener
+		}
+		if open > 0 {
+			last = span
 		}
 		switch {
-		case open == 0 && span >= comingFor:
+		case open == 0 && span >= comingFor && (lingers == 0 || span >= last+lingerLeast || span >= end):
 			return c.server.Close()
 		case span >= end:
 			_ = c.server.Close()
--- a/internal/net/clients/closing_test.go
+++ b/internal/net/clients/closing_test.go
@@ -1,13 +1,208 @@
 package clients
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
 )
 
+// answerAll answers each shot at once with the value, and gives which ids were ever sent on.
+func answerAll(t *testing.T, ships fleet, value []byte) (sent func(id string) bool) {
+	var mu sync.Mutex
+	seen := map[string]bool{}
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	go func() {
+		for {
+			select {
+			case s := <-ships:
+				mu.Lock()
+				seen[s.Trace] = true
+				mu.Unlock()
+				s.Settle(exchange.Whole, exchange.Answer{Body: value})
+			case <-stop:
+				return
+			}
+		}
+	}()
+	return func(id string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return seen[id]
+	}
+}
+
+// Whatever ends a connection, and whatever its client still sends, the answer arrives whole and ends by an end: a reset would
+// be no end for an answer without a length, as net/http's own errors are, and takes with it what the kernel still holds.
+func TestEachAnswerArrivesWholeBeforeItsClose(t *testing.T) {
+	const head = "GET /read/k HTTP/1.1\r\nHost: h\r\n" + id + "\r\n" + within + "\r\n"
+	const put = "PUT /once/k HTTP/1.1\r\nHost: h\r\n" + id + "\r\n" + within + "\r\n"
+	behind := strings.Repeat(strings.Replace(head, id, "X-Trace-Id: behind", 1)+"\r\n", 200)
+	for _, row := range []struct {
+		name, text, want string
+		set              func(*Clients)
+	}{
+		{"a bad header", head + "a header without a colon\r\n\r\n", "400", nil},
+		{"no request at all", "\x16\x03\x01\r\n\r\n", "400", nil},
+		{"no host", "GET /read/k HTTP/1.1\r\n\r\n", "400", nil},
+		{"another version", "GET /read/k HTTP/3.1\r\nHost: h\r\n\r\n", "505", nil},
+		{"an old version", "GET /read/k HTTP/1.0\r\n\r\n", "505", nil},
+		{"an unknown coding", put + "Transfer-Encoding: gzip\r\n\r\n", "501", nil},
+		{"an unknown expectation", head + "Expect: wonders\r\n\r\n", "417", nil},
+		{"a long head", head + "X-Long: " + strings.Repeat("x", 2*headersMost) + "\r\n\r\n", "431", nil},
+		{"a long body", put + "Content-Length: 99999\r\n\r\n", "413", nil},
+		{"a long chunked body", put + "Transfer-Encoding: chunked\r\n\r\nfff\r\n", "413", nil},
+		{"a broken chunk", put + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "400", nil},
+		{"two lengths", put + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400", nil},
+		{"half a body", put + "Content-Length: 60\r\n\r\nhalf", "408", nil},
+		{"its client's wish", head + "Connection: close\r\n\r\n", "200", nil},
+		{"too many in hand", head + "Connection: close\r\n\r\n", "503", func(c *Clients) { c.most.Store(0) }},
+		{"too many connections", head + "\r\n", "200", func(c *Clients) { c.room.resize(0) }},
+		{"SIGTERM", head + "\r\n", "200", func(c *Clients) { c.leaving.Store(true) }},
+		{"SIGTERM, a long body", put + "Content-Length: 99999\r\n\r\n", "413", func(c *Clients) { c.leaving.Store(true) }},
+	} {
+		for _, goesOn := range []bool{false, true} {
+			t.Run(fmt.Sprint(row.name, ", its client goes on: ", goesOn), func(t *testing.T) {
+				t.Parallel()
+				c, ships, address := serve(t, 8, true)
+				sent := answerAll(t, ships, []byte("v"))
+				if row.set != nil {
+					row.set(c)
+				}
+				conn, wrote := dial(t, address), make(chan struct{})
+				_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+				fmt.Fprint(conn, row.text)
+				if row.want == "408" { // else the body would come
+					_, _ = conn.in.Peek(1)
+				}
+				go func() {
+					defer close(wrote)
+					_, err := fmt.Fprint(conn, behind)
+					for n := 0; goesOn && err == nil && n < 7; n++ {
+						time.Sleep(20 * time.Millisecond)
+						_, err = fmt.Fprint(conn, "y")
+					}
+				}()
+				time.Sleep(150 * time.Millisecond) // reads late
+				text, err := io.ReadAll(conn.in)
+				<-wrote
+				if len(text) < 12 || string(text[9:12]) != row.want || err != nil {
+					t.Errorf("%q, then %v", text, err)
+				}
+				if sent("behind") {
+					t.Error("a lookup behind the end was sent on")
+				}
+			})
+		}
+	}
+}
+
+// An answer of which the kernel still holds a part arrives whole though its client has sent more than was read, also where
+// the process ends.
+func TestALongAnswerSurvivesItsClose(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		c, ships, address := serve(t, 8, true)
+		value := bytes.Repeat([]byte("0123456789abcdef"), 16<<10)
+		answerAll(t, ships, value)
+		conn := dial(t, address)
+		_ = conn.Conn.(*net.TCPConn).SetReadBuffer(32 << 10)
+		conn.send("GET /read/k", id, within, "Connection: close")
+		time.Sleep(50 * time.Millisecond)
+		conn.send("GET /read/behind", "X-Trace-Id: behind", within)
+		if leaves {
+			if err := c.Leave(false); err != nil && c.Open() == 0 {
+				t.Error(err)
+			}
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		r, err := http.ReadResponse(conn.in, nil)
+		if err != nil {
+			t.Errorf("leaves %v: %v", leaves, err)
+			continue
+		}
+		got, err := io.ReadAll(r.Body)
+		if err != nil || !bytes.Equal(got, value) {
+			t.Errorf("leaves %v: %d of %d bytes, %v", leaves, len(got), len(value), err)
+		}
+	}
+}
+
+// A lookup that comes in the very moment in which its idle connection is ended is answered, or its client sees the end and
+// it was sent on nowhere: where the connection makes way, is idle for too long, or takes too long for its head.
+func TestALookupThatCrossesAnEndIsAnsweredOrNeverSentOn(t *testing.T) {
+	rounds := 150
+	if testing.Short() {
+		rounds = 40
+	}
+	for _, kind := range []string{"makes way", "was idle for long", "took long for its head"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			c, ships, l := front(t, 64, true)
+			span := 20 * time.Millisecond
+			switch kind {
+			case "was idle for long":
+				c.server.IdleTimeout = span
+			case "took long for its head":
+				c.server.ReadHeaderTimeout = span
+			}
+			go func() { _ = c.Serve(l) }()
+			sent := answerAll(t, ships, []byte("v"))
+			answered, ended := 0, 0
+			for i := range rounds {
+				conn, trace := dial(t, l.Addr().String()), fmt.Sprint("t", i)
+				text := "GET /read/k HTTP/1.1\r\nHost: h\r\nX-Trace-Id: " + trace + "\r\n" + within + "\r\n\r\n"
+				if kind != "took long for its head" {
+					conn.send("GET /up")
+					conn.receive(t)
+				} else {
+					fmt.Fprint(conn, text[:9])
+					text = text[9:]
+				}
+				near := span - time.Millisecond + time.Duration(i%20)*100*time.Microsecond
+				if kind == "makes way" {
+					near = time.Duration(i%10) * 20 * time.Microsecond
+					c.room.mu.Lock()
+					for _, e := range c.room.places {
+						e.Value.(*place).since = time.Now().Add(-time.Hour)
+					}
+					c.room.mu.Unlock()
+					go c.room.makeWay(1, 0)
+				}
+				time.Sleep(near)
+				_, wrote := fmt.Fprint(conn, text)
+				_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+				r, err := http.ReadResponse(conn.in, nil)
+				switch {
+				case err == nil && r.StatusCode == 200:
+					answered++
+				case err == nil && r.StatusCode == 400 && kind == "took long for its head" && !sent(trace):
+					ended++ // net/http takes half a request line for a whole one, and turns it away
+				case err == nil:
+					t.Errorf("round %d: %d", i, r.StatusCode)
+				case wrote == nil && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+					t.Errorf("round %d: %v", i, err) // a reset would take an earlier answer with it
+				default:
+					ended++
+				}
+				conn.Close()
+				if err != nil && sent(trace) {
+					t.Errorf("round %d: sent on, and not answered: %v", i, err)
+				}
+			}
+			t.Logf("%d answered, %d ended unread", answered, ended)
+		})
+	}
+}
+
 // Who is turned away holds no place for a body that never comes, where net/http would wait for its end.
 func TestWhoIsTurnedAwayHoldsNoPlace(t *testing.T) {
 	c, _, address := serve(t, 16, true)
--- a/internal/net/clients/listener.go
+++ b/internal/net/clients/listener.go
@@ -1,6 +1,8 @@
 package clients
 
 import (
+	"container/list"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -21,16 +23,27 @@
 	closed chan struct{}
 	close  func() error
 	full   func(waited time.Duration) // called now and then while a connection may wait for a place
+
+	mu        sync.Mutex
+	lingering *list.List // of *placed, the longest first
 }
 
 const (
 	fullEvery = 5 * time.Millisecond  // a small part of any time limit
 	queuedFor = 20 * time.Millisecond // between two connections, while there is a queue of them
 	lookEvery = time.Millisecond      // for a place that was given back
+
+	// lingerMost is how long a connection that was ended waits for its client's end at most: as long as net/http waits where it
+	// does. What a client still writes would reset a closed one, and the end of a long answer may go with it.
+	lingerMost = 500 * time.Millisecond
+	// lingerLeast is how long it does where others want its place, or the node leaves: a client that reads has closed by then.
+	lingerLeast = 50 * time.Millisecond
+	// lingerBytes is how much is read and dropped meanwhile: some lookups, or a body that is held whole.
+	lingerBytes = 256 << 10
 )
 
 func bound(l net.Listener, most int, full func(waited time.Duration)) *bounded {
-	b := &bounded{Listener: l, full: full, closed: make(chan struct{})}
+	b := &bounded{Listener: l, full: full, closed: make(chan struct{}), lingering: list.New()}
 	b.most.Store(int64(most))
 	b.close = sync.OnceValue(func() error {
 		close(b.closed)
@@ -45,6 +58,7 @@
 	for b.taken.Load() >= b.most.Load() {
 		if time.Since(told) >= fullEvery {
 			told = time.Now()
+			b.hurry(told)
 			b.full(told.Sub(began))
 		}
 		select {
@@ -63,7 +77,7 @@
 	b.came.Store(time.Now().UnixNano())
 	if tcp, ok := c.(*net.TCPConn); ok {
 		raw, _ := tcp.SyscallConn() // fails for a nil connection only
-		return &placed{TCPConn: tcp, raw: raw, leave: leave, accepted: time.Now()}, nil
+		return &placed{TCPConn: tcp, raw: raw, at: b, leave: leave, accepted: time.Now()}, nil
 	}
 	leave()
 	return c, nil
@@ -93,6 +107,35 @@
 	return there
 }
 
+// linger notes that a connection waits for its client's end; it has its place until then.
+func (b *bounded) linger(p *placed) *list.Element {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p.since = time.Now()
+	return b.lingering.PushBack(p)
+}
+
+func (b *bounded) lingered(e *list.Element) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lingering.Remove(e) // it may be off the list already
+}
+
+func (b *bounded) lingers() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lingering.Len()
+}
+
+// hurry ends the connections that have lingered for long enough where others want their places.
+func (b *bounded) hurry(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for e := b.lingering.Front(); e != nil && now.Sub(e.Value.(*placed).since) >= lingerLeast; e = b.lingering.Front() {
+		_ = b.lingering.Remove(e).(*placed).SetReadDeadline(past)
+	}
+}
+
 // Close ends the wait for a place too.
 func (b *bounded) Close() error { return b.close() }
 
@@ -100,15 +143,24 @@
 type placed struct {
 	*net.TCPConn
 	raw      syscall.RawConn
+	at       *bounded
 	leave    func()
 	accepted time.Time
 	// Unix times in nanoseconds: of the latest bytes, of the first ones since the connection's state changed, and of that.
 	heard, began, turn atomic.Int64
 	framing            framing
+	wrote              atomic.Bool // some of an answer
+	shut               atomic.Bool // its client was told of the end
+	closing            sync.Once
+	since              time.Time // when it began to linger
+	dropped            int       // bytes, meanwhile
 }
 
 func (p *placed) Read(b []byte) (int, error) {
 	n, err := p.TCPConn.Read(b)
+	if p.shut.Load() {
+		return 0, net.ErrClosed // a lookup read after the client was told of the end must not be sent on
+	}
 	if p.framing.read(b[:n]); n > 0 {
 		now := time.Now().UnixNano()
 		if p.heard.Swap(now) <= p.turn.Load() {
@@ -118,14 +170,62 @@
 	return n, err
 }
 
+func (p *placed) Write(b []byte) (int, error) {
+	p.wrote.Store(true)
+	return p.TCPConn.Write(b)
+}
+
 // gone looks whether the client has ended its connection, also where bytes that it sent before are not read yet, behind
 // which net/http sees no end. It can't tell who has closed from who has only ended its sending; both have left.
 func (p *placed) gone() bool {
 	return shows(p.raw, unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR)
 }
 
+// Close ends the connection so that the client can read all that was written: closed over bytes that nobody has read, or
+// that come later, a socket is reset, and the client loses what the kernel still holds, and the end of an answer that has no
+// length. So first only the sending side is shut, and what comes is dropped until the client's end.
 func (p *placed) Close() error {
-	err := p.TCPConn.Close()
+	p.closing.Do(func() {
+		p.shut.Store(true)
+		over := p.CloseWrite() != nil || !p.wrote.Load()
+		if !over {
+			_ = p.raw.Control(func(fd uintptr) { over = p.drop(fd) })
+		}
+		if over {
+			p.end()
+			return
+		}
+		_ = p.SetReadDeadline(time.Now().Add(lingerMost))
+		go p.linger(p.at.linger(p))
+	})
+	return nil
+}
+
+// linger waits for the client's end.
+func (p *placed) linger(e *list.Element) {
+	_ = p.raw.Read(p.drop)                                 // until its deadline
+	_ = p.raw.Control(func(fd uintptr) { _ = p.drop(fd) }) // also of what came in that moment
+	p.at.lingered(e)
+	p.end()
+}
+
+// drop drops what has come, and says that it is over: the client has ended too, or has sent more than it is heard for.
+func (p *placed) drop(fd uintptr) bool {
+	b := buffers.Get().(*[]byte)
+	defer buffers.Put(b)
+	for p.dropped < lingerBytes {
+		n, err := unix.Read(int(fd), *b)
+		switch p.dropped += max(n, 0); {
+		case errors.Is(err, unix.EAGAIN):
+			return false
+		case n <= 0 && !errors.Is(err, unix.EINTR):
+			return true
+		}
+	}
+	return true
+}
+
+func (p *placed) end() {
+	_ = p.TCPConn.Close()
 	p.leave()
-	return err
 }
