Read what came before a deadline, and know half a request behind another

Go's net gives up at a deadline that has passed without a look at the kernel: a request that lay there, unread because the process had no core, was closed over when its connection was told to make way (room.giveWay sets a past deadline), came to its idle limit, or to the end of its time for the head or body: the client of a new connection met a close with no answer. And a connection whose client had sent a part of its next request with the one before counted as idle, since nothing was heard on it since, and made way after 50 ms where one that is writing has 100 ms to 1 s (place.quiet); net/http answered 400.

placed.Read looks once more, without waiting, where its deadline has passed; what is there keeps the connection, and a head that was woken so has its time for the rest. Whether a request has begun is also known by its framing.

TestBytesThatCameBeforeADeadlineAreRead, TestHalfALookupBehindAnotherIsNotIdle (go test ./internal/net/clients): without the mends '"", i/o timeout; want "GET "' and '400 Bad Request'. TCP_NODELAY is read off accepted connections in the first.

--- a/internal/net/clients/closing_test.go
+++ b/internal/net/clients/closing_test.go
@@ -7,11 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
 )
 
@@ -136,6 +139,51 @@
 	}
 }
 
+// Bytes that the kernel had before a deadline are read also where the process only comes to look after it: at a connection that
+// is to make way, at one that was idle for long, and in a head that took long. The rest of a head then has its time.
+func TestBytesThatCameBeforeADeadlineAreRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := bound(l, 8, func(time.Duration) {})
+	t.Cleanup(func() { b.Close() })
+	for _, woken := range []bool{false, true} {
+		far := dial(t, l.Addr().String())
+		near, err := b.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		own, buffer := near.(*placed), make([]byte, 9)
+		_ = own.raw.Control(func(fd uintptr) { // else the kernel would hold the ends of answers back
+			if set, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NODELAY); set == 0 || err != nil {
+				t.Errorf("TCP_NODELAY is %d, %v", set, err)
+			}
+		})
+		read := func(want string) {
+			t.Helper()
+			if n, err := own.Read(buffer); string(buffer[:n]) != want || (n == 0) != errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("woken %v: %q, %v; want %q", woken, buffer[:n], err, want)
+			}
+		}
+		fmt.Fprint(far, "GET ")
+		for !shows(own.raw, unix.POLLIN) {
+			time.Sleep(time.Millisecond)
+		}
+		own.woken.Store(woken)
+		_ = own.SetReadDeadline(past)
+		read("GET ")
+		if woken { // it has been given time for the rest
+			time.AfterFunc(30*time.Millisecond, func() { fmt.Fprint(far, "/up") })
+			read("/up")
+			own.woken.Store(true)
+			_ = own.SetReadDeadline(past)
+		}
+		read("")
+		own.Close()
+	}
+}
+
 // A lookup that comes in the very moment in which its idle connection is ended is answered, or its client sees the end and
 // it was sent on nowhere: where the connection makes way, is idle for too long, or takes too long for its head.
 func TestALookupThatCrossesAnEndIsAnsweredOrNeverSentOn(t *testing.T) {
@@ -231,3 +279,20 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// A client that has sent its next lookup's beginning with the one before is writing one, and makes way as such only.
+func TestHalfALookupBehindAnotherIsNotIdle(t *testing.T) {
+	c, ships, address := serve(t, 8, true)
+	answerAll(t, ships, []byte("v"))
+	conn := dial(t, address)
+	text := "GET /read/k HTTP/1.1\r\nHost: h\r\n" + id + "\r\n" + within + "\r\n\r\n"
+	fmt.Fprint(conn, text, text[:30])
+	conn.receive(t)
+	for end := time.Now().Add(4 * unused); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		c.room.makeWay(1, 0)
+	}
+	fmt.Fprint(conn, text[30:])
+	if r, body := conn.receive(t); r.StatusCode != 200 || body != "v" {
+		t.Errorf("%d %q", r.StatusCode, body)
+	}
+}
--- a/internal/net/clients/framing.go
+++ b/internal/net/clients/framing.go
@@ -75,6 +75,9 @@
 	f.at, f.lines, f.length, f.told, f.coded, f.odd = inHead, 0, 0, false, false, false
 }
 
+// amid says that a lookup has begun to come and has not come whole; for who reads the connection.
+func (f *framing) amid() bool { return f.at != inHead || f.lines > 0 || len(f.line) > 0 }
+
 // ended takes a whole line.
 func (f *framing) ended(line []byte) {
 	switch f.at {
--- a/internal/net/clients/listener.go
+++ b/internal/net/clients/listener.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -149,6 +150,7 @@
 	// Unix times in nanoseconds: of the latest bytes, of the first ones since the connection's state changed, and of that.
 	heard, began, turn atomic.Int64
 	framing            framing
+	woken              atomic.Bool // told to make way; bytes that crossed this keep it
 	wrote              atomic.Bool // some of an answer
 	shut               atomic.Bool // its client was told of the end
 	closing            sync.Once
@@ -156,8 +158,19 @@
 	dropped            int       // bytes, meanwhile
 }
 
+// Read reads what came in time also when the process only looks after the deadline: the library gives up at a deadline that
+// has passed without a look at the kernel, where a lookup may lie since before, and closing over it would turn it away unread.
 func (p *placed) Read(b []byte) (int, error) {
 	n, err := p.TCPConn.Read(b)
+	if n == 0 && len(b) > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		_ = p.raw.Control(func(fd uintptr) { n, _ = unix.Read(int(fd), b) }) // it never waits
+		if n = max(n, 0); n > 0 {
+			err = nil
+		}
+		if n > 0 && p.woken.Swap(false) {
+			_ = p.SetReadDeadline(time.Now().Add(headersIn)) // for the rest of its head
+		}
+	}
 	if p.shut.Load() {
 		return 0, net.ErrClosed // a lookup read after the client was told of the end must not be sent on
 	}
--- a/internal/net/clients/room.go
+++ b/internal/net/clients/room.go
@@ -47,6 +47,7 @@
 type place struct {
 	conn  net.Conn
 	fresh bool // it never had one
+	begun bool // it came with the beginning of the next one
 	since time.Time
 }
 
@@ -70,9 +71,10 @@
 		if r.open++; r.open > r.most {
 			r.giveWay(1, 0)
 		}
-		r.places[c] = r.quiet.PushBack(&place{c, true, time.Now()})
+		r.places[c] = r.quiet.PushBack(&place{conn: c, fresh: true, since: time.Now()})
 	case http.StateIdle:
-		r.places[c] = r.quiet.PushBack(&place{c, false, time.Now()})
+		own, ours := c.(*placed)
+		r.places[c] = r.quiet.PushBack(&place{conn: c, begun: ours && own.framing.amid(), since: time.Now()})
 	case http.StateClosed, http.StateHijacked:
 		r.open--
 	}
@@ -98,6 +100,9 @@
 		p := e.Value.(*place)
 		r.quiet.Remove(e)
 		delete(r.places, p.conn)
+		if own, ours := p.conn.(*placed); ours {
+			own.woken.Store(true)
+		}
 		_ = p.conn.SetReadDeadline(past)
 	}
 }
@@ -116,7 +121,7 @@
 // quiet says for how long a connection has brought nothing, and ranks it: the highest makes way first, 0 not at all.
 func (p *place) quiet(now time.Time, waited time.Duration) (rank int, since time.Duration) {
 	since = now.Sub(p.since)
-	begun := false // its next lookup, which the server does not tell before its headers are read
+	begun := p.begun // its next lookup, which the server does not tell before its headers are read
 	pause := max(hurried, stalled-waitFactor*waited)
 	if c, ours := p.conn.(*placed); ours {
 		if heard := time.Unix(0, c.heard.Load()); heard.After(p.since) {
