Turn clients that send too much away without keeping their places for half a second

48 clients that send up to 256 KiB of heads, chunks and bodies without end, or garbage, and go, kept all others out for seconds: 3088 connections came in 2 s, four clients beside them got 18 answers, the slowest after 2.46 s, and 5 s after the last had gone 68 of 68 places were still taken, by clients long gone out of the kernel's queue. All 68 goroutines slept in net/http's closeWriteAndWait: 500 ms after a head over its bound and after a body left unread, whether or not the client is there, and with nothing read meanwhile. Ruled out: the work of reading (the process was idle), memory (5 MB more), the wait for an end (0 lingered).

Such connections are ended by placed.Close, which waits 50 ms at most where others want the place, and not at all for a client that has gone. A head over 12 KiB, as many as net/http took with its 4 KiB of slack, is turned away as its bytes are read (placed.refuse, framing.over), with 431 and a length; the handler hides a body that it leaves (call.end), and what is over a body's bound isn't told to net/http, which only learns that the connection ends.

--- a/internal/net/clients/call.go
+++ b/internal/net/clients/call.go
@@ -48,6 +48,9 @@
 	if a.rest != nil {
 		defer a.rest.Close()
 	}
+	if a.w.Header().Get("Connection") == "close" {
+		a.r.Body = http.NoBody // for what is left unread net/http would hold the place for half a second; see placed.Close
+	}
 	if a.broken {
 		panic(http.ErrAbortHandler) // ends the connection in the middle
 	}
--- a/internal/net/clients/clients.go
+++ b/internal/net/clients/clients.go
@@ -26,7 +26,7 @@
 }
 
 const (
-	headersMost  = 8 << 10                 // bytes of a lookup's headers; real ones take some hundred
+	headersMost  = 12 << 10                // bytes of a lookup's head; real ones take some hundred
 	headersIn    = 2600 * time.Millisecond // for headers: true clients take up to 2 s, an answer is owed within 3 s
 	bodyBy       = 2600 * time.Millisecond // after the connection came, for a body: an answer is owed within 3 s
 	bodyIn       = 2 * time.Second         // after the headers, where that is later;
@@ -59,7 +59,7 @@
 func New(x *exchange.Exchange, b Bounds, log *zap.Logger) *Clients {
 	c := &Clients{log: log, exchange: x, bounds: b, room: newRoom(b.Descriptors)}
 	c.most.Store(int64(b.Descriptors))
-	c.server = &http.Server{Handler: c, MaxHeaderBytes: headersMost, ReadHeaderTimeout: headersIn, DisableGeneralOptionsHandler: true,
+	c.server = &http.Server{Handler: c, MaxHeaderBytes: 2 * headersMost, ReadHeaderTimeout: headersIn, DisableGeneralOptionsHandler: true,
 		ReadTimeout: headersIn, WriteTimeout: b.LongestLimit + slack, IdleTimeout: idleFor,
 		ErrorLog: zap.NewStdLog(log), ConnState: c.room.state,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
--- a/internal/net/clients/framing.go
+++ b/internal/net/clients/framing.go
@@ -13,6 +13,7 @@
 	at     part
 	line   []byte // the beginning of the present one
 	lines  int    // of the present head
+	size   int    // of the present head, in bytes
 	length int64  // told in the head, then what is left of a body or a chunk
 	told   bool
 	coded  bool
@@ -57,11 +58,13 @@
 		default:
 			n := bytes.IndexByte(b, '\n')
 			if n < 0 {
+				f.size += len(b)
 				f.keep(b)
 				return
 			}
 			f.keep(b[:n])
 			b = b[n+1:]
+			f.size += n + 1
 			f.ended(bytes.TrimSuffix(f.line, []byte("\r")))
 			f.line = f.line[:0]
 		}
@@ -72,9 +75,12 @@
 
 // head makes ready for the next one.
 func (f *framing) head() {
-	f.at, f.lines, f.length, f.told, f.coded, f.odd = inHead, 0, 0, false, false, false
+	f.at, f.lines, f.size, f.length, f.told, f.coded, f.odd = inHead, 0, 0, 0, false, false, false
 }
 
+// over says that the present head is longer than any true one.
+func (f *framing) over() bool { return f.at == inHead && f.size > headersMost }
+
 // amid says that a lookup has begun to come and has not come whole; for who reads the connection.
 func (f *framing) amid() bool { return f.at != inHead || f.lines > 0 || len(f.line) > 0 }
 
--- a/internal/net/clients/listener.go
+++ b/internal/net/clients/listener.go
@@ -3,6 +3,8 @@
 import (
 	"container/list"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -13,9 +15,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// bounded accepts no more connections than it has places; the next wait in the kernel's queue. The library's
-// own (netutil.LimitListener) hides CloseWrite, without which net/http resets a connection whose headers are
-// over their bound before the client has read the answer.
+// bounded accepts no more connections than it has places; the next wait in the kernel's queue. The library's own
+// (netutil.LimitListener) would do that much, but not make way, nor see the end of a client behind its bytes.
 type bounded struct {
 	net.Listener
 	most   atomic.Int64
@@ -174,7 +175,10 @@
 	if p.shut.Load() {
 		return 0, net.ErrClosed // a lookup read after the client was told of the end must not be sent on
 	}
-	if p.framing.read(b[:n]); n > 0 {
+	if p.framing.read(b[:n]); p.framing.over() {
+		return 0, p.refuse()
+	}
+	if n > 0 {
 		now := time.Now().UnixNano()
 		if p.heard.Swap(now) <= p.turn.Load() {
 			p.began.Store(now)
@@ -183,6 +187,18 @@
 	return n, err
 }
 
+// refuse turns a head away that is over its bound. net/http would hold its place for half a second, also when its client has
+// gone: a flood of such heads would keep all others out.
+func (p *placed) refuse() error {
+	const text = "431 Request Header Fields Too Large"
+	_ = p.SetWriteDeadline(time.Now().Add(lingerMost))
+	_, _ = fmt.Fprintf(p, "HTTP/1.1 %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		text, len(text), text)
+	p.shut.Store(true)
+	_ = p.CloseWrite() // net/http may still answer 400 to what it has
+	return io.EOF
+}
+
 func (p *placed) Write(b []byte) (int, error) {
 	p.wrote.Store(true)
 	return p.TCPConn.Write(b)
--- a/internal/net/clients/message.go
+++ b/internal/net/clients/message.go
@@ -85,7 +85,7 @@
 	if a.conn.accepted.Add(bodyBy).After(by) {
 		by = a.conn.accepted.Add(bodyBy)
 	}
-	return &steady{a, http.MaxBytesReader(a.w, a.r.Body, a.bounds.Long), by}
+	return &steady{a, http.MaxBytesReader(nil, a.r.Body, a.bounds.Long), by}
 }
 
 func (s *steady) Read(b []byte) (int, error) {
