--- a/internal/net/clients/closing_test.go
+++ b/internal/net/clients/closing_test.go
@@ -47,6 +47,7 @@
 // Whatever ends a connection, and whatever its client still sends, the answer arrives whole and ends by an end: a reset would
 // be no end for an answer without a length, as net/http's own errors are, and takes with it what the kernel still holds.
 func TestEachAnswerArrivesWholeBeforeItsClose(t *testing.T) {
+	t.Parallel()
 	const head = "GET /read/k HTTP/1.1\r\nHost: h\r\n" + id + "\r\n" + within + "\r\n"
 	const put = "PUT /once/k HTTP/1.1\r\nHost: h\r\n" + id + "\r\n" + within + "\r\n"
 	behind := strings.Repeat(strings.Replace(head, id, "X-Trace-Id: behind", 1)+"\r\n", 200)
@@ -187,6 +188,7 @@
 // A lookup that comes in the very moment in which its idle connection is ended is answered, or its client sees the end and
 // it was sent on nowhere: where the connection makes way, is idle for too long, or takes too long for its head.
 func TestALookupThatCrossesAnEndIsAnsweredOrNeverSentOn(t *testing.T) {
+	t.Parallel()
 	rounds := 150
 	if testing.Short() {
 		rounds = 40
@@ -253,6 +255,7 @@
 
 // Who is turned away holds no place for a body that never comes, where net/http would wait for its end.
 func TestWhoIsTurnedAwayHoldsNoPlace(t *testing.T) {
+	t.Parallel()
 	c, _, address := serve(t, 16, true)
 	const put = " HTTP/1.1\r\nHost: h\r\n" + id + "\r\n" + within + "\r\nContent-Length: 1000\r\n"
 	began := time.Now()
--- a/internal/net/clients/flood_test.go
+++ b/internal/net/clients/flood_test.go
@@ -43,6 +43,7 @@
 
 // What never ends is turned away with a whole answer and ended, however long it goes on.
 func TestWhatNeverEndsIsTurnedAway(t *testing.T) {
+	t.Parallel()
 	for _, f := range floods {
 		t.Run(f.name, func(t *testing.T) {
 			t.Parallel()
@@ -184,6 +185,7 @@
 // Clients that write a byte at a time within the two seconds that true ones take are answered, on new connections and kept
 // ones, with a body in any form.
 func TestAByteAtATimeIsServed(t *testing.T) {
+	t.Parallel()
 	_, ships, address := serve(t, 16, true)
 	answerAll(t, ships, []byte("v"))
 	var users sync.WaitGroup
@@ -217,6 +219,7 @@
 // Clients that don't read their answers hold no place, as long as the kernel holds these: others take it, and the answers
 // arrive whole, also through the node's end.
 func TestSlowReadersHoldNobodyUp(t *testing.T) {
+	t.Parallel()
 	c, ships, address := serve(t, 4, true)
 	value := bytes.Repeat([]byte("0123456789abcdef"), 4<<10)
 	answerAll(t, ships, value)
