Ask for the list beside a silent call, at most 1.8 s after the one before

By its nodes' logs all 291 watches ended unheard at 10.34 s, in an outage; calls made at 10.6 to 10.9 s were accepted and never answered; discovery was back at 11.40 s with drains, which count at once where lists are pushed; the calls were given up at 13.1 to 13.4 s (answerIn, 2.5 s) and the list came after the module's wait, at 13.6 to 14.4 s, with a grace of 1.5 s. With "ask within" at 10 s the wait between calls went up to 4 s besides. Ruled out: a crowd at discovery (whoever called after 11.4 s had the list at once). At fault: Run in boxlist/watch.go followed no order before the last call's end, and List's Failed branch counted the wait from there.

Each order takes its part of the fleet's calls. Where lists are not said to be asked for, a third of a drain's grace bounds the wait too (term "pushed grace"). The wire, which has one call at a time, leaves further orders out.

--- a/internal/net/boxlist/watch_test.go
+++ b/internal/net/boxlist/watch_test.go
@@ -161,8 +161,8 @@
 	server.CloseClientConnections()
 }
 
-// A call for the whole list that a service never answers, as one that was made while it was down, is given up in time for two
-// more within the 6 s after which what it missed counts as told.
+// A call for the whole list that a service never answers, as one that was made while it was down, has another beside it in
+// time for two more within the 6 s after which what it missed counts as told.
 func TestACallThatIsNeverAnsweredIsMadeAnew(t *testing.T) {
 	t.Parallel()
 	var calls atomic.Int64
@@ -205,13 +205,16 @@
 	for _, page := range []string{"", "no list", `{"full":true,"servers":[]}`, `{"version":1,"full":true,"servers":[{"id":"a","addr":"x","state":"Odd"}]}`,
 		`{"version":1,"full":true,"servers":[{"addr":"x","state":"Ready"}]}`, `{"version":1,"full":true,"servers":[{"id":"a","state":"Ready"}]}`,
 		`{"version":1,"full":false,"servers":[` + box + `]}`} {
-		s, x, logs := follow(t, 2, page)
-		if x.Ready() || logs.FilterMessage("box list lost, the old one stands").Len() != 1 {
-			t.Errorf("%s: ready %v, log %v", page, x.Ready(), logs.All())
-		}
-		if s.at[1].Sub(s.at[0]) < 100*time.Millisecond {
-			t.Errorf("%s: asked again at once, not when the module said so", page)
-		}
+		t.Run(page, func(t *testing.T) {
+			t.Parallel()
+			s, x, logs := follow(t, 2, page)
+			if x.Ready() || logs.FilterMessage("box list lost, the old one stands").Len() != 1 {
+				t.Errorf("%s: ready %v, log %v", page, x.Ready(), logs.All())
+			}
+			if s.at[1].Sub(s.at[0]) < 100*time.Millisecond {
+				t.Errorf("%s: asked again at once, not when the module said so", page)
+			}
+		})
 	}
 }
 
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -227,6 +227,11 @@
 			}
 		}
 	}
+	// Lists that are asked for count as told when they are written. Of others, what discovery has counts at once, and a
+	// drain's grace runs from then: the module has to know of it. Where nothing is said, the stricter of the two holds.
+	if mode, _ := find(settings, "registry-mode"); mode != "ask" && t.Grace > 0 {
+		t.Module["pushed grace"] = logic.Time(t.Grace / (time.Millisecond / time.Duration(logic.Millisecond)))
+	}
 	return t, errors.Join(faults...)
 }
 
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -264,3 +264,22 @@
 		}
 	}
 }
+
+// Only lists that are asked for count as told when they come. Of others a drain's grace runs from what discovery has: the
+// module is told of it, also where nothing is said of how lists come, and not where there is no grace.
+func TestThePushedListsGraceIsHandedOn(t *testing.T) {
+	for with, want := range map[string]any{
+		`"registry-mode":"push","invariants":{"stop-sending-within-ms":1500.0,`: 1500 * logic.Millisecond,
+		`"invariants":{"stop-sending-within-ms":1500.0,`:                        1500 * logic.Millisecond,
+		`"registry-mode":"ask","invariants":{"stop-sending-within-ms":1500.0,`:  nil,
+		`"registry-mode":"push","invariants":{`:                                 nil,
+	} {
+		s, err := read(t, `"invariants":{`, with)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := s.Module["pushed grace"]; got != want {
+			t.Errorf("%s: %v, want %v", with, got, want)
+		}
+	}
+}
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -23,6 +23,7 @@
 	index    map[string]int // tickets of lookups that are not yet forgotten
 	tickets  []ticket
 	free     []int
+	asking   bool // a call for the list is out
 }
 
 type ticket struct {
@@ -98,6 +99,7 @@
 	if !ok {
 		return fmt.Errorf("list kind %q is unknown", f.how)
 	}
+	n.asking = n.asking && how == logic.Persisted
 	n.boxes = n.boxes[:0]
 	for _, e := range f.boxes {
 		state, ok := states[e.state]
@@ -166,8 +168,13 @@
 	n.over(lkp)
 }
 
-// Subscribe asks for the list and its changes.
+// Subscribe asks for the list and its changes. The wire has one call at a time: a second would take the first one's place
+// in the service's line.
 func (n *node) Subscribe() {
+	if n.asking {
+		return
+	}
+	n.asking = true
 	n.out.begin("observe")
 	n.out.w.RawString(`,"on":true`)
 	n.out.end()
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"log"
 	"strings"
 	"testing"
@@ -106,3 +107,23 @@
 		t.Errorf("told %s", text)
 	}
 }
+
+// The wire has one call for the list at a time: while one is out, what the module orders besides is left out; it is ordered
+// again once the list has come, or failed.
+func TestOneCallForTheListIsOut(t *testing.T) {
+	at := func(batch, ms int, msg string) string {
+		return fmt.Sprintf(`{"now-ms":%d,"batch":%d,"parts":[{"node":"node_0","msgs":[%s]}]}`, ms, batch, msg)
+	}
+	alarm := `{"what":"alarm","handle":0}`
+	failed := `{"what":"peers-known","how":"Error"}`
+	replies, told, err := serve(create, at(2, 2000, alarm), at(3, 5000, alarm), at(4, 5001, `{"what":"peers-known","how":"Persisted",`+
+		`"version":1,"entries":[]}`), at(5, 9000, alarm), at(6, 9001, failed), at(7, 13000, alarm))
+	if err != nil || told != "" {
+		t.Fatal(err, told)
+	}
+	for i, want := range []bool{false, true, false, false, false, false, true} {
+		if got := strings.Contains(replies[i], `"what":"observe"`); got != want {
+			t.Errorf("reply %d: %s, want a call %v", i+1, replies[i], want)
+		}
+	}
+}
--- a/logic/host.go
+++ b/logic/host.go
@@ -27,7 +27,8 @@
 	Defer(lkp int, retryAfter Time)
 	// Abandon ends the lookup with no promise about its effect.
 	Abandon(lkp int)
-	// Subscribe asks for the box list and its changes; List tells how it went.
+	// Subscribe asks for the box list and its changes; List tells how it went. An order that comes while a call is
+	// out is for one more beside it, which may find what the first can't: a service that is back, or one that is not silent.
 	Subscribe()
 	// HangUp closes the connections to a server that carry no shot, but for so many; a shot that finds none opens one.
 	HangUp(server, but int)
@@ -142,7 +143,8 @@
 	ease          float64 // how readily we take lookups beyond a partner's share: 1 where all goes well
 	keep          Time    // how long an idle connection is kept
 	subscribed    bool
-	askWait       Time
+	askWait       Time // the longest wait from one call for the list to the next, while not subscribed;
+	askDue        Time // and when that next one is due
 }
 
 type kind int // what a repeat of a lookup would do
--- /dev/null
+++ b/logic/list_test.go
@@ -0,0 +1,169 @@
+package logic
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"testing/quick"
+
+	"github.com/thistlerudder/thistlerudder/budget/allowance"
+)
+
+// asker is a host that only counts the calls for the list, and wakes to the tick.
+type asker struct {
+	fake
+	at []Time
+}
+
+func (a *asker) Subscribe() { a.at = append(a.at, a.now) }
+
+func (a *asker) Wake(at Time, handle int) { a.wakes[handle] = append(a.wakes[handle], at) }
+
+func newAsker(seed uint64, terms map[string]any) *asker {
+	a := &asker{fake: fake{now: Time(seed % 5000), wakes: map[int][]Time{}}}
+	a.b = New(a, seed, a.now, terms)
+	return a
+}
+
+// step is between two looks at the alarms; one may be as late.
+const step = Millisecond
+
+// until plays alarms; tell gives what the service does at each step.
+func (a *asker) until(end Time, tell func()) {
+	for ; a.now < end; a.now += step {
+		due := a.wakes[listHandle]
+		a.wakes[listHandle] = slices.DeleteFunc(slices.Clone(due), func(at Time) bool { return at <= a.now })
+		for _, at := range due {
+			if at <= a.now {
+				a.b.Alarm(a.now, listHandle)
+			}
+		}
+		tell()
+	}
+}
+
+// asks gives the terms of a deployment: any limit for asking, any grace, or none.
+func asks(rnd *rand.Rand) map[string]any {
+	terms := map[string]any{}
+	if rnd.Intn(3) > 0 {
+		terms["ask within"] = Time(rnd.Intn(400)) * 100 * Millisecond
+	}
+	if rnd.Intn(2) > 0 {
+		terms["pushed grace"] = Time(rnd.Intn(80)) * 50 * Millisecond
+	}
+	return terms
+}
+
+// Without a list the next call begins within AskMost of the last one's begin, whatever becomes of calls: some are never
+// answered, some fail at once or later, again and again, and lists are lost. It begins within half of the limit for asking and a
+// third of a pushed list's grace too, where these are no shorter than AskSpread; after the list is lost within AskSpread; and
+// never twice within half the shortest wait, nor while there is a list.
+func TestTheNextCallForTheListIsNeverFar(t *testing.T) {
+	run := func(seed uint64) bool {
+		rnd := rand.New(rand.NewSource(int64(seed)))
+		terms := asks(rnd)
+		wait := AskMost
+		if within, given := terms["ask within"]; given {
+			wait = min(wait, within.(Time)/2)
+		}
+		if grace, given := terms["pushed grace"]; given {
+			wait = min(wait, grace.(Time)/3)
+		}
+		wait = max(wait, AskSpread)
+		a := newAsker(seed, terms)
+		since, most, had, calls := a.now, AskSpread, false, 0 // without a call, and the longest that this may last
+		a.until(a.now+60000*Millisecond, func() {
+			if n := len(a.at); n > calls {
+				if had || calls > 0 && most != AskSpread && a.now-since < wait/2-step {
+					t.Logf("seed %d: a call %d after the last, with a list: %v", seed, a.now-since, had)
+					a.fault("early")
+				}
+				calls, since, most = n, a.now, wait
+			}
+			if !had && a.now-since > most+step {
+				a.fault("late")
+			}
+			switch r := rnd.Intn(400); {
+			case had && r < 1: // a watch is lost
+				a.b.List(a.now, Failed, nil)
+				had, since, most = false, a.now, AskSpread
+			case !had && calls > 0 && r < 1:
+				a.b.List(a.now, []ListKind{Whole, Changes}[rnd.Intn(2)], nil)
+				had = true
+			case !had && r < 40:
+				a.b.List(a.now, Failed, nil) // one of those that are out
+			case r < 50:
+				a.b.Alarm(a.now, listHandle) // a stale one
+			}
+		})
+		if len(a.faults) > 0 {
+			t.Logf("seed %d, terms %v, wait %d: %v", seed, terms, wait, a.faults[0])
+		}
+		return len(a.faults) == 0 && calls > 5
+	}
+	if err := quick.Check(run, &quick.Config{MaxCount: 60, Rand: rand.New(rand.NewSource(7))}); err != nil {
+		t.Error(err)
+	}
+}
+
+// Where the fleet's calls are budgeted, the wait for a part is one between calls, and every call takes from it, those
+// beside a silent one too.
+func TestAWaitForAPartIsOneBetweenCalls(t *testing.T) {
+	a := newAsker(3, nil)
+	a.b.Part(a.now, ListRate, 0, allowance.Part{Rate: 0.0001, Most: 1, Until: int64(a.now + 90000*Millisecond)})
+	a.until(a.now+20000*Millisecond, func() {})
+	if len(a.at) > 0 {
+		t.Fatalf("%d calls without a part", len(a.at))
+	}
+	given := a.now
+	a.b.Part(a.now, ListRate, 0, allowance.Part{Rate: 1000, Most: 1000, Until: int64(a.now + 90000*Millisecond)})
+	a.until(given+10*AskMost, func() {})
+	if len(a.at) < 10 || a.at[0]-given > AskMost+step {
+		t.Errorf("%d calls, the first %d after a part came", len(a.at), a.at[0]-given)
+	}
+}
+
+// A service that returns is not met by all nodes in the same half second, and calls stay priced: 300 nodes lose their watches
+// at once and ask for 3 to 13 s, while no call is answered.
+func TestAReturningServiceIsNotMetByAllAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		terms         map[string]any
+		rate, atFirst float64 // calls a second of the whole fleet, and nodes that ask in the first half second
+	}{
+		{map[string]any{"ask within": 10000 * Millisecond}, 240, 150},
+		{map[string]any{"ask within": 10000 * Millisecond, "pushed grace": 3000 * Millisecond}, 440, 240}, // each has an agent of its own
+	} {
+		t.Run(fmt.Sprint(c.terms), func(t *testing.T) {
+			const nodes = 300
+			calls, first, span := 0, map[Time]int{}, Time(0)
+			for n := range nodes {
+				a := newAsker(uint64(n), c.terms)
+				start := a.now
+				a.until(start+1000*Millisecond, func() {})
+				a.b.List(a.now, Whole, nil)
+				a.until(start+2000*Millisecond, func() {})
+				a.b.List(a.now, Failed, nil)
+				lost := a.now
+				a.at = nil
+				a.until(lost+14000*Millisecond, func() {})
+				calls += len(a.at)
+				span += a.now - lost
+				for back := 3000 * Millisecond; back < 13000*Millisecond; back += 500 * Millisecond {
+					if slices.ContainsFunc(a.at, func(at Time) bool { return at >= lost+back && at < lost+back+500*Millisecond }) {
+						first[back]++
+					}
+				}
+			}
+			rate, most := nodes*float64(calls)/seconds(span), 0
+			for _, n := range first {
+				most = max(most, n)
+			}
+			t.Logf("%.0f calls a second, %d nodes in the first half second", rate, most)
+			if rate > c.rate || float64(most) > c.atFirst {
+				t.Errorf("%.0f calls a second, want %.0f at most; %d nodes in the first half second, want %.0f at most",
+					rate, c.rate, most, c.atFirst)
+			}
+		})
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -63,9 +63,9 @@
 	creditEarned = 0.25 // credit for an answer: further shots stay near a quarter of all
 	creditMost   = 5.0  // most credit kept, and a server's first: no longer burst of further shots
 
-	askSpread  = 300 * Millisecond  // nodes that start together spread their first calls over this
-	askLeast   = 500 * Millisecond  // first wait after a failed call
-	askMost    = 4000 * Millisecond // longest wait, and never over half the ask-within limit
+	AskSpread  = 300 * Millisecond  // those who start, or lose the list, at once spread their calls over this
+	AskMost    = 1800 * Millisecond // longest from one call to the next: two, and a slow list, fit into 5 s
+	askPart    = 3                  // a third of a pushed list's grace for that, the rest for the call and news
 	listHandle = 0                  // the list's alarm; a lookup's handle is its index and one
 
 	keepMost  = 30000 * Millisecond // span for which idle connections are kept at first: as good as no bound
@@ -78,11 +78,13 @@
 func New(host Host, seed uint64, now Time, terms map[string]any) *Balancer {
 	b := &Balancer{host: host, terms: terms, seed: seed, now: now, fade: 1,
 		nodes: float64(max(1, term(terms, "nodes", 1))), halved: now, ease: 1,
-		klDue: now + klSpan, fetches: map[uint64][]int{}, askWait: askLeast, keep: keepMost,
+		klDue: now + klSpan, fetches: map[uint64][]int{}, keep: keepMost,
 		weight: slices.Repeat([]float64{1.0 / bins}, bins), late: make([]float64, klGroups)}
 	b.least = max(1, min(busyLeast, roomLeast/b.nodes))
+	b.askWait = max(AskSpread, min(AskMost, term(terms, "ask within", 2*AskMost)/2,
+		term(terms, "pushed grace", askPart*AskMost)/askPart))
 	b.read()
-	host.Wake(now+Time(b.draw()*float64(askSpread)), listHandle)
+	host.Wake(now+Time(b.draw()*float64(AskSpread)), listHandle)
 	return b
 }
 
@@ -606,16 +608,15 @@
 // Alarm comes at or after a time asked for with Wake; a stale one does nothing.
 func (b *Balancer) Alarm(now Time, handle int) {
 	b.clock(now)
-	if handle == listHandle && !b.subscribed && b.lacks(&lookup{}, b.parts[ListRate]) {
-		b.host.Wake(now+askLeast+Time(b.draw()*float64(askLeast)), listHandle)
-	} else if handle == listHandle && !b.subscribed {
-		b.parts[ListRate].Spend()
-		b.host.Subscribe()
-		b.askWait = min(2*b.askWait, askMost)
-	}
-	lkp := handle - 1
-	if lkp >= 0 && lkp < len(b.lookups) && b.lookups[lkp].waiting && now >= b.lookups[lkp].giveUp {
-		b.finish(lkp)
+	if handle == listHandle && !b.subscribed && now >= b.askDue {
+		if !b.lacks(&lookup{}, b.parts[ListRate]) {
+			b.parts[ListRate].Spend()
+			b.host.Subscribe()
+		}
+		b.askDue = now + b.askWait/2 + Time(b.draw()*float64(b.askWait/2))
+		b.host.Wake(b.askDue, listHandle)
+	} else if i := handle - 1; i >= 0 && i < len(b.lookups) && b.lookups[i].waiting && now >= b.lookups[i].giveUp {
+		b.finish(i)
 	}
 }
 
@@ -623,14 +624,13 @@
 func (b *Balancer) List(now Time, how ListKind, boxes []Box) {
 	b.clock(now)
 	if how == Failed {
-		b.subscribed = false
-		wait := min(b.askWait, term(b.terms, "ask within", askMost)/2) / 2
-		b.host.Wake(now+wait+Time(b.draw()*float64(wait)), listHandle)
+		if b.subscribed { // else the next call is due by itself, whatever becomes of this one
+			b.subscribed, b.askDue = false, now+Time(b.draw()*float64(AskSpread))
+			b.host.Wake(b.askDue, listHandle)
+		}
 		return
 	}
-	if how != Persisted {
-		b.subscribed, b.askWait = true, askLeast
-	}
+	b.subscribed = b.subscribed || how != Persisted
 	if how != Changes {
 		for _, s := range b.servers {
 			if s != nil {
