Resume a watch that was turned away, and put off calls beside one in line

At fault: Run in boxlist/watch.go set had=false on each order, so that a watch that was turned away began again with the whole list, which costs a place in the line, and the watch another; and hedge began a call 0.9 to 1.8 s beside one that stands in line for 2 s, of which one in four took a place that another node lacked.

Now what only was turned away with 503 goes on from the version that was had: ?from=V&hold_ms=1, answered at once, begins the watch too. Anything else (a reset, silence, an older version, a bad list), a list older than 6 s, or a call beside one that is out has the whole list, as before. A service that counts anew behind its 503s is guarded against by one whole list beside a resumed watch, 20 to 40 s later. Where calls were turned away within 4 s, the first order that comes beside one call is put off until that has been out for 2.1 s; a second one isn't, and one that is put off begins at once where the call fails, so the sums stay under 4 and 5 s (rows in watch.go, and in TestTheListIsHadInTime). The module is as it was.

TestACrowdedServiceIsLeftToServe plays 32 followers and their modules against such a service, in a bubble's time, 8 days each.

TestAnOrderThatCrossesItsListIsForgotten lets its watch fail with 500 in place of 503, after which the next call would now not be for the whole list that it counts; what it holds is the same. TestTheListIsHadAfterAnOutage has outages more, 503 and silence by turns: 1.8 s at most, 2.9 s with a call turned away, pushed 0.4 and 0.9 s.

--- /dev/null
+++ b/internal/net/boxlist/crowd_test.go
@@ -0,0 +1,419 @@
+package boxlist
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+// narrow is a discovery service that works through calls in turn, a call for the list and the begin of a watch at the same cost,
+// and turns one away at once whose answer would take longer than its line. A watch that goes on costs nothing; what changes is
+// pushed to it some time later. Times are of a bubble: nothing here takes real time.
+type narrow struct {
+	cost, line, notice time.Duration
+	changes            []time.Duration // when each version came to be
+	began              time.Time
+
+	mu             sync.Mutex
+	free           time.Time // when the line is empty
+	served, turned int
+}
+
+// at is how many of the changes were made by then.
+func (s *narrow) at(since time.Duration) (version int) {
+	for _, at := range s.changes {
+		if at <= since {
+			version++
+		}
+	}
+	return version
+}
+
+// caller is a node's way to the service; known has when it had each version at first.
+type caller struct {
+	*narrow
+	mu       sync.Mutex
+	answered time.Time // its last watch
+	known    map[int]time.Duration
+	watched  time.Duration // when it first had a watch
+}
+
+func (c *caller) RoundTrip(r *http.Request) (*http.Response, error) {
+	var from, hold int
+	watch := r.URL.RawQuery != ""
+	if watch {
+		if _, err := fmt.Sscanf(r.URL.RawQuery, "from=%d&hold_ms=%d", &from, &hold); err != nil {
+			return nil, err
+		}
+	}
+	c.mu.Lock()
+	goes := watch && time.Since(c.answered) <= 200*time.Millisecond
+	c.mu.Unlock()
+	version := from
+	if !goes {
+		c.narrow.mu.Lock()
+		ends := c.free
+		if now := time.Now(); ends.Before(now) {
+			ends = now
+		}
+		entries := 13 + c.narrow.at(time.Since(c.began)) // one costs as much as a thirtieth of the call alone
+		if watch {
+			entries = 3
+		}
+		ends = ends.Add(c.cost * time.Duration(30+entries) / 45)
+		if time.Until(ends) > c.line {
+			c.turned++
+			c.narrow.mu.Unlock()
+			return c.answer(r, http.StatusServiceUnavailable, "")
+		}
+		c.free = ends
+		c.served++
+		c.narrow.mu.Unlock()
+		if !c.sleep(r, time.Until(ends)) {
+			return nil, r.Context().Err()
+		}
+		version = c.narrow.at(time.Since(c.began))
+	}
+	if watch && version <= from {
+		if c.mu.Lock(); hold > 1000 && c.watched == 0 {
+			c.watched = time.Since(c.began)
+		}
+		c.mu.Unlock()
+		for end := time.Now().Add(time.Duration(hold) * time.Millisecond); time.Now().Before(end) && version <= from; {
+			if !c.sleep(r, min(10*time.Millisecond, time.Until(end))) {
+				return nil, r.Context().Err()
+			}
+			version = max(from, c.narrow.at(time.Since(c.began)-c.notice))
+		}
+	}
+	c.mu.Lock()
+	for v := version; v > 0 && c.known[v] == 0; v-- {
+		c.known[v] = time.Since(c.began)
+	}
+	if watch {
+		c.answered = time.Now()
+	}
+	c.mu.Unlock()
+	servers := box
+	if watch && version == from {
+		servers = ""
+	}
+	return c.answer(r, http.StatusOK, fmt.Sprintf(`{"version":%d,"full":%v,"servers":[%s]}`, version, !watch, servers))
+}
+
+func (c *caller) sleep(r *http.Request, d time.Duration) bool {
+	select {
+	case <-r.Context().Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (c *caller) answer(r *http.Request, code int, body string) (*http.Response, error) {
+	c.sleep(r, time.Millisecond)
+	return &http.Response{StatusCode: code, Body: io.NopCloser(bytes.NewBufferString(body)), Request: r}, nil
+}
+
+// crowded is what came of a day before a narrow service.
+type crowded struct {
+	late           int           // changes that a node knew later than 6 s after they were made, over all nodes
+	oldest         time.Duration // most that a node was behind
+	listed, steady time.Duration // when the last node had a list, and a watch
+	served, turned float64       // calls a second
+}
+
+func playCrowd(t *testing.T, all time.Duration, seed uint64) (d crowded) {
+	const nodes, lasts, told = 32, 26 * time.Second, 6 * time.Second
+	terms, err := terms.Of(map[string]any{"registry-mode": "ask", "invariants": map[string]any{"ask-within-ms": 20000.},
+		"namespaces": []any{map[string]any{"name": "read", "repeat": "safe", "target-time-ms": 1., "time-limit-ms": 2.}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		s := &narrow{cost: all / nodes, line: 2 * time.Second, notice: 1900 * time.Millisecond, began: time.Now()}
+		for _, ms := range []int{0, 2130, 2660, 3200, 3730, 5860, 11730, 12260, 14390, 14920} {
+			s.changes = append(s.changes, time.Duration(ms)*time.Millisecond)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		var callers []*caller
+		var wg sync.WaitGroup
+		for n := range nodes {
+			c := &caller{narrow: s, known: map[int]time.Duration{}}
+			callers = append(callers, c)
+			x := exchange.New(terms, zap.NewNop())
+			f := New(x, "127.0.0.1:1", 10*time.Second, zap.NewNop())
+			f.transport.RegisterProtocol("http", c)
+			x.Start(seed*1000+uint64(n), nil, f)
+			wg.Go(func() { f.Run(ctx) })
+		}
+		time.Sleep(lasts)
+		stop()
+		wg.Wait()
+		synctest.Wait()
+		d.served, d.turned = float64(s.served)/lasts.Seconds(), float64(s.turned)/lasts.Seconds()
+		for _, c := range callers {
+			d.listed = max(d.listed, or(c.known[1], lasts))
+			d.steady = max(d.steady, or(c.watched, lasts))
+			for v, made := range s.changes[1:] {
+				took := or(c.known[v+2], lasts) - made
+				d.oldest = max(d.oldest, took)
+				if took > told {
+					d.late++
+				}
+			}
+		}
+	})
+	return d
+}
+
+func or(d, lasts time.Duration) time.Duration {
+	if d == 0 {
+		return lasts
+	}
+	return d
+}
+
+// Nodes that start together before a service that takes 2 to 8 s for one call from each are served with as few calls as it can
+// do with. Two are needed for each, for the list and for the begin of a watch; in the 6 s after which a change counts as told
+// one of 8 s answers 23 of the 32 nodes, so that some are late on such a day, whatever they do. In eight days, at the policy of
+// a whole list after each loss and waits that double up to 4 s: 0, 0, 8, 29 and 69 changes late a day, the oldest 1.9, 5.7, 9.5,
+// 11.5 and 17.7 s; with calls beside silent ones, each 0.9 to 1.8 s: 0, 8, 34, 46 and 84, the oldest 1.9, 8.7, 13.1, 17.2 and 23.9 s.
+func TestACrowdedServiceIsLeftToServe(t *testing.T) {
+	t.Parallel()
+	days := uint64(8)
+	if testing.Short() {
+		days = 3
+	}
+	for _, c := range []struct {
+		all, late, oldest, turned float64 // seconds for one call from each; changes known late a day; seconds; calls turned away a second
+	}{{2, 0, 2.5, 0.3}, {4, 0, 5.7, 2}, {5, 4, 8.2, 3}, {6, 20, 10.5, 4}, {8, 54, 15, 6}} {
+		var sum crowded
+		for seed := range days {
+			d := playCrowd(t, time.Duration(c.all*float64(time.Second)), seed)
+			sum.late += d.late
+			sum.oldest, sum.listed, sum.steady = max(sum.oldest, d.oldest), max(sum.listed, d.listed), max(sum.steady, d.steady)
+			sum.served, sum.turned = sum.served+d.served/float64(days), sum.turned+d.turned/float64(days)
+		}
+		late := float64(sum.late) / float64(days)
+		t.Logf("%v s for one call from each: %.1f changes late a day, the oldest %.1f s; all listed after %.1f s, all watching after %.1f s; "+
+			"served %.1f, turned away %.1f a second", c.all, late, sum.oldest.Seconds(), sum.listed.Seconds(), sum.steady.Seconds(), sum.served, sum.turned)
+		if late > c.late || sum.oldest.Seconds() > c.oldest || sum.turned > c.turned {
+			t.Errorf("%v s for one call from each: %.1f late, the oldest %.1f s, %.1f turned away a second; want %v, %v and %v at most",
+				c.all, late, sum.oldest.Seconds(), sum.turned, c.late, c.oldest, c.turned)
+		}
+	}
+}
+
+// script answers a node's calls.
+type script func(query string) (code int, body string, after time.Duration)
+
+func (s script) RoundTrip(r *http.Request) (*http.Response, error) {
+	code, body, after := s(r.URL.RawQuery)
+	select {
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	case <-time.After(after):
+	}
+	return &http.Response{StatusCode: code, Body: io.NopCloser(bytes.NewBufferString(body)), Request: r}, nil
+}
+
+// orders is a follower that counts the module's orders.
+type orders struct {
+	*Follower
+	n atomic.Int64
+}
+
+func (o *orders) Subscribe() {
+	o.n.Add(1)
+	o.Follower.Subscribe()
+}
+
+// A resumed watch ends the module's orders, also where nothing changed. The service may have counted anew while it turned calls
+// away: so the whole list is had once beside the watch, later, and again later where it is of another version or turned away.
+func TestAResumedWatchIsChecked(t *testing.T) {
+	t.Parallel()
+	d, err := terms.Of(map[string]any{"namespaces": []any{map[string]any{"name": "read", "repeat": "safe", "target-time-ms": 1., "time-limit-ms": 2.}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole := fmt.Sprintf(`{"version":%%d,"full":true,"servers":[%s]}`, box)
+	for _, changed := range []string{"", box} {
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			resumed := false
+			var wholes []time.Duration // when the whole list was asked for
+			var mu sync.Mutex
+			x := exchange.New(d, zap.NewNop())
+			core, logs := observer.New(zap.InfoLevel)
+			f := New(x, "127.0.0.1:1", 10*time.Second, zap.New(core))
+			o := &orders{Follower: f}
+			f.transport.RegisterProtocol("http", script(func(query string) (int, string, time.Duration) {
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case query == "":
+					wholes = append(wholes, time.Since(began))
+					if len(wholes) == 2 {
+						return http.StatusServiceUnavailable, "", 0
+					}
+					version := 7
+					if len(wholes) == 3 {
+						version = 9
+					}
+					return http.StatusOK, fmt.Sprintf(whole, version), 0
+				case strings.HasSuffix(query, fmt.Sprintf("&hold_ms=%d", holdLeast.Milliseconds())):
+					resumed = true
+					return http.StatusOK, fmt.Sprintf(`{"version":7,"full":false,"servers":[%s]}`, changed), 0
+				case !resumed:
+					return http.StatusServiceUnavailable, "", 0
+				}
+				return http.StatusOK, `{"version":7,"full":false,"servers":[]}`, 10 * time.Second
+			}))
+			x.Start(1, nil, o)
+			ctx, stop := context.WithCancel(t.Context())
+			defer func() {
+				stop()
+				time.Sleep(checkIn)
+			}()
+			go f.Run(ctx)
+			time.Sleep(5 * time.Second)
+			mu.Lock()
+			if before := o.n.Load(); !resumed || before != 2 {
+				t.Errorf("resumed %v; %d orders, want one for the list and one for the watch", resumed, before)
+			}
+			mu.Unlock()
+			time.Sleep(5 * checkIn)
+			mu.Lock()
+			defer mu.Unlock() // before the wait for its end
+			if o.n.Load() != 2 {
+				t.Errorf("%d orders beside a watch", o.n.Load()-2)
+			}
+			if len(wholes) != 4 {
+				t.Fatalf("the whole list was asked for at %v; want one at first, one turned away, one of another version and one", wholes)
+			}
+			for i, at := range wholes[1:] {
+				if apart := at - wholes[i]; apart < checkIn/2 || apart > checkIn+time.Second {
+					t.Errorf("asked again after %v", apart)
+				}
+			}
+			if n := logs.FilterField(zap.Bool("whole", true)).Len(); n != 2 {
+				t.Errorf("%d whole lists were told, want the first and the one that has the watch's version", n)
+			}
+		})
+	}
+}
+
+// Where calls were turned away lately, the first call beside one that is out begins when that one can't stand in line any more, or
+// at the second order, or as it fails: so it begins in time whatever the module's wait is, and one that is answered is alone.
+func TestTheFirstCallBesideOneInLineIsPutOff(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		settings      map[string]any
+		crowd         bool
+		fails         time.Duration // the call that is out does, after so long
+		soonest, last time.Duration // the next call's begin, after that one's
+		second        time.Duration // and the begin of one more, at most
+	}{
+		{map[string]any{"registry-mode": "ask"}, false, time.Hour, terms.Duration(logic.AskMost) / 2, terms.Duration(logic.AskMost), 2 * terms.Duration(logic.AskMost)},
+		{map[string]any{"registry-mode": "ask"}, true, time.Hour, terms.Duration(logic.AskMost), lineIn, 2 * terms.Duration(logic.AskMost)},
+		{map[string]any{"registry-mode": "ask"}, true, 1900 * time.Millisecond, terms.Duration(logic.AskMost), 1900 * time.Millisecond, 2 * 1900 * time.Millisecond},
+		{map[string]any{"registry-mode": "push", "invariants": map[string]any{"stop-sending-within-ms": 1500.}}, true, time.Hour,
+			500 * time.Millisecond, time.Second, 1500 * time.Millisecond},
+	} {
+		c.settings["namespaces"] = []any{map[string]any{"name": "read", "repeat": "safe", "target-time-ms": 1., "time-limit-ms": 2.}}
+		d, err := terms.Of(c.settings)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for seed := range uint64(40) {
+			synctest.Test(t, func(t *testing.T) {
+				var at []time.Time
+				var mu sync.Mutex
+				x := exchange.New(d, zap.NewNop())
+				f := New(x, "127.0.0.1:1", 10*time.Second, zap.NewNop())
+				f.transport.RegisterProtocol("http", script(func(query string) (int, string, time.Duration) {
+					mu.Lock()
+					defer mu.Unlock()
+					if at = append(at, time.Now()); len(at) == 1 && c.crowd {
+						return http.StatusServiceUnavailable, "", 0
+					} else if len(at) == 1 {
+						return http.StatusInternalServerError, "", 0
+					}
+					return http.StatusInternalServerError, "", c.fails
+				}))
+				x.Start(seed, nil, f)
+				ctx, stop := context.WithCancel(t.Context())
+				go f.Run(ctx)
+				time.Sleep(10 * time.Second)
+				stop()
+				synctest.Wait()
+				if gap := at[2].Sub(at[1]); gap < c.soonest-10*time.Millisecond || gap > c.last+10*time.Millisecond {
+					t.Errorf("%v, seed %d: a call beside one in line after %v, want %v to %v", c.settings["registry-mode"], seed, gap, c.soonest, c.last)
+				}
+				if gap := at[3].Sub(at[1]); gap > c.second+10*time.Millisecond {
+					t.Errorf("%v, seed %d: the second call beside it after %v, want %v at most", c.settings["registry-mode"], seed, gap, c.second)
+				}
+			})
+		}
+	}
+}
+
+// A list that is older than news may take, and one beside a call that may be silent for an outage, is had whole.
+func TestAnOldListIsNotResumed(t *testing.T) {
+	t.Parallel()
+	d, err := terms.Of(map[string]any{"namespaces": []any{map[string]any{"name": "read", "repeat": "safe", "target-time-ms": 1., "time-limit-ms": 2.}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, silent := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			var mu sync.Mutex
+			var had time.Time
+			var asked []string
+			x := exchange.New(d, zap.NewNop())
+			f := New(x, "127.0.0.1:1", 10*time.Second, zap.NewNop())
+			f.transport.RegisterProtocol("http", script(func(query string) (int, string, time.Duration) {
+				mu.Lock()
+				defer mu.Unlock()
+				asked = append(asked, query)
+				if had.IsZero() {
+					had = time.Now()
+					return http.StatusOK, fmt.Sprintf(`{"version":7,"full":true,"servers":[%s]}`, box), 0
+				}
+				again := strings.HasSuffix(query, fmt.Sprintf("&hold_ms=%d", holdLeast.Milliseconds()))
+				if len(asked) > 2 && !silent && again != (time.Since(had) < resumeIn) {
+					t.Errorf("asked %q %v after the list", query, time.Since(had))
+				}
+				if again && silent {
+					return http.StatusOK, "", time.Hour
+				}
+				return http.StatusServiceUnavailable, "", 0
+			}))
+			x.Start(3, nil, f)
+			ctx, stop := context.WithCancel(t.Context())
+			go f.Run(ctx)
+			time.Sleep(12 * time.Second)
+			stop()
+			synctest.Wait()
+			if len(asked) < 5 || silent && (asked[2] == "" || asked[3] != "") {
+				t.Errorf("asked %q", asked)
+			}
+		})
+	}
+}
--- a/internal/net/boxlist/return_test.go
+++ b/internal/net/boxlist/return_test.go
@@ -43,10 +43,13 @@
 	}{
 		{"a call begins, whatever has become of those before, and is answered", most + listIn + busy, answersIn},
 		{"it is turned away, and the next one is answered", most + most + listIn + busy, turnsIn},
+		{"one beside a call that may be in line is put off, and answered", lineIn + listIn + busy, answersIn},
+		{"the same, turned away: the next word isn't put off", max(lineIn, most+most) + listIn + busy, turnsIn},
 		{"a gap, a lost watch, a start", spread + listIn + busy, answersIn},
 		{"the same, turned away", spread + most + listIn + busy, turnsIn},
 		{"a silent watch, from the end of its wait", afterHold + spread + listIn + busy, silentIn},
 		{"a move whose first call is silent, and the second and third turned away", 3*moveWait + listIn, signalIn},
+		{"a resumed watch that has nothing to tell", holdLeast, pause},
 		{"news between two watches", pause + busy/4, 200 * time.Millisecond},
 	} {
 		if c.sum > c.in {
@@ -79,6 +82,7 @@
 	watches  atomic.Int64 // that have come
 	hangs    atomic.Bool  // connects that begin now hang
 	out, top atomic.Int64
+	calls    atomic.Int64
 }
 
 var addresses atomic.Int64
@@ -152,7 +156,7 @@
 		c, _, _ := w.(http.Hijacker).Hijack()
 		c.(*net.TCPConn).SetLinger(0)
 		c.Close()
-	case down && o.how == "503", turn:
+	case down && o.how == "503", turn, down && o.how == "503, then silent" && o.calls.Add(1)%2 > 0:
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case down && o.how == "half a list, then silent":
 		w.Header().Set("Content-Length", strconv.Itoa(len(whole)))
@@ -172,7 +176,7 @@
 }
 
 var outages = []string{"refused", "reset", "503", "silent", "half a list, then silent", "half a list, then its end", "an older version",
-	"a connect that hangs"}
+	"a connect that hangs", "503, then silent"}
 
 // follower gives a follower and its exchange; told has the time of each whole list.
 func (o *outage) follower(settings map[string]any) (*Follower, chan time.Time) {
@@ -360,7 +364,7 @@
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.RawQuery != "" {
 			f.Subscribe()
-			w.WriteHeader(http.StatusServiceUnavailable)
+			w.WriteHeader(http.StatusInternalServerError) // after a 503 the next call would only ask for what changed
 			return
 		}
 		if wholes.Add(1) > 1 {
--- a/internal/net/boxlist/watch.go
+++ b/internal/net/boxlist/watch.go
@@ -26,12 +26,14 @@
 //
 //	at the return                                  next call begins after    a list after, at most   one call turned away
 //	refused, reset, 503, half or bad list          logic.AskMost   1.8 s     + listIn   2.8 s        + logic.AskMost   4.6 s
+//	  503, then accepted and silent                lineIn          2.1 s     3.1 s                   2 logic.AskMost   4.6 s
 //	accepted and silent, a connect that hangs      the same: beside it       2.8 s                   4.6 s
 //	an older version (a gap), a watch that ended   logic.AskSpread 0.3 s     1.3 s                   3.1 s
 //	a start                                        logic.AskSpread 0.3 s     1.3 s                   3.1 s
 //	a wait for a part of the fleet's calls         logic.AskMost   1.8 s     2.8 s, if there is one  4.6 s
 //	a move to another address                      moveWait        1.0 s     2.0 s                   3.0 s
 //	pushed lists, a drain's grace g of 0.9 s up    g/3                       g/3 + the list          2g/3 + the list
+//	  503, then accepted and silent                2g/3                      2g/3 + the list         g + the list
 //	a silent watch, from its wait's end            afterHold + logic.AskSpread 0.6 s, a list 1.6 s (2 s are allowed)
 //
 // TestTheListIsHadInTime holds these sums; TestTheListIsHadAfterAnOutage has followers under outages of each kind.
@@ -46,6 +48,11 @@
 	moveWait   = 1 * time.Second         // longest wait from one call to a new address to the next: three fit into the 4 s that it is given
 	connectIn  = 1 * time.Second         // a call that is given up leaves its connect behind for as long
 	connsMost  = 9                       // connections to one address: connects of 1 s, one in 0.15 s, a move's and a watch's
+	lineIn     = 2100 * time.Millisecond // what stands in a service's line is answered or turned away by then
+	crowdIn    = 4 * time.Second         // since a call was turned away: two waits between calls
+	resumeIn   = 6 * time.Second         // since it was heard: by then a list must have come anyway, and a service that counts anew is hardly past it
+	checkIn    = 40 * time.Second        // and yet, should it be: the whole list once, half as long to as long after, when the crowd is gone
+	holdLeast  = 1 * time.Millisecond    // a resumed watch's first: an answer at once, also where nothing changed
 	idleFor    = 30 * time.Second
 	pageMost   = 8 << 20 // bytes: some ten thousand boxes
 	headerMost = 16 << 10
@@ -54,6 +61,7 @@
 var (
 	errNotWhole = errors.New("expected the whole list")
 	errGap      = errors.New("an older version than the last: what lies between was not told")
+	errTooMany  = errors.New("the discovery service answered 503")
 )
 
 // Follower watches the list.
@@ -76,7 +84,26 @@
 	address string
 	nth     int // one more with each move: what an earlier source says no longer counts
 	version int64
-	had     bool
+	had     bool      // a watch goes on from that version
+	heard   time.Time // when it last answered
+	crowded time.Time // when it last turned a call away
+	resumes bool      // it has only turned calls away since it was heard, so that what changed counts from that version on
+}
+
+// query is that of a call for the list. A service that only turned calls away is asked for what changed since: that begins the
+// watch too, so a node takes one place in its line and not one for the list and the next for the watch.
+func (s *source) query() string {
+	if s.resumes && time.Since(s.heard) < resumeIn {
+		return fmt.Sprintf("?from=%d&hold_ms=%d", s.version, holdLeast.Milliseconds())
+	}
+	return ""
+}
+
+// fails notes how a call ended.
+func (s *source) fails(err error) {
+	if s.resumes = s.resumes && errors.Is(err, errTooMany); errors.Is(err, errTooMany) {
+		s.crowded = time.Now()
+	}
 }
 
 // New makes a follower. A watch holds no longer than askWithin: by then the node must have asked.
@@ -123,8 +150,8 @@
 	}
 }
 
-// Run follows the list until the context ends: on each order the whole list, then watches until one fails. After a
-// move it goes on with a watch at the new source.
+// Run follows the list until the context ends: on each order the whole list, or what changed since where calls were only
+// turned away, then watches until one fails. After a move it goes on with a watch at the new source.
 func (f *Follower) Run(ctx context.Context) {
 	for {
 		select {
@@ -139,8 +166,10 @@
 		at, err := f.follow(ctx)
 		f.mu.Lock()
 		stale := at.nth != f.from.nth
-		f.mu.Unlock()
-		if !stale && ctx.Err() == nil {
+		if !stale {
+			f.from.crowded, f.from.resumes = at.crowded, at.resumes
+		}
+		if f.mu.Unlock(); !stale && ctx.Err() == nil {
 			f.log.Warn("box list lost, the old one stands", zap.Error(err))
 			f.exchange.List(logic.Failed, nil)
 		}
@@ -160,15 +189,13 @@
 		var got list
 		var err error
 		if !at.had {
-			got, err = hedge(ctx, f, at.address, f.orders)
+			got, err = hedge(ctx, f, &at, f.orders)
 		} else {
-			got, err = f.ask(ctx, at.address, fmt.Sprintf("?from=%d&hold_ms=%d", at.version, f.hold.Milliseconds()), f.hold+afterHold)
-			if err == nil && !got.full && got.version < at.version {
-				err = errGap
-			}
+			got, err = f.watch(ctx, at)
 		}
 		if err != nil {
 			if at.had {
+				at.fails(err)
 				select {
 				case <-f.orders: // it crossed the list that it was for
 				default:
@@ -176,7 +203,10 @@
 			}
 			return at, err
 		}
-		at.version, at.had = got.version, true
+		if !at.had && !got.full {
+			go f.check(ctx, at)
+		}
+		at.version, at.had, at.heard, at.resumes = got.version, true, time.Now(), true
 		if !f.tell(at, got.full, got.boxes) {
 			return at, nil
 		}
@@ -204,8 +234,8 @@
 
 // note is called with the lock held, so that no list of an earlier source can come after one of a later.
 func (f *Follower) note(at source, full bool, boxes []exchange.Box) {
-	f.from = at
-	if !full && len(boxes) == 0 {
+	goes := f.from.had
+	if f.from = at; goes && !full && len(boxes) == 0 {
 		return
 	}
 	how := logic.Changes
@@ -245,9 +275,10 @@
 			}
 		}
 	}()
+	at := source{address: address}
 	for {
-		got, err := hedge(ctx, f, address, again)
-		if err == nil && f.arrive(ctx, source{address: address, version: got.version, had: true}, got.boxes) {
+		got, err := hedge(ctx, f, &at, again)
+		if err == nil && f.arrive(ctx, source{address: address, version: got.version, had: true, heard: time.Now(), resumes: true}, got.boxes) {
 			f.log.Info("the box list comes from another address now", zap.String("discovery", address))
 			return
 		}
@@ -264,6 +295,27 @@
 	}
 }
 
+// check has the whole list once beside a watch that was resumed. It guards against a service that turned calls away all through a
+// restart and counts anew: its versions may look like those before it, and what changed in between was never told.
+func (f *Follower) check(ctx context.Context, of source) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(checkIn/2 + rand.N(checkIn/2)): // spread, lest it make a crowd
+		}
+		got, err := f.ask(ctx, of.address, "", answerIn)
+		f.mu.Lock()
+		same := err == nil && got.full && ctx.Err() == nil && of.nth == f.from.nth && got.version == f.from.version
+		if same { // a list of any other version could be older than what the watch brings just now
+			f.note(f.from, true, got.boxes)
+		}
+		if f.mu.Unlock(); same {
+			return
+		}
+	}
+}
+
 // arrive makes a source the one that counts, with its first list.
 func (f *Follower) arrive(ctx context.Context, at source, boxes []exchange.Box) bool {
 	f.mu.Lock()
@@ -288,10 +340,13 @@
 	boxes   []exchange.Box
 }
 
-// hedge calls for the whole list, once more beside what is out with each word from again, and gives the first one that comes;
+// hedge calls for the list, once more beside what is out with each word from again, and gives the first one that comes;
 // an error only when no call is out any more. Of too many the second oldest is given up: the oldest may stand first in the
-// service's line, and the latest may be the first since the service is back.
-func hedge[T any](ctx context.Context, f *Follower, address string, again <-chan T) (list, error) {
+// service's line, and the latest may be the first since the service is back. Beside a call that may be silent for an outage the
+// whole list is asked for: a service may count anew after one. Where calls were turned away lately one that is out is more likely in
+// the service's line, and a second would take a place that another node lacks: the first word beside it is put off for as long as
+// a line lasts.
+func hedge[T any](ctx context.Context, f *Follower, at *source, again <-chan T) (list, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type call struct{ leave context.CancelFunc }
@@ -302,7 +357,13 @@
 	}
 	answers := make(chan answer)
 	var out []*call
+	var late <-chan time.Time // a word that was put off
+	began := time.Now()
 	begin := func() {
+		query := ""
+		if len(out) == 0 {
+			query = at.query()
+		}
 		if len(out) == callsMost {
 			out[1].leave()
 			out = slices.Delete(out, 1, 2)
@@ -312,9 +373,11 @@
 		out = append(out, c)
 		go func() {
 			defer leave()
-			got, err := f.ask(ctx, address, "", answerIn)
-			if err == nil && !got.full {
+			got, err := f.ask(ctx, at.address, query, answerIn)
+			if err == nil && !got.full && query == "" {
 				err = errNotWhole
+			} else if err == nil && !got.full && got.version < at.version {
+				err = errGap
 			}
 			select {
 			case answers <- answer{c, got, err}:
@@ -328,34 +391,54 @@
 		case <-ctx.Done():
 			return list{}, ctx.Err()
 		case <-again:
+			if wait := lineIn - time.Since(began); late == nil && len(out) == 1 && wait > 0 && time.Since(at.crowded) < crowdIn {
+				late = time.After(wait)
+				continue
+			}
+			begin()
+		case <-late:
+			late = nil
 			begin()
 		case a := <-answers:
 			if a.err == nil {
 				return a.got, nil
 			}
+			at.fails(a.err)
 			if i := slices.Index(out, a.of); i >= 0 {
 				out = slices.Delete(out, i, i+1)
 			}
-			if len(out) == 0 {
+			if len(out) == 0 && late == nil {
 				return list{}, a.err
+			} else if len(out) == 0 {
+				late, began = nil, time.Now()
+				begin()
 			}
 		}
 	}
 }
 
+// watch waits for what changed since the last answer.
+func (f *Follower) watch(ctx context.Context, at source) (list, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// The transport makes a call once more whose kept connection ends under it. A watch that it makes anew as its service
+	// goes down may be silent up to its end, and nobody would know: it fails instead, and the module orders a list.
+	conns := 0
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		if conns++; conns > 1 {
+			cancel()
+		}
+	}})
+	got, err := f.ask(ctx, at.address, fmt.Sprintf("?from=%d&hold_ms=%d", at.version, f.hold.Milliseconds()), f.hold+afterHold)
+	if err == nil && !got.full && got.version < at.version {
+		err = errGap
+	}
+	return got, err
+}
+
 func (f *Follower) ask(ctx context.Context, address, query string, within time.Duration) (list, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	if query != "" {
-		// The transport makes a call once more whose kept connection ends under it. A watch that it makes anew as its service
-		// goes down may be silent up to its end, and nobody would know: it fails instead, and the module orders a list.
-		conns := 0
-		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
-			if conns++; conns > 1 {
-				cancel()
-			}
-		}})
-	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path+query, nil)
 	if err != nil {
 		return list{}, err
@@ -369,6 +452,8 @@
 	switch {
 	case err != nil:
 		return list{}, err
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		return list{}, errTooMany
 	case resp.StatusCode != http.StatusOK:
 		return list{}, fmt.Errorf("the discovery service answered %d", resp.StatusCode)
 	case len(body) > pageMost:
--- a/internal/net/boxlist/watch_test.go
+++ b/internal/net/boxlist/watch_test.go
@@ -193,6 +193,29 @@
 	server.CloseClientConnections()
 }
 
+// A watch that was turned away, again and again, goes on from the version that was had, with a call that is answered at once.
+func TestAWatchThatWasTurnedAwayIsResumed(t *testing.T) {
+	s, x, _ := follow(t, 5, `{"version":7,"full":true,"servers":[`+box+`]}`, "", "", `{"version":7,"full":false,"servers":[]}`)
+	again := fmt.Sprintf("%s?from=7&hold_ms=%d", path, holdLeast.Milliseconds())
+	want := []string{path, path + "?from=7&hold_ms=10000", again, again, path + "?from=7&hold_ms=10000"}
+	if got := strings.Join(s.calls(), " "); got != strings.Join(want, " ") || !x.Ready() {
+		t.Errorf("asked %s; ready %v", got, x.Ready())
+	}
+	if took := s.at[4].Sub(s.at[3]); took > 200*time.Millisecond {
+		t.Errorf("the watch goes on %v after the answer: it is a new one", took)
+	}
+}
+
+// After anything but a 503 the service may count anew: the whole list is asked for, as after an older version.
+func TestOnlyAWatchThatWasTurnedAwayIsResumed(t *testing.T) {
+	for _, page := range []string{"no list", `{"version":3,"full":false,"servers":[]}`} {
+		s, _, _ := follow(t, 4, `{"version":7,"full":true,"servers":[`+box+`]}`, "", page)
+		if got := s.calls(); got[2] == path || got[3] != path {
+			t.Errorf("%s: asked %v", page, got)
+		}
+	}
+}
+
 func TestAGapAsksForTheWholeList(t *testing.T) {
 	s, _, _ := follow(t, 3, `{"version":7,"full":true,"servers":[`+box+`]}`, `{"version":3,"full":false,"servers":[`+box+`]}`)
 	if got := s.calls(); got[2] != path {
