Put no call to a new address off for a crowd there

A move has 4 s, and its sum (3 moveWait + listIn) takes them all: a call put off to 2.1 s beside a silent one, after one that was turned away, could make 4.1 s of it. A move's calls begin as before. Seen red without, TestAMovePutsNoCallOff: "call 2 came 1.58 s after the one before", 1 s wanted.

--- a/internal/net/boxlist/crowd_test.go
+++ b/internal/net/boxlist/crowd_test.go
@@ -417,3 +417,37 @@
 		})
 	}
 }
+
+// A move has 4 s: the call beside a silent one isn't put off there, though one before it was turned away.
+func TestAMovePutsNoCallOff(t *testing.T) {
+	t.Parallel()
+	d, err := terms.Of(map[string]any{"namespaces": []any{map[string]any{"name": "read", "repeat": "safe", "target-time-ms": 1., "time-limit-ms": 2.}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			var mu sync.Mutex
+			var at []time.Time
+			f := New(exchange.New(d, zap.NewNop()), "127.0.0.1:1", 10*time.Second, zap.NewNop())
+			f.transport.RegisterProtocol("http", script(func(string) (int, string, time.Duration) {
+				mu.Lock()
+				defer mu.Unlock()
+				if at = append(at, time.Now()); len(at) == 1 {
+					return http.StatusServiceUnavailable, "", 0
+				}
+				return http.StatusOK, "", time.Hour
+			}))
+			ctx, stop := context.WithCancel(t.Context())
+			f.Move(ctx, "127.0.0.1:2")
+			time.Sleep(4 * time.Second)
+			stop()
+			synctest.Wait()
+			for i := range at[1:] {
+				if gap := at[i+1].Sub(at[i]); gap > moveWait+10*time.Millisecond {
+					t.Errorf("call %d came %v after the one before", i+1, gap)
+				}
+			}
+		})
+	}
+}
--- a/internal/net/boxlist/watch.go
+++ b/internal/net/boxlist/watch.go
@@ -275,9 +275,8 @@
 			}
 		}
 	}()
-	at := source{address: address}
 	for {
-		got, err := hedge(ctx, f, &at, again)
+		got, err := hedge(ctx, f, &source{address: address}, again) // nothing is put off for an earlier crowd: 4 s are all it has
 		if err == nil && f.arrive(ctx, source{address: address, version: got.version, had: true, heard: time.Now(), resumes: true}, got.boxes) {
 			f.log.Info("the box list comes from another address now", zap.String("discovery", address))
 			return
