Begin each strain of trial scale by one step in place of four copies

Collecting, forgetting the marks and taking what each process has used stood four times in internal/scale/strains.go. World.afresh does it now, with no other change. THISTLERUDDER_TRIAL=1 go test -run TestProcessesAtScale ./internal/scale: green, 32.5 s.

--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -561,6 +561,15 @@
 	})
 }
 
+// afresh collects, forgets the marks of what came before, and gives what each process has used so far.
+func (w *world) afresh() (map[*process]used, error) {
+	if err := w.collect(); err != nil {
+		return nil, err
+	}
+	w.marks = nil
+	return w.snapshot()
+}
+
 // leader gives the voter that leads, -1: none is known.
 func (w *world) leader() int {
 	if w.client == nil {
--- a/internal/scale/strains.go
+++ b/internal/scale/strains.go
@@ -42,11 +42,7 @@
 			gone = append(gone, e)
 		}
 	}
-	if err := w.collect(); err != nil {
-		return err
-	}
-	w.marks = nil
-	before, err := w.snapshot()
+	before, err := w.afresh()
 	if err != nil {
 		return err
 	}
@@ -136,11 +132,7 @@
 
 // cutOff lets a region reach nobody for a while: neither the voters nor discovery.
 func (w *world) cutOff() error {
-	if err := w.collect(); err != nil {
-		return err
-	}
-	w.marks = nil
-	before, err := w.snapshot()
+	before, err := w.afresh()
 	if err != nil {
 		return err
 	}
@@ -200,11 +192,7 @@
 
 // outage lets discovery be away for a while, and come back with everybody calling.
 func (w *world) outage() error {
-	if err := w.collect(); err != nil {
-		return err
-	}
-	w.marks = nil
-	before, err := w.snapshot()
+	before, err := w.afresh()
 	if err != nil {
 		return err
 	}
@@ -244,11 +232,7 @@
 	if leads < 0 {
 		return fmt.Errorf("nobody leads")
 	}
-	if err := w.collect(); err != nil {
-		return err
-	}
-	w.marks = nil
-	before, err := w.snapshot()
+	before, err := w.afresh()
 	if err != nil {
 		return err
 	}
