--- /dev/null
+++ b/internal/net/servers/unsolicited_test.go
@@ -0,0 +1,61 @@
+package servers
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
+)
+
+// A server that answers twice sends its second answer some milliseconds after the first, when the next request may be out on
+// the connection already. The second answer must not be taken for that request's, however soon the request follows.
+func TestASecondAnswerIsNotTheNextRequests(t *testing.T) {
+	const rounds = 60
+	for _, after := range []time.Duration{time.Millisecond, 3 * time.Millisecond, 7 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			t.Parallel()
+			address := raw(t, func(c net.Conn, r *http.Request, _ int) {
+				trace := r.Header.Get("X-Trace-Id")
+				answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(trace), trace)
+				time.Sleep(2 * after) // the work: the second answer to the request before comes meanwhile
+				fmt.Fprint(c, answer)
+				time.AfterFunc(after, func() { fmt.Fprint(c, answer) })
+			})
+			s := side(t)
+			wrong := 0
+			for i := range rounds {
+				sh := shot(address, "GET", "")
+				sh.Trace = fmt.Sprintf("trace-%d", i)
+				if end, answer := s.send(sh); end == exchange.Whole && string(answer.Body) != sh.Trace {
+					wrong++
+				}
+			}
+			if wrong > 0 {
+				t.Errorf("%d of %d requests were served another request's answer", wrong, rounds)
+			}
+		})
+	}
+}
+
+// A server that answers once keeps its connection: requests in a row go out on the same one.
+func TestRequestsInARowShareAConnection(t *testing.T) {
+	var opened atomic.Int64
+	s, address := side(t), raw(t, func(c net.Conn, _ *http.Request, nth int) {
+		if nth == 0 {
+			opened.Add(1)
+		}
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	for i := range 20 {
+		if end, _ := s.send(shot(address, "GET", "")); end != exchange.Whole {
+			t.Fatalf("request %d ended %v", i, end)
+		}
+	}
+	if n := opened.Load(); n != 1 {
+		t.Errorf("%d connections were made, want one", n)
+	}
+}
