Retry accept after an error that passes instead of ending the node

Seen: http.Server.Serve returns for ENOBUFS, ENOMEM, EPROTO, EPERM, ENETDOWN, ENETUNREACH, EHOSTUNREACH and more; serve in internal/net/node/node.go then ended the node, and admin.Serve fell silent. After EMFILE and ENFILE net/http waited up to 1 s, longer than the shortest deadlines. The listener between them retries after 1 to 16 ms, and gives up only where the descriptor is no listening socket (EBADF, EFAULT, EINVAL, ENOTSOCK). The fleet's own listener retried already (fellows/wire.go, serve).

--- a/internal/net/admin/admin.go
+++ b/internal/net/admin/admin.go
@@ -17,6 +17,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/thistlerudder/thistlerudder/internal/net/acceptor"
 	"github.com/thistlerudder/thistlerudder/internal/net/figures"
 )
 
@@ -69,7 +70,7 @@
 
 // Serve answers until Close.
 func (a *Admin) Serve(l net.Listener) {
-	if err := a.server.Serve(a.places.over(l)); !errors.Is(err, http.ErrServerClosed) {
+	if err := a.server.Serve(a.places.over(acceptor.New(l, a.log))); !errors.Is(err, http.ErrServerClosed) {
 		a.log.Error("the operators' address fails", zap.Error(err))
 	}
 }
--- a/internal/net/clients/ahead_test.go
+++ b/internal/net/clients/ahead_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // pair gives a connection as a node has it, and its client's end.
@@ -18,7 +20,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := bound(l, 8, func(time.Duration) {})
+	b := bound(l, 8, func(time.Duration) {}, zap.NewNop())
 	t.Cleanup(func() { b.Close() })
 	far, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
--- a/internal/net/clients/clients.go
+++ b/internal/net/clients/clients.go
@@ -73,7 +73,7 @@
 
 // Serve answers clients until Leave has ended, or the listener fails.
 func (c *Clients) Serve(l net.Listener) error {
-	b := bound(l, c.bounds.Descriptors+c.bounds.Beyond, func(waited time.Duration) { c.room.makeWay(1, waited) })
+	b := bound(l, c.bounds.Descriptors+c.bounds.Beyond, func(waited time.Duration) { c.room.makeWay(1, waited) }, c.log)
 	c.listener.Store(b)
 	err := c.server.Serve(b)
 	if errors.Is(err, http.ErrServerClosed) || c.leaving.Load() {
--- a/internal/net/clients/closing_test.go
+++ b/internal/net/clients/closing_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
 	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
@@ -147,7 +148,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := bound(l, 8, func(time.Duration) {})
+	b := bound(l, 8, func(time.Duration) {}, zap.NewNop())
 	t.Cleanup(func() { b.Close() })
 	for _, woken := range []bool{false, true} {
 		far := dial(t, l.Addr().String())
--- a/internal/net/clients/listener.go
+++ b/internal/net/clients/listener.go
@@ -12,7 +12,10 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/acceptor"
 )
 
 // bounded accepts no more connections than it has places; the next wait in the kernel's queue. The library's own
@@ -48,7 +51,8 @@
 	lingerBytes = 256 << 10
 )
 
-func bound(l net.Listener, most int, full func(waited time.Duration)) *bounded {
+func bound(l net.Listener, most int, full func(waited time.Duration), log *zap.Logger) *bounded {
+	l = acceptor.New(l, log)
 	b := &bounded{Listener: l, full: full, closed: make(chan struct{}), lingering: list.New()}
 	b.most.Store(int64(most))
 	b.close = sync.OnceValue(func() error {
