Use a kept connection again only after it has been quiet, lest a second answer be misread

Seen: where servers send a second answer 1 to 7 ms after the first, 59 of 60 requests in a row were served the answer of the request before. conn.look in internal/net/servers/dial.go sees only what came before the write. A request now waits until 10 ms have passed since the connection's latest byte, twice as long as second answers were seen to come late (60 ms at most), and goes on another connection where that would take over a quarter of its time. Ways weighed: one request a connection (a handshake for each request), withholding each answer until its connection is quiet (10 ms on every answer).

--- a/internal/net/servers/dial.go
+++ b/internal/net/servers/dial.go
@@ -30,6 +30,7 @@
 	kept    map[string]map[*conn]bool // open connections by place
 	bounded bool                      // atCache holds:
 	atCache int                       // connections to each cache, those being made included
+	quiet   quietPeriod
 }
 
 func (d *dialer) dial(ctx context.Context, network, place string) (net.Conn, error) {
@@ -48,6 +49,7 @@
 	}
 	own := newConn(c.(socket), nil)
 	own.cache = to.cache
+	own.unsolicited = d.quiet.unsolicited
 	own.closed = sync.OnceFunc(func() { d.change(-1, place, own) })
 	d.change(0, place, own)
 	return own, nil
@@ -168,11 +170,13 @@
 // that; it would take the rest for the next request's answer.
 type conn struct {
 	net.Conn
-	raw     syscall.RawConn
-	closed  func()
-	cache   bool         // it leads to one
-	written atomic.Int64 // bytes
-	failed  atomic.Bool  // a write came to an end before its last byte
+	raw    syscall.RawConn
+	closed func()
+	cache  bool // it leads to one
+	// unsolicited is told of bytes that belong to no request, and how long after an answer they came; nil: nobody is.
+	unsolicited func(after time.Duration)
+	written     atomic.Int64 // bytes
+	failed      atomic.Bool  // a write came to an end before its last byte
 
 	mu      sync.Mutex
 	change  sync.Cond   // of reading, gone and writing
@@ -182,11 +186,13 @@
 	idle    time.Time   // when it was made, or the latest of them was over
 	begun   bool        // the present request's first byte is about to be written, or was
 	early   bool        // bytes came before that, so that it must not be written
+	refused error       // it must not be written for this reason; nil: none
 	wanted  func() bool // asked just before that; nil: it is wanted in any case
 	dropped bool        // it was not, so that nothing was written
 	whole   func()      // to be told once what is still in the transport's buffer has been written; nil: nobody
 	by      time.Time   // when its first byte must have been written; zero: any time
 	read    int64
+	latest  time.Time     // when the latest bytes came at all; zero: none have
 	heard   time.Time     // when the latest bytes of the present answer came; zero: none have
 	pause   time.Duration // the longest between two of its reads
 	writing bool          // a write is under way
@@ -216,10 +222,12 @@
 		c.look()
 	}
 	c.begun = true
-	stray, dropped := c.early, c.dropped
-	c.writing = !stray && !dropped
+	stray, dropped, refused := c.early, c.dropped, c.refused
+	c.writing = !stray && !dropped && refused == nil
 	c.mu.Unlock()
 	switch {
+	case refused != nil:
+		return 0, refused
 	case dropped:
 		return 0, errUnwanted
 	case stray:
@@ -329,11 +337,7 @@
 		n = max(n, 0)
 		c.reading = false
 		if n > 0 {
-			now := time.Now()
-			if !c.heard.IsZero() {
-				c.pause = max(c.pause, now.Sub(c.heard))
-			}
-			c.heard = now
+			c.came(time.Now())
 		}
 		c.read += int64(n)
 		c.early = c.early || n > 0 && !c.begun
@@ -350,6 +354,24 @@
 	return n, nil
 }
 
+// came notes when bytes came. Called with the lock held.
+func (c *conn) came(now time.Time) {
+	if unsolicited := c.busy == 0 || !c.begun; unsolicited && c.unsolicited != nil && !c.latest.IsZero() {
+		c.unsolicited(now.Sub(c.latest))
+	}
+	if !c.heard.IsZero() {
+		c.pause = max(c.pause, now.Sub(c.heard))
+	}
+	c.heard, c.latest = now, now
+}
+
+// refuse says that the present request must not be written, and why.
+func (c *conn) refuse(why error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused = why
+}
+
 // ended tells an end that the server made from a reset. The kernel tells of a reset once: a write that fails by it takes the word,
 // and the next read finds a plain end, which would make an answer of no told length whole.
 func (c *conn) ended() error {
@@ -374,7 +396,7 @@
 		c.change.Wait()
 	}
 	c.begun, c.early, c.by, c.whole = false, false, by, nil
-	c.wanted, c.dropped = wanted, false
+	c.wanted, c.dropped, c.refused = wanted, false, nil
 	c.heard, c.pause = time.Time{}, 0
 	return c.written.Load(), c.read
 }
--- /dev/null
+++ b/internal/net/servers/quiet.go
@@ -0,0 +1,81 @@
+package servers
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+const (
+	// quietLeast is how long a connection has brought nothing before the next request goes out on it. A server that answers a
+	// request twice sends its second answer some milliseconds after the first; once the next request is out, nothing tells it from
+	// that request's answer.
+	quietLeast = 10 * time.Millisecond
+	// quietMost bounds that span where second answers were seen to come later.
+	quietMost = 60 * time.Millisecond
+	// quietFactor is the margin beyond the latest second answer that was seen.
+	quietFactor = 2
+	// quietKept is how long a second answer that was seen to come later than usual is heeded.
+	quietKept = 2 * time.Minute
+	// quietPart is the part of a request's time that it waits for a connection to be quiet at most. Beyond it another connection
+	// is tried.
+	quietPart = 4
+)
+
+// errNotQuiet says that no connection could be known to be quiet in time. Nothing was written.
+var errNotQuiet = errors.New("the connection brought bytes too recently to be used again in time")
+
+// quietPeriod learns how late servers send bytes that belong to no request.
+type quietPeriod struct {
+	mu   sync.Mutex
+	span time.Duration // zero: the least
+	seen time.Time     // when bytes that late were seen last
+}
+
+// unsolicited notes bytes that came on an idle connection, so long after the latest byte of an answer.
+func (q *quietPeriod) unsolicited(after time.Duration) {
+	span := min(quietFactor*after, quietMost)
+	if after > quietMost || span <= quietLeast {
+		return // too late to be waited for, or waited for in any case
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	if span >= q.span || now.Sub(q.seen) > quietKept {
+		q.span, q.seen = span, now
+	}
+}
+
+// wanted gives how long a connection has to be quiet before it is used again.
+func (q *quietPeriod) wanted() time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.span == 0 || time.Since(q.seen) > quietKept {
+		return quietLeast
+	}
+	return q.span
+}
+
+// awaitQuiet waits until a connection that is used again has brought nothing for a span. Where that would take more than a part of
+// the time up to by, or the context ends meanwhile, the request is refused here.
+func (c *conn) awaitQuiet(ctx context.Context, span time.Duration, by time.Time) {
+	c.mu.Lock()
+	latest := c.latest
+	c.mu.Unlock()
+	wait, left := span-time.Since(latest), time.Until(by)
+	if latest.IsZero() || wait <= 0 || left <= 0 {
+		return // quiet, or too late in any case
+	}
+	if wait > left/quietPart {
+		c.refuse(errNotQuiet)
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		c.refuse(context.Cause(ctx))
+	}
+}
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -142,7 +142,8 @@
 		}
 		late := !shot.BeginBy.IsZero() && time.Now().After(shot.BeginBy) || !time.Now().Before(until)
 		once := shot.Rest != nil && shot.Rest.Begun()
-		if end == exchange.Unwritten && tried < triesMost && s.context.Err() == nil && !late && !once {
+		again := end == exchange.Unwritten || errors.Is(err, errNotQuiet)
+		if again && tried < triesMost && s.context.Err() == nil && !late && !once {
 			continue
 		}
 		if end <= exchange.Unclear && (shot.Rest == nil || shot.Rest.Whole()) {
@@ -171,6 +172,9 @@
 	r = request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			on.got(i.Conn, i.Reused, shot)
+			if i.Reused {
+				on.conn.awaitQuiet(ctx, s.dialer.quiet.wanted(), earlier(until, shot.BeginBy))
+			}
 			if left := time.Until(until); shot.Rest == nil && shot.Within-left > tellAnew {
 				r.Header["X-Expires-In"] = []string{expiresIn(max(0, left))} // its connection came up late
 			}
@@ -223,6 +227,14 @@
 	return how, answer, nil
 }
 
+// earlier gives the first of two times; a zero one is none.
+func earlier(a, b time.Time) time.Time {
+	if b.IsZero() || !a.IsZero() && a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // wait is for an answer. A timer that was stopped may still come: on a crowded core what it starts runs late.
 type wait struct {
 	mu   sync.Mutex
@@ -254,6 +266,8 @@
 		return exchange.NoRoom
 	case on.dropped():
 		return exchange.Withheld
+	case errors.Is(err, errNotQuiet):
+		return exchange.Overtaken
 	case on.conn == nil && s.context.Err() != nil:
 		return exchange.Withdrawn
 	case on.conn == nil && ctx.Err() != nil && !errors.As(err, &dial):
--- a/internal/net/servers/unsolicited_test.go
+++ b/internal/net/servers/unsolicited_test.go
@@ -59,3 +59,49 @@
 		t.Errorf("%d connections were made, want one", n)
 	}
 }
+
+// Where a connection can't be known to be quiet in time, the request goes on another, and holds nothing against the server.
+func TestARequestWithLittleTimeDoesNotWaitForQuiet(t *testing.T) {
+	var opened atomic.Int64
+	s, address := side(t), raw(t, func(c net.Conn, _ *http.Request, nth int) {
+		if nth == 0 {
+			opened.Add(1)
+		}
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	if end, _ := s.send(shot(address, "GET", "")); end != exchange.Whole {
+		t.Fatal(end)
+	}
+	hurried := shot(address, "GET", "")
+	hurried.Within = 2 * quietLeast
+	if end, _ := s.send(hurried); end != exchange.Whole {
+		t.Errorf("ended %v", end)
+	}
+	if n := opened.Load(); n != 2 {
+		t.Errorf("%d connections were made, want two", n)
+	}
+}
+
+// A second answer that was seen to come later than usual makes later requests wait for longer, for a while.
+func TestLaterSecondAnswersAreLearned(t *testing.T) {
+	var q quietPeriod
+	if got := q.wanted(); got != quietLeast {
+		t.Errorf("at first %v, want %v", got, quietLeast)
+	}
+	q.unsolicited(time.Millisecond)
+	if got := q.wanted(); got != quietLeast {
+		t.Errorf("after a soon one %v, want %v", got, quietLeast)
+	}
+	q.unsolicited(20 * time.Millisecond)
+	if got := q.wanted(); got != 40*time.Millisecond {
+		t.Errorf("after a late one %v, want twice its 20 ms", got)
+	}
+	q.unsolicited(time.Second)
+	if got := q.wanted(); got != 40*time.Millisecond {
+		t.Errorf("after one that nobody can wait for %v, want no change", got)
+	}
+	q.seen = q.seen.Add(-quietKept - time.Second)
+	if got := q.wanted(); got != quietLeast {
+		t.Errorf("long after %v, want %v", got, quietLeast)
+	}
+}
