Decide in one place whether an attempt may be written, started or refused, and count denials

Need: the rule on a first byte stood in conn.look, that on repeats and refusals in the module alone. Package permit decides all three from plain facts. conn.look gathers them and asks; the exchange checks what the module orders, counts and logs a violation with the request's id, and does not carry it out. Figures attempts.withheld.REASON and rules.violated.REASON, on the page once they came up.

Found on the way and mended: an attempt that came too late for a drain's grace, or for our own closing of its connection, was told to the module as a failed connect, which ejects a healthy server at the second such; it ends as overtaken now, which tells nothing of the server.

--- a/internal/net/admin/accept_test.go
+++ b/internal/net/admin/accept_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -12,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/thistlerudder/thistlerudder/internal/net/figures"
+	"github.com/thistlerudder/thistlerudder/internal/net/permit"
 )
 
 // failing is a listener whose accept fails for a number of calls in a row.
@@ -43,3 +45,19 @@
 		t.Error(err)
 	}
 }
+
+// What came up of withheld attempts and broken rules is on the page, by reason, and nothing else of them.
+func TestReasonsThatCameUpAreOnThePage(t *testing.T) {
+	f := figures.New(nil)
+	f.Denied[permit.ClientGone].Add(2)
+	f.Violations[permit.MayHaveRun].Add(1)
+	page := New(&stub{}, f, 2, zap.NewNop()).page()
+	for _, line := range []string{"attempts.withheld.client_gone=2\n", "rules.violated.may_have_run=1\n"} {
+		if !strings.Contains(page, line) {
+			t.Errorf("%q lacks %q", page, line)
+		}
+	}
+	if strings.Contains(page, "too_late") {
+		t.Errorf("%q has a reason that never came up", page)
+	}
+}
--- a/internal/net/admin/admin.go
+++ b/internal/net/admin/admin.go
@@ -19,6 +19,7 @@
 
 	"github.com/thistlerudder/thistlerudder/internal/net/acceptor"
 	"github.com/thistlerudder/thistlerudder/internal/net/figures"
+	"github.com/thistlerudder/thistlerudder/internal/net/permit"
 )
 
 const (
@@ -163,9 +164,22 @@
 	}
 	fmt.Fprintf(&b, "relayed=%d\nopen_requests=%d\nregistry_entries=%d\nout_of_rotation=%d\n", a.figures.Written.Load(),
 		a.figures.Open.Load(), a.figures.Listed.Load(), a.figures.Avoided.Load())
+	a.reasons(&b)
 	fleet := a.node.Fleet()
 	for _, name := range slices.Sorted(maps.Keys(fleet)) {
 		fmt.Fprintf(&b, "fleet.%s=%v\n", name, fleet[name])
 	}
 	return b.String()
 }
+
+// reasons writes why attempts were withheld and which rules the module's orders would have broken, a line for each reason that came up.
+func (a *Admin) reasons(to *strings.Builder) {
+	for reason := permit.Granted + 1; reason < permit.Reasons; reason++ {
+		if n := a.figures.Denied[reason].Load(); n > 0 {
+			fmt.Fprintf(to, "attempts.withheld.%v=%d\n", reason, n)
+		}
+		if n := a.figures.Violations[reason].Load(); n > 0 {
+			fmt.Fprintf(to, "rules.violated.%v=%d\n", reason, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/net/exchange/checks.go
@@ -0,0 +1,69 @@
+package exchange
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/permit"
+)
+
+// history gives what is known of a request's attempts. Called with the lock held.
+func (t *Ticket) history() permit.History {
+	h := permit.History{Out: t.out, MayHaveRun: t.mayHaveRun, Safe: t.x.terms.Replayable(t.Namespace),
+		KeyedForAll: t.x.terms.KeyedForAll(t.Namespace)}
+	if window := t.x.terms.Memory(t.Namespace); window > 0 && t.mayHaveRun {
+		h.KeyedUntil = t.firstMayHaveRun.Add(window)
+	}
+	return h
+}
+
+// ran notes that an attempt may have run. Called with the lock held.
+func (t *Ticket) ran(sent time.Time) {
+	if !t.mayHaveRun || sent.Before(t.firstMayHaveRun) {
+		t.firstMayHaveRun = sent
+	}
+	t.mayHaveRun = true
+}
+
+// mayStart checks an attempt that the module has ordered against the rules. Called with the lock held.
+func (h host) mayStart(t *Ticket, s *Shot) bool {
+	attempt := permit.Attempt{History: t.history(), Over: t.over.Load(), Now: h.decided,
+		Hedging:  h.terms.SecondCopies() && !h.alone(s),
+		BodySent: t.Rest != nil && t.Rest.Begun()}
+	why := attempt.Decide()
+	switch why {
+	case permit.Granted:
+		return true
+	case permit.BodySent:
+		h.figures.Denied[why].Add(1) // the module doesn't know how much of a body was read
+	default:
+		h.violated("attempt", t, why)
+	}
+	return false
+}
+
+// mayRefuse checks a refusal that the module has ordered.
+func (h host) mayRefuse(t *Ticket) bool {
+	why := t.history().Refuse()
+	if why != permit.Granted {
+		h.violated("refusal", t, why)
+	}
+	return why == permit.Granted
+}
+
+// mayAnswer checks that a final answer that the module has ordered is the only one.
+func (h host) mayAnswer(t *Ticket) bool {
+	over := t.over.Load()
+	if over {
+		h.violated("answer", t, permit.RequestOver)
+	}
+	return !over
+}
+
+// violated counts and logs what the module ordered against the rules. It is never carried out.
+func (x *Exchange) violated(action string, t *Ticket, why permit.Reason) {
+	x.figures.Violations[why].Add(1)
+	x.log.Error("the module ordered what a rule forbids", zap.String("action", action), zap.Stringer("reason", why),
+		zap.String("trace", t.Trace), zap.Int("attempts", t.shots), zap.Int("out", t.out))
+}
--- /dev/null
+++ b/internal/net/exchange/checks_test.go
@@ -0,0 +1,106 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/permit"
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+// What a module orders against the rules is counted, and not carried out. The module at hand orders nothing of this, so the test
+// does in its place.
+func TestForbiddenOrdersAreNotCarriedOut(t *testing.T) {
+	const server = 0
+	for _, c := range []struct {
+		name    string
+		in      Lookup
+		before  End // how the first attempt ends; endCount: it is out still
+		order   func(h host, ticket int)
+		want    permit.Reason
+		outcome Outcome
+	}{
+		{"a second attempt beside an unsafe one", Lookup{Namespace: "once", Key: "k"}, endCount,
+			func(h host, i int) { h.Shoot(i, server, 100) }, permit.MayHaveRun, -1},
+		{"a retry of an unsafe one that may have run", Lookup{Namespace: "once", Key: "k"}, Lost,
+			func(h host, i int) { h.Shoot(i, server, 100) }, permit.MayHaveRun, -1},
+		{"a refusal of an unsafe one that may have run", Lookup{Namespace: "once", Key: "k"}, Lost,
+			func(h host, i int) { h.Defer(i, 0) }, permit.MayHaveRun, Abandoned},
+		{"a refusal of an unsafe one that is out", Lookup{Namespace: "once", Key: "k"}, endCount,
+			func(h host, i int) { h.Defer(i, 0) }, permit.MayHaveRun, Abandoned},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ships := &fleet{}
+			x := start(t, ships)
+			ticket := take(t, x, c.in, time.Second)
+			first := ships.take(0)
+			if c.before != endCount {
+				// As the module would be told, but for its own end of the request.
+				x.mu.Lock()
+				first.settled, first.told = true, true
+				ticket.out--
+				ticket.ran(first.sent)
+				x.mu.Unlock()
+			}
+			x.do("test", nil, func(logic.Time) { c.order(host{x}, ticket.index) })
+			if n := x.figures.Violations[c.want].Load(); n != 1 {
+				t.Errorf("%d violations by %v, want one", n, c.want)
+			}
+			if s := ships.take(0); s != nil {
+				t.Error("an attempt was carried out")
+			}
+			a, answered := got(ticket)
+			if answered != (c.outcome >= 0) || answered && a.Outcome != c.outcome {
+				t.Errorf("answered: %v, %v", answered, a.Outcome)
+			}
+		})
+	}
+}
+
+// A second final answer, and an attempt after the final one, are counted and go nowhere.
+func TestNothingFollowsTheFinalAnswer(t *testing.T) {
+	ships := &fleet{}
+	x := start(t, ships)
+	ticket := take(t, x, Lookup{Namespace: "read", Key: "k"}, time.Second)
+	out := ships.take(0) // stays out, so that the index is not used again
+	x.do("test", nil, func(logic.Time) {
+		h := host{x}
+		h.Abandon(ticket.index)
+		h.Abandon(ticket.index)
+		h.Defer(ticket.index, 0)
+		h.Shoot(ticket.index, 0, 100)
+	})
+	if n := x.figures.Violations[permit.RequestOver].Load(); n != 3 {
+		t.Errorf("%d violations, want three", n)
+	}
+	if a, answered := got(ticket); !answered || a.Outcome != Abandoned {
+		t.Errorf("answered: %v, %v", answered, a.Outcome)
+	}
+	if _, again := got(ticket); again {
+		t.Error("a second final answer")
+	}
+	if ships.take(0) != nil {
+		t.Error("an attempt after the final answer")
+	}
+	out.Settle(Whole, Answer{})
+}
+
+// A keyed request is repeated while its servers remember its key, and not later.
+func TestAKeyedRepeatKeepsToItsWindow(t *testing.T) {
+	ships := &fleet{}
+	x := start(t, ships)
+	ticket := take(t, x, Lookup{Namespace: "marked", Key: "k"}, time.Second)
+	first := ships.take(0)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	ticket.out--
+	ticket.ran(first.sent)
+	attempt := permit.Attempt{History: ticket.history(), Now: first.sent.Add(300 * time.Millisecond)}
+	if why := attempt.Decide(); why != permit.Granted {
+		t.Errorf("inside: %v", why)
+	}
+	attempt.Now = first.sent.Add(500 * time.Millisecond)
+	if why := attempt.Decide(); why != permit.WindowOver {
+		t.Errorf("after it: %v", why)
+	}
+}
--- a/internal/net/exchange/ends.go
+++ b/internal/net/exchange/ends.go
@@ -58,6 +58,16 @@
 	}
 }
 
+// MayHaveRun says that nothing proves that the server did not act on the shot.
+func (e End) MayHaveRun() bool {
+	switch e.Code() {
+	case logic.Full, logic.Unconnected, logic.Unsent, logic.Missing, logic.Crowded, logic.Unheard, logic.Withheld:
+		return false
+	default:
+		return true
+	}
+}
+
 var endNames = [endCount]string{"whole", "lacking", "failing", "turned away", "crowded", "unclear", "unreached", "unheard",
 	"unwritten", "lost", "cut short", "spoilt", "silent", "passed", "no room", "overtaken", "withdrawn", "withheld"}
 
--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -146,6 +146,8 @@
 		limit := read.Add(min(within, x.terms.LongestLimit))
 		if in.Rest != nil {
 			limit = limit.Add(bodyTakes) // its time counts from its last byte; the carrier keeps to that
+		} else {
+			t.limit = read.Add(within)
 		}
 		x.balancer.Lookup(now, t.index, logic.Lookup{Namespace: ns, Partner: partner, Key: in.Key,
 			Limit: x.clock.at(limit), Work: in.Work, Write: in.Write,
@@ -216,9 +218,6 @@
 
 func (h host) Shoot(lkp, server int, timeout logic.Time) {
 	t := h.tickets[lkp]
-	if t.over.Load() {
-		return // only a module that panicked can order this; nothing is sent after the final answer
-	}
 	s := &Shot{
 		Lookup:  &t.Lookup,
 		Address: h.boxes[server].address,
@@ -239,22 +238,36 @@
 	if s.Origin = h.boxes[server].origin; h.parted {
 		h.bounded(s)
 	}
+	permitted := h.mayStart(t, s)
+	if t.over.Load() {
+		return // only a module that panicked can order this
+	}
 	t.shots++
 	t.out++
 	h.sent(s)
 	h.tally.Shots++
-	if t.Rest != nil && t.Rest.Begun() {
-		go s.Settle(NoRoom, Answer{}) // what of the body has gone to a server can't go to another
+	if !permitted {
+		go s.Settle(NoRoom, Answer{})
 		return
 	}
 	h.carrier.Carry(s)
 }
 
 func (h host) Defer(lkp int, retryAfter logic.Time) {
-	h.finish(h.tickets[lkp], Answer{Outcome: Deferred, RetryAfter: spanOf(retryAfter)})
+	t, answer := h.tickets[lkp], Answer{Outcome: Deferred, RetryAfter: spanOf(retryAfter)}
+	if !h.mayRefuse(t) {
+		answer = Answer{Outcome: Abandoned}
+	}
+	if h.mayAnswer(t) {
+		h.finish(t, answer)
+	}
 }
 
-func (h host) Abandon(lkp int) { h.finish(h.tickets[lkp], Answer{Outcome: Abandoned}) }
+func (h host) Abandon(lkp int) {
+	if t := h.tickets[lkp]; h.mayAnswer(t) {
+		h.finish(t, Answer{Outcome: Abandoned})
+	}
+}
 
 func (h host) Subscribe() { h.lister.Subscribe() }
 
@@ -272,7 +285,10 @@
 	}
 	x.end(t)       // before anybody can hear of it: nothing begins after the final answer
 	t.answers <- a // it has room for this one, and there is no other
-	x.tally.count(a, time.Since(t.read))
+	took := time.Since(t.read)
+	x.tally.count(a, took)
+	x.log.Debug("request ended", zap.String("trace", t.Trace), zap.Stringer("outcome", a.Outcome), zap.Int("attempts", t.shots),
+		zap.Int("out", t.out), zap.Bool("may have run", t.mayHaveRun), zap.Duration("after", took))
 }
 
 func (x *Exchange) end(t *Ticket) {
--- a/internal/net/exchange/ticket.go
+++ b/internal/net/exchange/ticket.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/thistlerudder/thistlerudder/internal/net/permit"
 	"github.com/thistlerudder/thistlerudder/logic"
 )
 
@@ -73,6 +74,10 @@
 	Abandoned
 )
 
+var outcomeNames = [...]string{Resolved: "served", Deferred: "refused", Abandoned: "failed"}
+
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // Answer is a lookup's one final answer.
 type Answer struct {
 	Outcome     Outcome
@@ -88,11 +93,14 @@
 	Lookup
 	x       *Exchange
 	read    time.Time
+	limit   time.Time // when the client's time is over; zero: its body still comes
 	answers chan Answer
 
 	over               atomic.Bool // set by the owner, read by whoever is about to write a shot
 	index, shots, out  int
 	forgotten, spoiled bool
+	mayHaveRun         bool // an attempt that has ended may have
+	firstMayHaveRun    time.Time
 }
 
 // Answers gives the final answer, once.
@@ -134,14 +142,40 @@
 	written atomic.Bool // its last byte has been counted
 }
 
-// Wanted says whether the shot may begin: its lookup is not over, and its client is there. Whoever writes its first byte asks
+// Wanted says whether the shot's client still waits for it: Granted, RequestOver or ClientGone. Whoever writes its first byte asks
 // just before; what has begun goes on. It takes no lock of the exchange, and looks at the client's connection itself, since
 // net/http sees a client's end only where no bytes lie before it and some time has passed.
-func (s *Shot) Wanted() bool {
+func (s *Shot) Wanted() permit.Reason {
 	if s.Gone != nil && s.Gone() {
-		return false
+		return permit.ClientGone
+	}
+	if s.ticket != nil && s.ticket.over.Load() { // last: the final answer may come while the kernel is asked
+		return permit.RequestOver
+	}
+	return permit.Granted
+}
+
+// Until gives when the node stops waiting for an answer. It counts from the decision, not from when the shot is carried out.
+func (s *Shot) Until(carried time.Time) time.Time {
+	if s.sent.IsZero() {
+		return carried.Add(s.Within)
+	}
+	return s.sent.Add(s.Within)
+}
+
+// ClientUntil gives when the client's time is over; zero where that is not known.
+func (s *Shot) ClientUntil() time.Time {
+	if s.ticket == nil {
+		return time.Time{}
+	}
+	return s.ticket.limit
+}
+
+// Denied counts that an attempt was not written, and why.
+func (s *Shot) Denied(why permit.Reason) {
+	if s.ticket != nil && why != permit.Granted {
+		s.ticket.x.figures.Denied[why].Add(1)
 	}
-	return s.ticket == nil || !s.ticket.over.Load() // last: the final answer may come while the kernel is asked
 }
 
 // Settle tells how the shot ended; only the first word counts. The first whole answer goes to the client, and so does
@@ -225,6 +259,9 @@
 	s.begins()
 	s.told = true
 	t := s.ticket
+	if end.MayHaveRun() {
+		t.ran(s.sent)
+	}
 	t.x.tally.Ends[end]++
 	t.x.boxes[s.server].drop(s)
 	t.x.balancer.Settled(t.x.now(), t.index, s.number, end.Code(), end == Whole || t.over.Load())
--- a/internal/net/figures/figures.go
+++ b/internal/net/figures/figures.go
@@ -5,6 +5,8 @@
 import (
 	"slices"
 	"sync/atomic"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/permit"
 )
 
 // Ends is how lookups of one namespace have ended.
@@ -17,6 +19,10 @@
 	Listed  atomic.Int64 // caches on the box list
 	Avoided atomic.Int64 // those of them that get nothing at present
 
+	// Denied counts attempts whose first byte was not written, Violations what the module ordered against the rules and the
+	// exchange did not carry out. Both by reason.
+	Denied, Violations [permit.Reasons]atomic.Int64
+
 	names  []string
 	counts map[string]*Ends
 }
--- /dev/null
+++ b/internal/net/permit/permit_test.go
@@ -0,0 +1,72 @@
+package permit
+
+import (
+	"testing"
+	"time"
+)
+
+// Each fact that speaks against a first byte is a reason by itself, and none is one without it.
+func TestSend(t *testing.T) {
+	now := time.Now()
+	sound := Send{Now: now, Gathered: time.Millisecond, BeginBy: now.Add(time.Millisecond), Until: now.Add(time.Second), Told: time.Second}
+	for want, change := range map[Reason]func(*Send){
+		Granted:          func(*Send) {},
+		NotQuiet:         func(s *Send) { s.Refused = NotQuiet },
+		ConnectionEnding: func(s *Send) { s.ConnectionEnding = true },
+		UnsolicitedBytes: func(s *Send) { s.Unsolicited = true },
+		ClientGone:       func(s *Send) { s.Client = ClientGone },
+		RequestOver:      func(s *Send) { s.Client = RequestOver },
+		TooLate:          func(s *Send) { s.BeginBy = now.Add(-1) },
+		DeadlineStale:    func(s *Send) { s.Told += 2 * deadlineSlack },
+		FactsStale:       func(s *Send) { s.Gathered = FactsFor },
+	} {
+		s := sound
+		if change(&s); s.Decide() != want {
+			t.Errorf("%v, want %v", s.Decide(), want)
+		}
+	}
+	if got := (Send{Now: now}).Decide(); got != Granted {
+		t.Errorf("with no times told: %v", got)
+	}
+}
+
+func TestAttemptAndRefusal(t *testing.T) {
+	now := time.Now()
+	past, future := now.Add(-time.Millisecond), now.Add(time.Millisecond)
+	for _, c := range []struct {
+		name            string
+		is              Attempt
+		attempt, refuse Reason
+	}{
+		{"the first", Attempt{}, Granted, Granted},
+		{"after the final answer", Attempt{Over: true}, RequestOver, Granted},
+		{"a body that was sent in part", Attempt{BodySent: true}, BodySent, Granted},
+		{"beside another", Attempt{History: History{Out: 1, Safe: true}}, AttemptOut, Granted},
+		{"a hedge", Attempt{History: History{Out: 1, Safe: true}, Hedging: true}, Granted, Granted},
+		{"a hedge of an unsafe one", Attempt{History: History{Out: 1}, Hedging: true}, MayHaveRun, MayHaveRun},
+		{"a retry after a proof", Attempt{History: History{}}, Granted, Granted},
+		{"a retry without a proof", Attempt{History: History{MayHaveRun: true}}, MayHaveRun, MayHaveRun},
+		{"a safe one", Attempt{History: History{MayHaveRun: true, Safe: true}}, Granted, Granted},
+		{"a keyed one in its window", Attempt{History: History{MayHaveRun: true, KeyedForAll: true, KeyedUntil: future}}, Granted, Granted},
+		{"a keyed one after it", Attempt{History: History{MayHaveRun: true, KeyedForAll: true, KeyedUntil: past}}, WindowOver, Granted},
+		{"a keyed one of a smaller group", Attempt{History: History{MayHaveRun: true, KeyedUntil: future}}, MayHaveRun, MayHaveRun},
+	} {
+		c.is.Now = now
+		if got := c.is.Decide(); got != c.attempt {
+			t.Errorf("%s: attempt %v, want %v", c.name, got, c.attempt)
+		}
+		if got := c.is.Refuse(); got != c.refuse {
+			t.Errorf("%s: refusal %v, want %v", c.name, got, c.refuse)
+		}
+	}
+}
+
+func TestReasonsHaveNames(t *testing.T) {
+	seen := map[string]bool{}
+	for r := Granted; r < Reasons; r++ {
+		if r.String() == "" || seen[r.String()] {
+			t.Errorf("reason %d is named %q", r, r)
+		}
+		seen[r.String()] = true
+	}
+}
--- /dev/null
+++ b/internal/net/servers/conn.go
@@ -0,0 +1,314 @@
+package servers
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/permit"
+)
+
+// conn gives its descriptor back once, and knows what was written to it: httptrace's WroteRequest comes before the
+// transport flushes its buffer, so it can't tell whether anything has left. It also knows of bytes that belong to no
+// request. A server may send more than its answer, and the transport may hand the connection on before it has seen
+// that; it would take the rest for the next request's answer.
+type conn struct {
+	net.Conn
+	raw    syscall.RawConn
+	closed func()
+	cache  bool // it leads to one
+	// onUnsolicited is told of bytes that belong to no request, and how long after an answer they came; nil: nobody is.
+	onUnsolicited func(after time.Duration)
+	written       atomic.Int64 // bytes
+	failed        atomic.Bool  // a write came to an end before its last byte
+
+	mu      sync.Mutex
+	change  sync.Cond     // of reading, gone and writing
+	reading bool          // the transport waits for bytes, so it has none left over
+	gone    bool          // closed on our side, or about to be
+	retired bool          // by our own choice, so that it tells nothing of the server
+	busy    int           // requests it was taken for that are not over
+	idle    time.Time     // when it was made, or the latest of them was over
+	begun   bool          // the present request's first byte is about to be written, or was
+	early   bool          // bytes came before that, so that it must not be written
+	request outgoing      // what has to hold for that
+	denied  permit.Reason // why it was not written; Granted where nothing spoke against it
+	whole   func()        // to be told once what is still in the transport's buffer has been written; nil: nobody
+	read    int64
+	latest  time.Time     // when the latest bytes came at all; zero: none have
+	heard   time.Time     // when the latest bytes of the present answer came; zero: none have
+	pause   time.Duration // the longest between two of its reads
+	writing bool          // a write is under way
+}
+
+// socket is a connection that has a descriptor to look at.
+type socket interface {
+	net.Conn
+	syscall.Conn
+}
+
+func newConn(c socket, closed func()) *conn {
+	raw, _ := c.SyscallConn() // fails for a nil connection only
+	own := &conn{Conn: c, raw: raw, closed: closed, idle: time.Now()}
+	own.change.L = &own.mu
+	return own
+}
+
+// outgoing is what has to hold for a request when its first byte is written.
+type outgoing struct {
+	refused permit.Reason        // by an earlier step, or Granted
+	client  func() permit.Reason // whether its client still waits, asked just before; nil: it does
+	beginBy time.Time            // when its first byte must have been written; zero: any time
+	until   time.Time            // when its client's time is over; zero: no deadline is told that could be wrong
+	told    time.Duration        // the time that it tells its server to have
+}
+
+// denial is the error of a request that was not written.
+type denial struct{ reason permit.Reason }
+
+func (d denial) Error() string { return "the request was not written: " + d.reason.String() }
+
+func (c *conn) Write(b []byte) (int, error) {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(takenIn)) // first: nothing lies between the looks and the write
+	c.mu.Lock()
+	if !c.begun {
+		c.denied = c.look()
+	}
+	c.begun = true
+	denied := c.denied
+	c.writing = denied == permit.Granted
+	c.mu.Unlock()
+	if denied != permit.Granted {
+		return 0, denial{denied}
+	}
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	c.mu.Lock()
+	if n < len(b) {
+		c.failed.Store(true)
+	}
+	c.writing = false
+	c.change.Broadcast()
+	c.mu.Unlock()
+	if n < len(b) {
+		return n, err
+	}
+	c.flushed()
+	return n, err
+}
+
+// looksMost is how often what is known of a request is gathered. A look takes microseconds; a process that needs long for so many
+// has no core to act in time.
+const looksMost = 4
+
+// look gathers what is known of the present request, and decides whether its first byte may be written now. A process that has no
+// core for a while between a look and the write would act on what was true before, so a look that took long is made anew. Called
+// with the lock held.
+func (c *conn) look() (denied permit.Reason) {
+	for range looksMost {
+		began := time.Now()
+		c.early = c.early || c.waiting()
+		client := permit.Granted
+		if c.request.client != nil {
+			client = c.request.client()
+		}
+		now := time.Now() // last, and no call of the kernel
+		denied = permit.Send{Refused: c.request.refused, ConnectionEnding: c.retired, Unsolicited: c.early || c.gone, Client: client,
+			Gathered: now.Sub(began), Now: now, BeginBy: c.request.beginBy, Until: c.request.until, Told: c.request.told}.Decide()
+		if denied != permit.FactsStale {
+			break
+		}
+	}
+	return denied
+}
+
+// last says that the request's last byte is in the transport's buffer, so that the next write brings it out.
+func (c *conn) last(whole func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.whole = whole
+}
+
+// flushed tells who waits for a request's last byte.
+func (c *conn) flushed() {
+	c.mu.Lock()
+	whole := c.whole
+	c.whole = nil
+	c.mu.Unlock()
+	if whole != nil {
+		whole()
+	}
+}
+
+// quiet says for how long an answer that has begun has brought nothing.
+func (c *conn) quiet() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.heard.IsZero() {
+		return 0
+	}
+	return time.Since(c.heard)
+}
+
+// paused gives the longest pause within the answer that has come.
+func (c *conn) paused() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pause
+}
+
+// waiting looks for bytes, or the connection's end, that have come and that nobody has read yet.
+func (c *conn) waiting() bool {
+	there := false
+	_ = c.raw.Control(func(fd uintptr) { // not Read, which would wait for the transport's own
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		there = err == nil || !passing(err)
+	})
+	return there
+}
+
+// passing says that a call on a descriptor may go otherwise if it is made again.
+func passing(err error) bool { return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) }
+
+// Read takes bytes and notes them in one step. With a step between the two, a request could be written when stray
+// bytes have left the socket and are not noted yet.
+func (c *conn) Read(b []byte) (n int, err error) {
+	c.mu.Lock()
+	c.reading = true
+	c.change.Broadcast()
+	c.mu.Unlock()
+	over := c.raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for n, err = syscall.Read(int(fd), b); errors.Is(err, syscall.EINTR); {
+			n, err = syscall.Read(int(fd), b)
+		}
+		if errors.Is(err, syscall.EAGAIN) {
+			return false
+		}
+		n = max(n, 0)
+		c.reading = false
+		if n > 0 {
+			c.came(time.Now())
+		}
+		c.read += int64(n)
+		c.early = c.early || n > 0 && !c.begun
+		return true
+	})
+	switch {
+	case over != nil:
+		return 0, over
+	case err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
+	case n == 0 && len(b) > 0:
+		return 0, c.ended()
+	}
+	return n, nil
+}
+
+// came notes when bytes came. Called with the lock held.
+func (c *conn) came(now time.Time) {
+	if unsolicited := c.busy == 0 || !c.begun; unsolicited && c.onUnsolicited != nil && !c.latest.IsZero() {
+		c.onUnsolicited(now.Sub(c.latest))
+	}
+	if !c.heard.IsZero() {
+		c.pause = max(c.pause, now.Sub(c.heard))
+	}
+	c.heard, c.latest = now, now
+}
+
+// refuse says that the present request must not be written, and why.
+func (c *conn) refuse(why permit.Reason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.request.refused = why
+}
+
+// tells notes which time the present request tells its server to have, and when that is over.
+func (c *conn) tells(left time.Duration, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.request.told, c.request.until = left, until
+}
+
+// withheld says that the present request was not written, and why.
+func (c *conn) withheld() permit.Reason {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.denied == permit.Granted && c.early {
+		return permit.UnsolicitedBytes // bytes came before it; then it is not written either
+	}
+	return c.denied
+}
+
+// ended tells an end that the server made from a reset. The kernel tells of a reset once: a write that fails by it takes the word,
+// and the next read finds a plain end, which would make an answer of no told length whole.
+func (c *conn) ended() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.writing && !c.gone {
+		c.change.Wait()
+	}
+	if c.writing || c.failed.Load() {
+		return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", syscall.ECONNRESET)}
+	}
+	return io.EOF
+}
+
+// take makes the connection ready for a request. After an answer the transport goes on to read, or closes if
+// there is more than the answer: one of the two must have happened.
+func (c *conn) take(reused bool, request outgoing) (written, read int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy++
+	for reused && !c.reading && !c.gone {
+		c.change.Wait()
+	}
+	c.begun, c.early, c.whole = false, false, nil
+	c.request, c.denied = request, permit.Granted
+	c.heard, c.pause = time.Time{}, 0
+	return c.written.Load(), c.read
+}
+
+// retire says that nothing is on the connection, and that it is to be closed. Whoever takes it from then on finds that
+// nothing may be written to it: closed without asking, it could be in the middle of a body that can't be sent again.
+func (c *conn) retire() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy > 0 {
+		return false
+	}
+	c.gone, c.retired = true, true
+	c.change.Broadcast()
+	return true
+}
+
+// idleSince says since when nothing has been on the connection, and whether something is.
+func (c *conn) idleSince() (since time.Time, busy bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idle, c.busy > 0
+}
+
+// release says that a request it was taken for is over.
+func (c *conn) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy--
+	c.idle = time.Now()
+}
+
+func (c *conn) Close() error {
+	c.mu.Lock()
+	c.gone = true
+	c.change.Broadcast()
+	c.mu.Unlock()
+	err := c.Conn.Close()
+	c.closed() // last: the next dial may take the place at once, and must find the descriptor free
+	return err
+}
--- a/internal/net/servers/quiet.go
+++ b/internal/net/servers/quiet.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/permit"
 )
 
 const (
@@ -23,9 +24,6 @@
 	quietPart = 4
 )
 
-// errNotQuiet says that no connection could be known to be quiet in time. Nothing was written.
-var errNotQuiet = errors.New("the connection brought bytes too recently to be used again in time")
-
 // quietPeriod learns how late servers send bytes that belong to no request.
 type quietPeriod struct {
 	mu   sync.Mutex
@@ -68,7 +66,7 @@
 		return // quiet, or too late in any case
 	}
 	if wait > left/quietPart {
-		c.refuse(errNotQuiet)
+		c.refuse(permit.NotQuiet)
 		return
 	}
 	timer := time.NewTimer(wait)
@@ -76,6 +74,6 @@
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
-		c.refuse(context.Cause(ctx))
+		c.refuse(permit.NodeLeaving) // or the time is over: the transport says which
 	}
 }
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -17,12 +17,13 @@
 	"go.uber.org/zap"
 
 	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
+	"github.com/thistlerudder/thistlerudder/internal/net/permit"
 )
 
 const (
-	triesMost = 3                     // connections tried: more than that don't break by chance
-	tellAnew  = 50 * time.Millisecond // a server hears what is left of a shot's time, up to so much
-	takenIn   = 5 * time.Second       // for bytes that are written to a server, or to a client, to find room there
+	triesMost = 3                    // connections tried: more than that don't break by chance
+	tellAnew  = 5 * time.Millisecond // a server hears what is left of a shot's time, up to so much
+	takenIn   = 5 * time.Second      // for bytes that are written to a server, or to a client, to find room there
 )
 
 // onceOnly is a body that the transport can't rewind, and so won't send again when a kept connection
@@ -80,10 +81,10 @@
 	written, read int64 // bytes there had been before
 }
 
-func (on *carried) got(c net.Conn, reused bool, shot *exchange.Shot) {
+func (on *carried) got(c net.Conn, reused bool, request outgoing) {
 	on.release() // the transport may have found the first one broken
 	on.conn, _ = c.(*conn)
-	on.written, on.read = on.conn.take(reused, shot.BeginBy, shot.Wanted)
+	on.written, on.read = on.conn.take(reused, request)
 }
 
 // release says that nothing of this shot is on its connection any more.
@@ -99,21 +100,25 @@
 	return on.conn.failed.Load() || on.conn.written.Load() == on.written
 }
 
-// stray says that what came back was there before the request. The request was not written then, and won't be.
-func (on *carried) stray() bool {
-	on.conn.mu.Lock()
-	defer on.conn.mu.Unlock()
-	return on.conn.early
+// deadline gives the time that the server is told to have, from now on: its connection may have come up late.
+func (on *carried) deadline(shot *exchange.Shot, until time.Time) time.Duration {
+	told, client := shot.Within, shot.ClientUntil()
+	if left := time.Until(until); told-left > tellAnew {
+		told = max(0, left)
+	}
+	if !client.IsZero() {
+		told = permit.Deadline(told, time.Until(client))
+	}
+	on.conn.tells(told, client)
+	return told
 }
 
-// dropped says that the request was not written since nobody waits for it any more.
-func (on *carried) dropped() bool {
+// withheld says why the request was not written, and won't be; Granted where it was, or where it got no connection.
+func (on *carried) withheld() permit.Reason {
 	if on.conn == nil {
-		return false
+		return permit.Granted
 	}
-	on.conn.mu.Lock()
-	defer on.conn.mu.Unlock()
-	return on.conn.dropped
+	return on.conn.withheld()
 }
 
 // answered says that bytes came back.
@@ -133,7 +138,7 @@
 // written whole tells little of the server, and the shot has not run, so another one is tried.
 func (s *Servers) send(shot *exchange.Shot) (exchange.End, exchange.Answer) {
 	sent := time.Now()
-	until := sent.Add(shot.Within)
+	until := shot.Until(sent)
 	for tried := 1; ; tried++ {
 		var on carried
 		end, answer, err := s.once(shot, until, &on)
@@ -142,7 +147,9 @@
 		}
 		late := !shot.BeginBy.IsZero() && time.Now().After(shot.BeginBy) || !time.Now().Before(until)
 		once := shot.Rest != nil && shot.Rest.Begun()
-		again := end == exchange.Unwritten || errors.Is(err, errNotQuiet)
+		denied := on.withheld()
+		shot.Denied(denied)
+		again := end == exchange.Unwritten || denied == permit.NotQuiet || denied == permit.ConnectionEnding || denied == permit.DeadlineStale
 		if again && tried < triesMost && s.context.Err() == nil && !late && !once {
 			continue
 		}
@@ -171,12 +178,12 @@
 	var r *http.Request
 	r = request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			on.got(i.Conn, i.Reused, shot)
+			on.got(i.Conn, i.Reused, outgoing{client: shot.Wanted, beginBy: shot.BeginBy})
 			if i.Reused {
 				on.conn.awaitQuiet(ctx, s.dialer.quiet.wanted(), earlier(until, shot.BeginBy))
 			}
-			if left := time.Until(until); shot.Rest == nil && shot.Within-left > tellAnew {
-				r.Header["X-Expires-In"] = []string{expiresIn(max(0, left))} // its connection came up late
+			if shot.Rest == nil {
+				r.Header["X-Expires-In"] = []string{expiresIn(on.deadline(shot, until))}
 			}
 		},
 		// From the first byte of a long body on, its time counts from its last.
@@ -205,11 +212,10 @@
 	if how == exchange.TurnedAway && on.written == 0 && resp.Close {
 		how = exchange.Crowded // a full queue turns a shot away and keeps the connection
 	}
+	denied := on.withheld()
 	switch {
-	case on.dropped():
-		return exchange.Withheld, exchange.Answer{}, errUnwanted
-	case on.stray():
-		return exchange.Unwritten, exchange.Answer{}, errStray
+	case denied != permit.Granted:
+		return endOf(denied), exchange.Answer{}, denial{denied}
 	case err != nil && ctx.Err() != nil:
 		return s.gaveUp(ctx), exchange.Answer{}, err
 	case err != nil || how != exchange.Whole:
@@ -261,13 +267,12 @@
 // is over, unless the wait for it was given up: then what was written is in doubt, and it may have run.
 func (s *Servers) broken(ctx context.Context, err error, shot *exchange.Shot, on *carried) exchange.End {
 	var dial *net.OpError // the dial's own word
+	denied := on.withheld()
 	switch {
 	case errors.Is(err, errNoRoom):
 		return exchange.NoRoom
-	case on.dropped():
-		return exchange.Withheld
-	case errors.Is(err, errNotQuiet):
-		return exchange.Overtaken
+	case denied != permit.Granted && s.context.Err() == nil:
+		return endOf(denied)
 	case on.conn == nil && s.context.Err() != nil:
 		return exchange.Withdrawn
 	case on.conn == nil && ctx.Err() != nil && !errors.As(err, &dial):
@@ -291,6 +296,18 @@
 	}
 }
 
+// endOf tells how an attempt ended that was not written. Only what its server did on the connection tells of that server.
+func endOf(denied permit.Reason) exchange.End {
+	switch denied {
+	case permit.RequestOver, permit.ClientGone:
+		return exchange.Withheld
+	case permit.UnsolicitedBytes:
+		return exchange.Unwritten
+	default:
+		return exchange.Overtaken
+	}
+}
+
 // gaveUp tells why the node stopped waiting.
 func (s *Servers) gaveUp(ctx context.Context) exchange.End {
 	switch {
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -37,6 +37,12 @@
 	return 0
 }
 
+// KeyedForAll says whether all servers of the deployment drop repeats of a keyed request of this namespace.
+func (t *Terms) KeyedForAll(namespace string) bool {
+	ns := t.Module["namespaces"].([]map[string]any)[t.Namespaces[namespace]]
+	return ns["repeat"] == "tagged" && ns["group"] == "all"
+}
+
 // Origin says whether a kind of machine is the origin's.
 func (t *Terms) Origin(kind int) bool {
 	origin, given := t.Module["origin kind"].(int)
