--- /dev/null
+++ b/internal/net/exchange/grace_test.go
@@ -0,0 +1,38 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+// A process may be held up for 0.15 s between its last look at the clock and the write. A drain's grace has to cover that too,
+// beside the time that the news of the drain takes to be read, wherever the grace is long enough to hold it.
+func TestADrainsGraceCoversAStall(t *testing.T) {
+	const (
+		stall = 150 * time.Millisecond
+		news  = 20 * time.Millisecond // for the list to be read and told
+	)
+	for _, grace := range []time.Duration{200, 220, 250, 300, 400, 500, 1000, 2000} {
+		grace *= time.Millisecond
+		d, err := terms.Of(map[string]any{"models": []any{"box", "origin"}, "domain": map[string]any{"mode": "aside", "origin-kind": 1.},
+			"invariants": map[string]any{"stop-sending-within-ms": float64(grace / time.Millisecond)},
+			"namespaces": []any{map[string]any{"name": "read", "repeat": "safe", "target-time-ms": 200., "time-limit-ms": 750.}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ships := &fleet{}
+		x := New(d, zap.NewNop())
+		x.Start(1, ships, nobody{})
+		x.List(logic.Whole, boxes)
+		take(t, x, Lookup{Namespace: "read", Key: "k"}, time.Second)
+		s := ships.take(0)
+		if within := s.BeginBy.Sub(s.sent); within <= 0 || news+within+stall > grace {
+			t.Errorf("grace %v: a first byte may be decided for up to %v, written up to %v later", grace, within, stall)
+		}
+	}
+}
