Keep a stall of 0.15 s and the news' way inside a drain's grace

Of a grace under 0.34 s less than half is left between a decision and its first byte now: the grace less 0.17 s, an eighth of it at least (0.15 s can't hold such a stall: 19 ms). Longer graces are as before.

--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -209,10 +209,19 @@
 }
 
 const (
-	gracePart  = 2 // half of the grace is left for the news of a drain to be read, and for a slow scheduler
-	memoryPart = 4 // the module orders a repeat within half of the span; a quarter is left for the way to the server
+	gracePart  = 2                      // half of a drain's grace at most passes between a decision and its first byte
+	graceLeast = 8                      // an eighth of it may, however short it is
+	stallMost  = 150 * time.Millisecond // a process may be held up for so long between its last look at the clock and the write
+	newsMost   = 20 * time.Millisecond  // for the news of a drain to be read and told
+	memoryPart = 4                      // the module orders a repeat within half of the span; a quarter is left for the way to the server
 )
 
+// beginWithin gives how long after its decision an attempt's first byte may be written, so that none comes after a drain's grace:
+// the news of the drain may be on its way when it is decided, and the process may be held up when it is written.
+func beginWithin(grace time.Duration) time.Duration {
+	return max(grace/graceLeast, min(grace/gracePart, grace-stallMost-newsMost))
+}
+
 // host is what the module acts through. Its methods run with the lock held.
 type host struct{ *Exchange }
 
@@ -230,7 +239,7 @@
 	}
 	if h.terms.Grace > 0 {
 		// A dial may take longer than a drain's grace; what was decided before the drain must not go out after it.
-		s.BeginBy = s.sent.Add(h.terms.Grace / gracePart)
+		s.BeginBy = s.sent.Add(beginWithin(h.terms.Grace))
 	}
 	if by := s.sent.Add(h.terms.Memory(t.Namespace) / memoryPart); t.shots > 0 && by.After(s.sent) && (s.BeginBy.IsZero() || by.Before(s.BeginBy)) {
 		s.BeginBy = by // a dial may also outlast the span in which the servers know the first shot
