Play dozens of nodes under overlapping troubles, and judge each request's life

Rules: answers, attempts after the end or for clients that have gone, repeats, refusals, parallel attempts, drains, deadlines, clean ends. What the judge was too late to tell is counted as not judged.

--- /dev/null
+++ b/cmd/thistlerudder/soak_on.go
@@ -0,0 +1,65 @@
+//go:build faults
+
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/thistlerudder/thistlerudder/internal/faults"
+	"github.com/thistlerudder/thistlerudder/internal/soak"
+)
+
+// trialSoak plays dozens of nodes under overlapping troubles, one run a seed.
+func trialSoak() *cobra.Command {
+	c := &cobra.Command{Use: "soak", Args: cobra.NoArgs, Short: "Play nodes under overlapping troubles; exit 0 only if every run kept the rules"}
+	seeds := c.Flags().String("seeds", "1-5", "FROM-TO")
+	nodes := c.Flags().Int("nodes", 30, "how many")
+	span := c.Flags().Duration("for", 20*time.Second, "how long each run is")
+	without := c.Flags().String("without", "", "a safeguard to take out: the runs should then fail")
+	other := c.Flags().String("program", "", "another build of the program to play; this one if empty")
+	keep := c.Flags().Bool("keep", false, "keep the nodes' logs of runs that broke a rule")
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		from, to, err := seedsOf(*seeds)
+		if err != nil {
+			return err
+		}
+		if *nodes < 2 || *nodes > 100 {
+			return fmt.Errorf("nodes: expected 2 to 100, not %d", *nodes)
+		}
+		if *without != "" && !slices.Contains(faults.SoakSafeguards, *without) {
+			return fmt.Errorf("without: expected one of %v, not %q", faults.SoakSafeguards, *without)
+		}
+		program, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		if *other != "" {
+			program = *other
+		}
+		ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		failed := 0
+		for seed := from; seed <= to; seed++ {
+			run, err := soak.Play(ctx, soak.Plan{Program: program, Nodes: *nodes, For: *span, Seed: seed, Without: *without, Keep: *keep})
+			if err != nil {
+				return fmt.Errorf("seed %d: %w", seed, err)
+			}
+			cmd.Printf("seed %d: %s", seed, run.Summary())
+			if len(run.Breaks) > 0 {
+				failed++
+			}
+		}
+		if failed > 0 {
+			return fmt.Errorf("%d runs broke a rule", failed)
+		}
+		return nil
+	}
+	return c
+}
--- a/cmd/thistlerudder/trial_on.go
+++ b/cmd/thistlerudder/trial_on.go
@@ -26,7 +26,7 @@
 // ofTheRig gives the rig's commands.
 func ofTheRig() []*cobra.Command {
 	c := &cobra.Command{Use: "trial", Short: "Play processes under faults, and judge them"}
-	c.AddCommand(trialOf(&leaseTrial), trialOf(&budgetTrial), trialMeasure(), trialScale(), hollowNodes(), directory())
+	c.AddCommand(trialOf(&leaseTrial), trialOf(&budgetTrial), trialMeasure(), trialScale(), trialSoak(), hollowNodes(), directory())
 	return []*cobra.Command{c}
 }
 
--- a/internal/faults/names.go
+++ b/internal/faults/names.go
@@ -22,6 +22,21 @@
 	BudgetSafeguards = []string{DriftMargin, FromAnswer, BurstKept, Reuse, Forget}
 )
 
+// Those of single requests.
+const (
+	QuietPeriod  = "quiet-period"    // a connection is used again at once
+	ClientLook   = "client-look"     // nobody looks whether a client has gone
+	DrainNews    = "drain-news"      // a server that drains counts as ready
+	ResetIsNoEnd = "reset-is-no-end" // a reset ends an answer of no told length
+	MayHaveRun   = "may-have-run"    // a broken connection proves that nothing ran
+	ToldDeadline = "told-deadline"   // a server is told half a second more than there is
+	AnswerOwed   = "answer-owed"     // each hundredth answer is withheld
+	OneAttempt   = "one-attempt"     // an attempt that was given up stays open
+)
+
+// SoakSafeguards are those that the soak runs show to be needed.
+var SoakSafeguards = []string{QuietPeriod, ClientLook, DrainNews, ResetIsNoEnd, MayHaveRun, ToldDeadline, AnswerOwed, OneAttempt}
+
 // The points at which a process can be stopped.
 const (
 	BeforeAct = "before-act" // between the check of a lease and the act
--- a/internal/net/clients/call.go
+++ b/internal/net/clients/call.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/thistlerudder/thistlerudder/internal/faults"
 	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
 )
 
@@ -115,10 +116,14 @@
 		plain(a.w, http.StatusBadRequest, err.Error())
 		return
 	}
+	left := a.r.Context().Done()
+	if faults.Without(faults.ClientLook) {
+		left = nil
+	}
 	select {
 	case ans := <-t.Answers():
 		a.answer(ans)
-	case <-a.r.Context().Done():
+	case <-left:
 		t.Leave()
 		select {
 		case ans := <-t.Answers(): // it came in the same moment
@@ -144,6 +149,9 @@
 		a.w.Header().Set("Connection", "close")
 	}
 	a.outcome = ans.Outcome
+	if faults.Without(faults.AnswerOwed) && time.Now().Nanosecond()/1000%100 == 0 {
+		panic(http.ErrAbortHandler)
+	}
 	if ans.Rest == nil {
 		answer(a.w, ans)
 		return
--- a/internal/net/exchange/bans.go
+++ b/internal/net/exchange/bans.go
@@ -1,6 +1,9 @@
 package exchange
 
-import "github.com/thistlerudder/thistlerudder/logic"
+import (
+	"github.com/thistlerudder/thistlerudder/internal/faults"
+	"github.com/thistlerudder/thistlerudder/logic"
+)
 
 // Ban is a server that operators took out, by its id: places are used anew, and addresses change.
 type Ban struct {
@@ -85,5 +88,8 @@
 	case p.ban.Back > 0 && since < p.ban.Out:
 		since = p.ban.Back
 	}
+	if p.state == logic.Draining && faults.Without(faults.DrainNews) {
+		p.state = logic.Ready
+	}
 	return logic.Box{Server: i, ID: p.id, Kind: p.kind, State: p.state, Since: fromUnix(since)}
 }
--- a/internal/net/exchange/ends.go
+++ b/internal/net/exchange/ends.go
@@ -1,6 +1,9 @@
 package exchange
 
-import "github.com/thistlerudder/thistlerudder/logic"
+import (
+	"github.com/thistlerudder/thistlerudder/internal/faults"
+	"github.com/thistlerudder/thistlerudder/logic"
+)
 
 // End is the way in which a shot ended, or in which its connection did.
 type End int
@@ -30,6 +33,9 @@
 
 // Code is what the module is told of it; this is the only place that says so.
 func (e End) Code() logic.Code {
+	if (e == Lost || e == CutShort) && faults.Without(faults.MayHaveRun) {
+		return logic.Unconnected
+	}
 	switch e {
 	case Whole:
 		return logic.Answered
--- a/internal/net/exchange/ticket.go
+++ b/internal/net/exchange/ticket.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/thistlerudder/thistlerudder/internal/faults"
 	"github.com/thistlerudder/thistlerudder/internal/net/permit"
 	"github.com/thistlerudder/thistlerudder/logic"
 )
@@ -146,7 +147,7 @@
 // just before; what has begun goes on. It takes no lock of the exchange, and looks at the client's connection itself, since
 // net/http sees a client's end only where no bytes lie before it and some time has passed.
 func (s *Shot) Wanted() permit.Reason {
-	if s.Gone != nil && s.Gone() {
+	if s.Gone != nil && !faults.Without(faults.ClientLook) && s.Gone() {
 		return permit.ClientGone
 	}
 	if s.ticket != nil && s.ticket.over.Load() { // last: the final answer may come while the kernel is asked
--- a/internal/net/servers/conn.go
+++ b/internal/net/servers/conn.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/thistlerudder/thistlerudder/internal/faults"
 	"github.com/thistlerudder/thistlerudder/internal/net/permit"
 )
 
@@ -203,6 +204,8 @@
 	switch {
 	case over != nil:
 		return 0, over
+	case errors.Is(err, syscall.ECONNRESET) && faults.Without(faults.ResetIsNoEnd):
+		return 0, io.EOF
 	case err != nil:
 		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
 	case n == 0 && len(b) > 0:
--- a/internal/net/servers/quiet.go
+++ b/internal/net/servers/quiet.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/thistlerudder/thistlerudder/internal/faults"
 	"github.com/thistlerudder/thistlerudder/internal/net/permit"
 )
 
@@ -61,6 +62,9 @@
 	c.mu.Lock()
 	latest := c.latest
 	c.mu.Unlock()
+	if faults.Without(faults.QuietPeriod) {
+		return
+	}
 	wait, left := span-time.Since(latest), time.Until(by)
 	if latest.IsZero() || wait <= 0 || left <= 0 {
 		return // quiet, or too late in any case
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/thistlerudder/thistlerudder/internal/faults"
 	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
 	"github.com/thistlerudder/thistlerudder/internal/net/permit"
 )
@@ -110,6 +111,9 @@
 		told = permit.Deadline(told, time.Until(client))
 	}
 	on.conn.tells(told, client)
+	if faults.Without(faults.ToldDeadline) {
+		told += time.Second / 2
+	}
 	return told
 }
 
--- a/internal/net/servers/servers.go
+++ b/internal/net/servers/servers.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/thistlerudder/thistlerudder/internal/faults"
 	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
 )
 
@@ -30,6 +31,7 @@
 	bufferSize   = 4 << 10  // bytes of each connection's two buffers
 	dialsPart    = 4        // a quarter of the descriptors may be dials, the rest can go on
 	dialsEach    = 32       // to one server: more at once wouldn't come up any sooner
+	earlyPart    = 8        // of a shot's time, where the rig wants it told to be over too early
 	keepIdlePart = 2        // half of the descriptors may lie idle, so that a dial finds one
 )
 
@@ -93,6 +95,9 @@
 			shot.Settle(end, answer)
 			shot.Over()
 		}()
+		if faults.Without(faults.OneAttempt) {
+			time.AfterFunc(shot.Within/earlyPart, func() { shot.Settle(exchange.Silent, exchange.Answer{}) })
+		}
 		if s.out.Add(1) <= int64(s.bounds.Shots) {
 			end, answer = s.send(shot)
 		}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,76 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/thistlerudder/thistlerudder/internal/faults"
+)
+
+// build makes the program with the tag faults.
+func build(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "thistlerudder")
+	c := exec.Command("go", "build", "-tags", "faults", "-o", path, "../../cmd/thistlerudder")
+	if out, err := c.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return path
+}
+
+// Dozens of nodes under overlapping troubles keep the rules. THISTLERUDDER_SOAK_SEED and THISTLERUDDER_SOAK_SECONDS play another run.
+func TestNodesKeepTheRulesUnderTroubles(t *testing.T) {
+	if os.Getenv("THISTLERUDDER_TRIAL") == "" {
+		t.Skip("THISTLERUDDER_TRIAL is not set: dozens of processes, as .ci/run plays them by themselves")
+	}
+	seed, span := uint64(1), 12*time.Second
+	if n, err := strconv.ParseUint(os.Getenv("THISTLERUDDER_SOAK_SEED"), 10, 64); err == nil {
+		seed = n
+	}
+	if n, err := strconv.Atoi(os.Getenv("THISTLERUDDER_SOAK_SECONDS")); err == nil {
+		span = time.Duration(n) * time.Second
+	}
+	run, err := Play(context.Background(), Plan{Program: build(t), For: span, Seed: seed, Keep: os.Getenv("THISTLERUDDER_SOAK_KEEP") != "",
+		Without: os.Getenv("THISTLERUDDER_SOAK_WITHOUT")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(run.Summary())
+	if len(run.Breaks) > 0 {
+		t.Errorf("%d breaks of the rules; the run again: seed %d", len(run.Breaks), seed)
+	}
+	if counts := run.Outcomes; counts["served"] < run.Requests/2 {
+		t.Errorf("only %d of %d requests were served", counts["served"], run.Requests)
+	}
+	if judged := run.Requests - run.Void; judged < run.Requests/2 || judged < 1000 {
+		t.Errorf("only %d of %d requests could be judged", judged, run.Requests)
+	}
+}
+
+// The judge says so where a safeguard is taken out of the nodes: one that never spoke would prove nothing.
+func TestTheJudgeMissesEachSafeguard(t *testing.T) {
+	if os.Getenv("THISTLERUDDER_TRIAL") == "" {
+		t.Skip("THISTLERUDDER_TRIAL is not set: dozens of processes, as .ci/run plays them by themselves")
+	}
+	const span, seed = 10 * time.Second, 2
+	program := build(t)
+	for safeguard, rule := range map[string]string{faults.QuietPeriod: "answer", faults.DrainNews: "drain", faults.ResetIsNoEnd: "answer",
+		faults.MayHaveRun: "duplicate", faults.ToldDeadline: "deadline", faults.AnswerOwed: "lost", faults.OneAttempt: "parallel",
+		faults.ClientLook: "lost"} {
+		t.Run(safeguard, func(t *testing.T) {
+			run, err := Play(context.Background(), Plan{Program: program, For: span, Seed: seed, Without: safeguard})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !slices.ContainsFunc(run.Breaks, func(b Break) bool { return b.Rule == rule }) {
+				t.Errorf("no break of %q was seen:\n%s", rule, run.Summary())
+			}
+		})
+	}
+}
