--- a/internal/net/boxlist/crowd_test.go
+++ b/internal/net/boxlist/crowd_test.go
@@ -138,7 +138,7 @@
 	served, turned float64       // calls a second
 }
 
-func playCrowd(t *testing.T, all time.Duration, seed uint64) (d crowded) {
+func playCrowd(t *testing.T, all time.Duration, seed uint64, knows bool) (d crowded) {
 	const nodes, lasts, told = 32, 26 * time.Second, 6 * time.Second
 	terms, err := terms.Of(map[string]any{"registry-mode": "ask", "invariants": map[string]any{"ask-within-ms": 20000.},
 		"namespaces": []any{map[string]any{"name": "read", "repeat": "safe", "target-time-ms": 1., "time-limit-ms": 2.}}})
@@ -160,6 +160,11 @@
 			f := New(x, "127.0.0.1:1", 10*time.Second, zap.NewNop())
 			f.transport.RegisterProtocol("http", c)
 			x.Start(seed*1000+uint64(n), nil, f)
+			if knows {
+				if err := f.Known([]byte(fmt.Sprintf(`{"version":1,"full":true,"servers":[%s]}`, box))); err != nil {
+					t.Error(err)
+				}
+			}
 			wg.Go(func() { f.Run(ctx) })
 		}
 		time.Sleep(lasts)
@@ -205,7 +210,7 @@
 	}{{2, 0, 2.5, 0.3}, {4, 0, 5.7, 2}, {5, 4, 8.2, 3}, {6, 20, 10.5, 4}, {8, 54, 15, 6}} {
 		var sum crowded
 		for seed := range days {
-			d := playCrowd(t, time.Duration(c.all*float64(time.Second)), seed)
+			d := playCrowd(t, time.Duration(c.all*float64(time.Second)), seed, false)
 			sum.late += d.late
 			sum.oldest, sum.listed, sum.steady = max(sum.oldest, d.oldest), max(sum.listed, d.listed), max(sum.steady, d.steady)
 			sum.served, sum.turned = sum.served+d.served/float64(days), sum.turned+d.turned/float64(days)
@@ -220,6 +225,32 @@
 	}
 }
 
+// Nodes that are started with the list as it was last had go on from its version, so that each takes one place in the line of a
+// crowded service and not one for the list and the next for the watch.
+func TestACrowdThatKnowsTheListTakesOnePlaceEach(t *testing.T) {
+	t.Parallel()
+	days := uint64(8)
+	if testing.Short() {
+		days = 3
+	}
+	for _, c := range []struct {
+		all, late, oldest float64 // seconds for one call from each; changes known late a day; seconds
+	}{{4, 0, 6}, {6, 2, 8}, {8, 16, 11}} {
+		var sum crowded
+		for seed := range days {
+			d := playCrowd(t, time.Duration(c.all*float64(time.Second)), seed, true)
+			sum.late += d.late
+			sum.oldest, sum.steady = max(sum.oldest, d.oldest), max(sum.steady, d.steady)
+		}
+		late := float64(sum.late) / float64(days)
+		t.Logf("%v s for one call from each: %.1f changes late a day, the oldest %.1f s; all watching after %.1f s", c.all, late, sum.oldest.Seconds(),
+			sum.steady.Seconds())
+		if late > c.late || sum.oldest.Seconds() > c.oldest {
+			t.Errorf("%v s for one call from each: %.1f late, the oldest %.1f s; want %v and %v at most", c.all, late, sum.oldest.Seconds(), c.late, c.oldest)
+		}
+	}
+}
+
 // script answers a node's calls.
 type script func(query string) (code int, body string, after time.Duration)
 
