Go on from the version of the known list, and from any list while calls are only turned away

Cause: the first call of a node was for the whole list and the watch then took a second place in the line of a crowded discovery; a list older than 6 s was asked for whole too, though the service had turned calls away all along (source.query in boxlist/watch.go). Ruled out: the module's order of calls (each 0.9 to 1.8 s), the puts-off beside a call in line. Now a node asks for what changed since the version that it was started with, and a service that turns calls away, each within 6 s, keeps the version valid. TestAnOldListIsNotResumed held the bound of 6 s since the list, which was the fault; TestOnlyCallsThatWereTurnedAwayAreResumed takes its place: it holds what is resumed and what is not for three kinds of trouble, with and without a known list, and was red with resuming after another failure. What is left: a service that counts anew to past the known version before a start; the check corrects that 20 to 40 s later.

--- a/internal/net/boxlist/watch.go
+++ b/internal/net/boxlist/watch.go
@@ -51,7 +51,7 @@
 	connsMost  = 9                       // connections to one address: connects of 1 s, one in 0.15 s, a move's and a watch's
 	lineIn     = 2100 * time.Millisecond // what stands in a service's line is answered or turned away by then
 	crowdIn    = 4 * time.Second         // since a call was turned away: two waits between calls
-	resumeIn   = 6 * time.Second         // since it was heard: by then a list must have come anyway, and a service that counts anew is hardly past it
+	resumeIn   = 6 * time.Second         // since it was heard, were it to turn a call away: a service that counts anew is silent meanwhile, or refuses
 	checkIn    = 40 * time.Second        // and yet, should it be: the whole list once, half as long to as long after, when the crowd is gone
 	holdLeast  = 1 * time.Millisecond    // a resumed watch's first: an answer at once, also where nothing changed
 	idleFor    = 30 * time.Second
@@ -86,7 +86,7 @@
 	nth     int // one more with each move: what an earlier source says no longer counts
 	version int64
 	had     bool      // a watch goes on from that version
-	heard   time.Time // when it last answered
+	heard   time.Time // when it last answered, were it to turn a call away
 	crowded time.Time // when it last turned a call away
 	resumes bool      // it has only turned calls away since it was heard, so that what changed counts from that version on
 }
@@ -102,8 +102,11 @@
 
 // fails notes how a call ended.
 func (s *source) fails(err error) {
-	if s.resumes = s.resumes && errors.Is(err, errTooMany); errors.Is(err, errTooMany) {
+	crowded := errors.Is(err, errTooMany)
+	s.resumes = s.resumes && crowded
+	if crowded {
 		s.crowded = time.Now()
+		s.heard = s.crowded
 	}
 }
 
@@ -129,15 +132,21 @@
 	}
 }
 
-// Known tells the module the list as it was last had.
+// Known tells the module the list as it was last had, and goes on from its version: in a crowd that takes one place in the service's
+// line, where the whole list and then a watch take two. check guards against a service that counts anew since.
 func (f *Follower) Known(body []byte) error {
 	if len(body) == 0 {
 		return nil
 	}
-	_, _, boxes, err := parse(body)
+	version, full, boxes, err := parse(body)
 	if err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
+	if full {
+		f.mu.Lock()
+		f.from.version, f.from.resumes, f.from.heard = version, true, time.Now()
+		f.mu.Unlock()
+	}
 	f.exchange.List(logic.Persisted, boxes)
 	return nil
 }
@@ -168,7 +177,7 @@
 		f.mu.Lock()
 		stale := at.nth != f.from.nth
 		if !stale {
-			f.from.crowded, f.from.resumes = at.crowded, at.resumes
+			f.from.crowded, f.from.resumes, f.from.heard = at.crowded, at.resumes, at.heard
 		}
 		if f.mu.Unlock(); !stale && ctx.Err() == nil {
 			f.log.Warn("box list lost, the old one stands", zap.Error(err))
