--- a/internal/net/clients/call.go
+++ b/internal/net/clients/call.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		a.w.Header().Set("Connection", "close") // what follows is not to be read as another lookup,
 		_ = a.control.SetReadDeadline(past)     // nor waited for: net/http would do so to the end of the body
-		plain(a.w, status, err.Error())
+		a.turnAway(status, err)
 		return
 	}
 	if in.Rest != nil {
@@ -97,23 +97,24 @@
 		a.w.Header().Set("Connection", "close") // what is left of the body may be in the way
 	}
 	if full {
+		a.log.Debug("request refused for want of room", zap.String("trace", a.trace()))
 		a.outcome = exchange.Deferred
 		answer(a.w, exchange.Answer{Outcome: exchange.Deferred, RetryAfter: min(beyondAdvice, a.bounds.Advice)})
 		return
 	}
 	within, err := decode(a.r, &in)
 	if err != nil {
-		plain(a.w, http.StatusBadRequest, err.Error())
+		a.turnAway(http.StatusBadRequest, err)
 		return
 	}
 	in.Gone = a.conn.gone
 	t, err := a.exchange.Take(in, read, within)
 	if errors.Is(err, exchange.ErrOut) {
-		plain(a.w, http.StatusConflict, err.Error())
+		a.turnAway(http.StatusConflict, err)
 		return
 	}
 	if err != nil {
-		plain(a.w, http.StatusBadRequest, err.Error())
+		a.turnAway(http.StatusBadRequest, err)
 		return
 	}
 	left := a.r.Context().Done()
@@ -124,6 +125,7 @@
 	case ans := <-t.Answers():
 		a.answer(ans)
 	case <-left:
+		a.log.Debug("a client left", zap.String("trace", a.trace()))
 		t.Leave()
 		select {
 		case ans := <-t.Answers(): // it came in the same moment
@@ -142,6 +144,14 @@
 	}
 }
 
+func (a *call) trace() string { return a.r.Header.Get("X-Trace-Id") }
+
+// turnAway answers a request that can't be taken.
+func (a *call) turnAway(status int, why error) {
+	a.log.Debug("request turned away", zap.String("trace", a.trace()), zap.Int("status", status), zap.Error(why))
+	plain(a.w, status, why.Error())
+}
+
 // answer writes the final answer.
 func (a *call) answer(ans exchange.Answer) {
 	a.answered = true
@@ -157,7 +167,7 @@
 		return
 	}
 	if err := a.pass(ans); err != nil {
-		a.log.Info("a long answer is not passed on whole", zap.Error(err), zap.String("trace", a.r.Header.Get("X-Trace-Id")))
+		a.log.Info("a long answer is not passed on whole", zap.Error(err), zap.String("trace", a.trace()))
 		a.outcome, a.broken = exchange.Abandoned, true
 	}
 }
