--- a/internal/net/bans/bans.go
+++ b/internal/net/bans/bans.go
@@ -26,6 +26,9 @@
 	fileMost  = 1 << 20 // bytes; more than the most entries take
 )
 
+// readFile is os.ReadFile; tests let it fail.
+var readFile = os.ReadFile
+
 // Entry is one server that was taken out.
 type Entry struct {
 	ID   string `json:"id"`
@@ -173,7 +176,7 @@
 	}
 	if err == nil {
 		var text []byte
-		if text, err = os.ReadFile(b.path); err == nil {
+		if text, err = readFile(b.path); err == nil {
 			err = json.Unmarshal(text, &entries)
 		}
 	}
--- a/internal/net/clients/listener.go
+++ b/internal/net/clients/listener.go
@@ -108,11 +108,14 @@
 	return err == nil && shows(raw, unix.POLLIN)
 }
 
+// pollCall is poll(2); tests let it fail.
+var pollCall = unix.Poll
+
 // shows says whether one of these events is there at a descriptor now.
 func shows(raw syscall.RawConn, events int16) (there bool) {
 	_ = raw.Control(func(fd uintptr) {
 		look := []unix.PollFd{{Fd: int32(fd), Events: events}}
-		n, err := unix.Poll(look, 0)
+		n, err := pollCall(look, 0)
 		there = err == nil && n > 0 && look[0].Revents&events != 0
 	})
 	return there
--- /dev/null
+++ b/internal/net/clients/poll_test.go
@@ -0,0 +1,62 @@
+package clients
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// failPoll lets the next calls of poll fail.
+func failPoll(t *testing.T, err error, times int) {
+	pollCall = func(fds []unix.PollFd, timeout int) (int, error) {
+		if times--; times >= 0 {
+			return 0, err
+		}
+		return unix.Poll(fds, timeout)
+	}
+	t.Cleanup(func() { pollCall = unix.Poll })
+}
+
+// A poll that was interrupted tells nothing, and is made again; one that fails for good holds nobody to have gone, and no queue to be empty.
+func TestAPollThatFailsTellsNothing(t *testing.T) {
+	t.Run("interrupted", func(t *testing.T) {
+		b, p, far := pair(t)
+		far.Close()
+		waitFor(t, p.gone)
+		failPoll(t, syscall.EINTR, 3)
+		if !p.gone() {
+			t.Error("a client that has gone was held to be there")
+		}
+		b.came.Store(0)
+		b.taken.Store(0)
+		dial(t, b.Addr().String())
+		waitFor(t, b.queued)
+		failPoll(t, syscall.EINTR, 3)
+		if !b.queued() {
+			t.Error("a socket with a connection in its queue was held to be empty")
+		}
+	})
+	t.Run("out of memory", func(t *testing.T) {
+		b, p, _ := pair(t)
+		b.came.Store(0)
+		failPoll(t, syscall.ENOMEM, 1<<30)
+		if p.gone() {
+			t.Error("a client that is there was held to have gone")
+		}
+		if !b.queued() {
+			t.Error("a queue that nobody could look at was held to be empty")
+		}
+	})
+}
+
+// waitFor waits until something holds.
+func waitFor(t *testing.T, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it never holds")
+		}
+	}
+}
