Read the bans again where reading them failed, so that none is lost to one error

Book.read noted the file's stamp as seen before it had been read; after EMFILE, ENFILE, EIO or EINTR the next look took the file for known, so that a server which an operator had taken out through the node's other process stayed in use here until the next change. Only contents that were read count as seen.

--- a/internal/net/bans/bans.go
+++ b/internal/net/bans/bans.go
@@ -23,7 +23,9 @@
 	recallFor = 5 * time.Minute        // how long a return is kept: beyond any warm-up
 	lockIn    = 500 * time.Millisecond // for the other process to let go of the lock: a call is owed an answer in 1 s
 	lockEvery = 5 * time.Millisecond
-	fileMost  = 1 << 20 // bytes; more than the most entries take
+	// complainEvery is how often a failure to read the file is logged.
+	complainEvery = 5 * time.Second
+	fileMost      = 1 << 20 // bytes; more than the most entries take
 )
 
 // readFile is os.ReadFile; tests let it fail.
@@ -44,7 +46,9 @@
 
 	mu      sync.Mutex
 	entries []Entry
-	seen    stamp // the file as last read, or as last found unreadable
+	seen    stamp // the file as last read, or as last found to be no list of bans
+	// complained is when a failure to read it was last logged.
+	complained time.Time
 }
 
 // stamp tells one state of the file from the next: each is a file of its own.
@@ -168,21 +172,17 @@
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, false
 	}
-	known := b.seen == s
-	b.seen = s
-	var entries []Entry
-	if err == nil && s.size > fileMost {
-		err = errors.New("the file is over its bound")
-	}
-	if err == nil {
-		var text []byte
-		if text, err = readFile(b.path); err == nil {
-			err = json.Unmarshal(text, &entries)
-		}
+	var text []byte
+	if err == nil && s.size <= fileMost {
+		text, err = readFile(b.path)
 	}
-	if err == nil && len(entries) > most {
-		err = errors.New("the list is over its bound")
+	if err != nil {
+		b.complain(err) // the file may be in order, so it is read again at the next look
+		return nil, false
 	}
+	known := b.seen == s
+	b.seen = s
+	entries, err := parse(text, s.size)
 	if err != nil {
 		if !known {
 			b.log.Error("the bans can't be read, those known stand", zap.Error(err))
@@ -192,6 +192,28 @@
 	return entries, true
 }
 
+// parse gives the entries of a file's text.
+func parse(text []byte, size int64) (entries []Entry, err error) {
+	if size > fileMost {
+		return nil, errors.New("the file is over its bound")
+	}
+	if err := json.Unmarshal(text, &entries); err != nil {
+		return nil, err
+	}
+	if len(entries) > most {
+		return nil, errors.New("the list is over its bound")
+	}
+	return entries, nil
+}
+
+// complain logs that the file could not be read, now and then.
+func (b *Book) complain(err error) {
+	if now := time.Now(); now.Sub(b.complained) >= complainEvery {
+		b.complained = now
+		b.log.Error("the bans can't be read just now, those known stand", zap.Error(err))
+	}
+}
+
 // write puts a whole new file in the place of the old one: killed at any moment, it leaves one of the two.
 func (b *Book) write(entries []Entry) error {
 	if b.path == "" {
