Make an interrupted poll or peek again, and hold no queue empty that can't be looked at

shows in clients/listener.go took EINTR for nothing there: a client that has gone was written for, a socket with connections in its queue was closed. It says now whether it could find out. The peeks at a server connection (conn.waiting) and behind a request (lookBehind) are made again too.

--- a/internal/net/clients/ahead.go
+++ b/internal/net/clients/ahead.go
@@ -91,6 +91,9 @@
 			defer p.ahead.mu.Unlock()
 			if !did {
 				n, _, err := syscall.Recvfrom(int(fd), (*buffer)[:aheadFrom], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+				for errors.Is(err, syscall.EINTR) {
+					n, _, err = syscall.Recvfrom(int(fd), (*buffer)[:aheadFrom], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+				}
 				did = err == nil && n == aheadFrom
 			}
 			for did && len(p.ahead.left) < aheadMost {
--- a/internal/net/clients/closing_test.go
+++ b/internal/net/clients/closing_test.go
@@ -169,7 +169,7 @@
 			}
 		}
 		fmt.Fprint(far, "GET ")
-		for !shows(own.raw, unix.POLLIN) {
+		for !readable(own) {
 			time.Sleep(time.Millisecond)
 		}
 		own.woken.Store(woken)
@@ -300,3 +300,9 @@
 		t.Errorf("%d %q", r.StatusCode, body)
 	}
 }
+
+// readable says whether something lies unread at a connection.
+func readable(p *placed) bool {
+	there, _ := shows(p.raw, unix.POLLIN)
+	return there
+}
--- a/internal/net/clients/listener.go
+++ b/internal/net/clients/listener.go
@@ -105,20 +105,29 @@
 		return false
 	}
 	raw, err := socket.SyscallConn()
-	return err == nil && shows(raw, unix.POLLIN)
+	if err != nil {
+		return false // closed
+	}
+	there, known := shows(raw, unix.POLLIN)
+	return there || !known
 }
 
 // pollCall is poll(2); tests let it fail.
 var pollCall = unix.Poll
 
-// shows says whether one of these events is there at a descriptor now.
-func shows(raw syscall.RawConn, events int16) (there bool) {
+// shows says whether one of these events is there at a descriptor now, and whether that could be found out. Of one that is closed
+// nothing is there.
+func shows(raw syscall.RawConn, events int16) (there, known bool) {
+	known = true
 	_ = raw.Control(func(fd uintptr) {
 		look := []unix.PollFd{{Fd: int32(fd), Events: events}}
 		n, err := pollCall(look, 0)
-		there = err == nil && n > 0 && look[0].Revents&events != 0
+		for errors.Is(err, unix.EINTR) || errors.Is(err, unix.EAGAIN) {
+			n, err = pollCall(look, 0)
+		}
+		there, known = err == nil && n > 0 && look[0].Revents&events != 0, err == nil
 	})
-	return there
+	return there, known
 }
 
 // crowded says that connections have waited for a place of late: several may be given back before the next one is taken.
@@ -224,7 +233,11 @@
 // which net/http sees no end. It can't tell who has closed from who has only ended its sending; both have left.
 func (p *placed) gone() bool {
 	const end = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
-	return shows(p.raw, end) || p.lookBehind() && shows(p.raw, end)
+	there, _ := shows(p.raw, end) // who can't be looked at is held to be there; net/http's own look remains
+	if !there && p.lookBehind() {
+		there, _ = shows(p.raw, end)
+	}
+	return there
 }
 
 // Close ends the connection so that the client can read all that was written: closed over bytes that nobody has read, or
--- a/internal/net/servers/conn.go
+++ b/internal/net/servers/conn.go
@@ -168,14 +168,14 @@
 	there := false
 	_ = c.raw.Control(func(fd uintptr) { // not Read, which would wait for the transport's own
 		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		there = err == nil || !passing(err)
+		for errors.Is(err, syscall.EINTR) {
+			_, _, err = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		}
+		there = !errors.Is(err, syscall.EAGAIN) // an end, a reset, or an error that makes it no use
 	})
 	return there
 }
 
-// passing says that a call on a descriptor may go otherwise if it is made again.
-func passing(err error) bool { return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) }
-
 // Read takes bytes and notes them in one step. With a step between the two, a request could be written when stray
 // bytes have left the socket and are not noted yet.
 func (c *conn) Read(b []byte) (n int, err error) {
