Tell trouble of this machine in making a connection from trouble of the server

The errors that connect(2) and socket(2) document for this machine end as NoRoom now, which says nothing of the server. Left with the server: ECONNREFUSED, EHOSTUNREACH, EHOSTDOWN, ETIMEDOUT, ECONNRESET.

--- /dev/null
+++ b/internal/net/servers/local.go
@@ -0,0 +1,27 @@
+package servers
+
+import (
+	"errors"
+	"syscall"
+)
+
+// localErrors are the errors of making a connection that come from this machine, as socket(2) and connect(2) document them. They tell
+// nothing of the server. What its machine, or a router on the way to it, answered is not among them: ECONNREFUSED, ECONNRESET,
+// EHOSTUNREACH, EHOSTDOWN, ETIMEDOUT.
+var localErrors = []syscall.Errno{
+	syscall.EACCES, syscall.EPERM, // a local firewall or policy
+	syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EAGAIN, // no local port is free, or the routing cache is full
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+	syscall.ENETDOWN, syscall.ENETUNREACH, // no interface or route from here
+	syscall.EAFNOSUPPORT, syscall.EPROTONOSUPPORT, syscall.EINVAL, syscall.EINTR,
+}
+
+// local says that a connection could not be made for a reason of this machine.
+func local(err error) bool {
+	for _, one := range localErrors {
+		if errors.Is(err, one) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -273,7 +273,7 @@
 	var dial *net.OpError // the dial's own word
 	denied := on.withheld()
 	switch {
-	case errors.Is(err, errNoRoom):
+	case errors.Is(err, errNoRoom), on.conn == nil && local(err):
 		return exchange.NoRoom
 	case denied != permit.Granted && s.context.Err() == nil:
 		return endOf(denied)
