Show by failing tests which spans the wall clock decides

listener.go, room.go and long.go measure spans through time.Unix, which loses the monotonic reading: after a step back of an hour 'queued' and 'crowded' hold for an hour, after one forward a client in the middle of its request counts as quiet for an hour. Package clock will be the one place that reads the wall clock; both tests are listed until the mend.

--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,83 @@
+package clock
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestMoments(t *testing.T) {
+	if never := Moment(0); never.Since() < time.Hour || !never.Time().Before(time.Now().Add(-time.Hour)) {
+		t.Error("what never was is not long ago")
+	}
+	before := time.Now()
+	m := Now()
+	after := time.Now()
+	if at := m.Time(); at.Before(before) || at.After(after) {
+		t.Errorf("%v is not between %v and %v", at, before, after)
+	}
+	if m.Since() < 0 || m.Since() > time.Second {
+		t.Errorf("%v ago", m.Since())
+	}
+	if strings.Contains(Wall().String(), "m=") {
+		t.Error("the wall clock's time has a monotonic reading")
+	}
+}
+
+// wallCalls are the ways by which a time loses its monotonic reading, or is read as the wall clock's.
+var wallCalls = []string{"Unix", "UnixNano", "UnixMilli", "UnixMicro", "Truncate"}
+
+// wallFiles may use them, each for what it says.
+var wallFiles = map[string]string{
+	"internal/clock/clock.go":        "the one place that reads the wall clock",
+	"internal/net/exchange/clock.go": "start times on the list are Unix times",
+	"internal/net/bans/bans.go":      "bans are kept beside start times on the list, as Unix times",
+	"internal/net/fellows/client.go": "tells processes apart, by no order",
+	"internal/net/fellows/tasks.go":  "periods of the roll-up are the wall clock's",
+}
+
+// The wall clock may be stepped, so that no span is measured by it: only the files above may take a time apart.
+func TestTheWallClockMeasuresNoSpan(t *testing.T) {
+	const root = "../.."
+	for _, folder := range []string{"internal/net", "internal/clock", "internal/terms", "logic", "lease", "budget", "changes", "cmd"} {
+		err := filepath.WalkDir(filepath.Join(root, folder), func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			name, err := filepath.Rel(root, path)
+			if err != nil {
+				return err
+			}
+			if wallFiles[filepath.ToSlash(name)] != "" {
+				return nil
+			}
+			files := token.NewFileSet()
+			file, err := parser.ParseFile(files, path, nil, 0)
+			if err != nil {
+				return err
+			}
+			ast.Inspect(file, func(n ast.Node) bool {
+				if s, is := n.(*ast.SelectorExpr); is && slices.Contains(wallCalls, s.Sel.Name) && !isOs(s) {
+					t.Errorf("%s: %s: a span that goes by the wall clock", files.Position(s.Pos()), s.Sel.Name)
+				}
+				return true
+			})
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// isOs says that a selector is of package os, which cuts files by the same word.
+func isOs(s *ast.SelectorExpr) bool {
+	of, is := s.X.(*ast.Ident)
+	return is && of.Name == "os"
+}
--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	wall "github.com/thistlerudder/thistlerudder/internal/clock"
 	"github.com/thistlerudder/thistlerudder/internal/net/figures"
 	"github.com/thistlerudder/thistlerudder/internal/terms"
 	"github.com/thistlerudder/thistlerudder/logic"
@@ -41,6 +42,7 @@
 	log     *zap.Logger
 	terms   *terms.Terms
 	clock   clock
+	wall    func() time.Time // reads the wall clock
 	carrier Carrier
 	lister  Lister
 
@@ -67,7 +69,7 @@
 
 // New makes the owner; nothing happens before Start.
 func New(t *terms.Terms, log *zap.Logger) *Exchange {
-	x := &Exchange{log: log, terms: t, clock: clock{time.Now()}, places: map[string]int{},
+	x := &Exchange{log: log, terms: t, clock: clock{time.Now()}, wall: wall.Wall, places: map[string]int{},
 		cuts: map[logic.Bound]time.Time{}, out: map[string]*Ticket{}, figures: figures.New(slices.Collect(maps.Keys(t.Namespaces)))}
 	x.timer = time.AfterFunc(time.Hour, x.ring)
 	x.timer.Stop()
--- /dev/null
+++ b/internal/net/exchange/wall_test.go
@@ -0,0 +1,45 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+// Start times on the list are Unix times of clocks that agree. Where ours was stepped after the start of the process, a cache that starts
+// is as cold as without that; a start in the future, or an old one under a name that is known, counts from when it was heard of.
+func TestAStartIsColdWhateverTheClockDid(t *testing.T) {
+	const close = 2 * time.Second
+	for _, step := range []time.Duration{0, 3 * time.Second, -3 * time.Second, time.Hour, -time.Hour} {
+		x := start(t, &fleet{})
+		x.wall = func() time.Time { return time.Now().Round(0).Add(step) }
+		since := func() time.Duration { return spanOf(x.clock.now() - x.shown(x.places["a"]).Since) }
+		started := boxes[0]
+		started.StartedMs = float64(x.wall().UnixMilli()) - 500
+		x.List(logic.Changes, []Box{started})
+		if age := since(); age < 400*time.Millisecond || age > 500*time.Millisecond+close {
+			t.Errorf("stepped by %v: a cache that started 0.5 s ago counts as %v old", step, age)
+		}
+		at := x.shown(x.places["a"]).Since
+		x.wall = func() time.Time { return time.Now().Round(0) } // stepped back
+		x.List(logic.Whole, []Box{started, boxes[1], boxes[2], boxes[3]})
+		if again := x.shown(x.places["a"]).Since; again != at {
+			t.Errorf("stepped by %v: one start is two, at %v and %v", step, at, again)
+		}
+	}
+	x := start(t, &fleet{})
+	future := boxes[0]
+	future.StartedMs = float64(time.Now().Add(time.Hour).UnixMilli())
+	x.List(logic.Changes, []Box{future})
+	if age := spanOf(x.clock.now() - x.shown(x.places["a"]).Since); age < -close || age > close {
+		t.Errorf("a start an hour ahead counts as %v ago", age)
+	}
+	x.List(logic.Changes, []Box{boxes[1]}) // the list is live
+	past := boxes[0]
+	past.StartedMs = float64(time.Now().Add(-time.Hour).UnixMilli())
+	x.List(logic.Changes, []Box{past})
+	if age := spanOf(x.clock.now() - x.shown(x.places["a"]).Since); age > close {
+		t.Errorf("a cache that has started since the list was last told counts as %v old", age)
+	}
+}
