Measure spans by the monotonic clock alone, and a cache's age by the clock as it is now

Spans of clients' connections (clients/listener.go, room.go) and of long answers (servers/long.go) are clock.Moments, readings of the monotonic clock that fit an atomic integer. A start time on the list is set beside the wall clock as it is when it is heard of, once; one in the future counts from then, and one that a live list would have told of over 30 s ago counts from that list. Steps under a second are left to the clock's own corrections. Sound as they were: claims of leases are told apart by their start and not ordered by it; left: after a step back the roll-up writes no period again, so none until the clock has come by.

--- a/internal/net/clients/listener.go
+++ b/internal/net/clients/listener.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
+	"github.com/thistlerudder/thistlerudder/internal/clock"
 	"github.com/thistlerudder/thistlerudder/internal/net/acceptor"
 )
 
@@ -25,8 +26,8 @@
 	most   atomic.Int64
 	taken  atomic.Int64 // places; only Accept takes one
 	ahead  atomic.Int64 // bytes read ahead of all connections
-	came   atomic.Int64 // when the latest connection did, Unix time in nanoseconds
-	short  atomic.Int64 // when one last may have waited for a place, likewise
+	came   atomic.Int64 // clock.Moment at which the latest connection did
+	short  atomic.Int64 // clock.Moment at which one last may have waited for a place
 	closed chan struct{}
 	close  func() error
 	full   func(waited time.Duration) // called now and then while a connection may wait for a place
@@ -66,7 +67,7 @@
 func (b *bounded) Accept() (net.Conn, error) {
 	began, told := time.Now(), time.Time{}
 	for b.taken.Load() >= b.most.Load() {
-		b.short.Store(time.Now().UnixNano())
+		b.short.Store(int64(clock.Now()))
 		if time.Since(told) >= fullEvery {
 			told = time.Now()
 			b.hurry(told)
@@ -85,7 +86,7 @@
 		leave()
 		return nil, err
 	}
-	b.came.Store(time.Now().UnixNano())
+	b.came.Store(int64(clock.Now()))
 	if tcp, ok := c.(*net.TCPConn); ok {
 		raw, _ := tcp.SyscallConn() // fails for a nil connection only
 		return &placed{TCPConn: tcp, raw: raw, at: b, leave: leave, accepted: time.Now(), ahead: ahead{of: &b.ahead}}, nil
@@ -97,7 +98,7 @@
 // queued says that connections may wait in the kernel's queue still: one has just come, there is no place for one, or the kernel
 // says so. A process that stood still for long may be about to accept one that has waited all the while.
 func (b *bounded) queued() bool {
-	if b.taken.Load() >= b.most.Load() || time.Since(time.Unix(0, b.came.Load())) < queuedFor {
+	if b.taken.Load() >= b.most.Load() || clock.Moment(b.came.Load()).Since() < queuedFor {
 		return true
 	}
 	socket, ok := b.Listener.(syscall.Conn)
@@ -131,7 +132,7 @@
 }
 
 // crowded says that connections have waited for a place of late: several may be given back before the next one is taken.
-func (b *bounded) crowded() bool { return time.Since(time.Unix(0, b.short.Load())) < crowdedFor }
+func (b *bounded) crowded() bool { return clock.Moment(b.short.Load()).Since() < crowdedFor }
 
 // linger notes that a connection waits for its client's end; it has its place until then.
 func (b *bounded) linger(p *placed) *list.Element {
@@ -172,7 +173,7 @@
 	at       *bounded
 	leave    func()
 	accepted time.Time
-	// Unix times in nanoseconds: of the latest bytes, of the first ones since the connection's state changed, and of that.
+	// Each a clock.Moment: of the latest bytes, of the first ones since the connection's state changed, and of that.
 	heard, began, turn atomic.Int64
 	framing            framing
 	woken              atomic.Bool // told to make way; bytes that crossed this keep it
@@ -204,7 +205,7 @@
 		return 0, p.refuse()
 	}
 	if n > 0 {
-		now := time.Now().UnixNano()
+		now := int64(clock.Now())
 		if p.heard.Swap(now) <= p.turn.Load() {
 			p.began.Store(now)
 		}
--- a/internal/net/clients/room.go
+++ b/internal/net/clients/room.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/thistlerudder/thistlerudder/internal/clock"
 )
 
 const (
@@ -27,7 +29,7 @@
 )
 
 // past is a deadline that wakes whoever waits for a read.
-var past = time.Unix(1, 0)
+var past = time.Now().Add(-time.Hour)
 
 // room counts the clients' connections and knows which carry no lookup. Clients keep connections that they
 // don't use, and some never send anything; when such have taken all places, the longest quiet one makes way
@@ -64,7 +66,7 @@
 		delete(r.places, c)
 	}
 	if own, ours := c.(*placed); ours {
-		own.turn.Store(time.Now().UnixNano())
+		own.turn.Store(int64(clock.Now()))
 	}
 	switch s {
 	case http.StateNew:
@@ -124,9 +126,9 @@
 	begun := p.begun // its next lookup, which the server does not tell before its headers are read
 	pause := max(hurried, stalled-waitFactor*waited)
 	if c, ours := p.conn.(*placed); ours {
-		if heard := time.Unix(0, c.heard.Load()); heard.After(p.since) {
+		if heard := clock.Moment(c.heard.Load()).Time(); heard.After(p.since) {
 			begun, since = true, now.Sub(heard)
-			if heard.Sub(time.Unix(0, c.began.Load())) >= advancing {
+			if heard.Sub(clock.Moment(c.began.Load()).Time()) >= advancing {
 				pause = stalled
 			}
 		}
--- a/internal/net/exchange/bans.go
+++ b/internal/net/exchange/bans.go
@@ -58,7 +58,7 @@
 				continue
 			}
 			p := &x.boxes[i]
-			p.ban = b
+			x.banned(p, b)
 			// What was kept to it is of no further use: it is restarted meanwhile. This holds for both ways, lest a
 			// shot goes on a connection from before.
 			x.carrier.HangUp(p.nth, 0)
@@ -80,16 +80,24 @@
 func (x *Exchange) shown(i int) logic.Box {
 	p := &x.boxes[i]
 	p.state = p.listed
-	since := p.since
+	since := p.startedAt
 	switch {
 	case p.ban.Out == 0:
 	case p.ban.Back == 0 && p.listed == logic.Ready:
 		p.state = logic.Draining
-	case p.ban.Back > 0 && since < p.ban.Out:
-		since = p.ban.Back
+	case p.ban.Back > 0 && p.since < p.ban.Out:
+		since = p.backAt
 	}
 	if p.state == logic.Draining && faults.Without(faults.DrainNews) {
 		p.state = logic.Ready
 	}
-	return logic.Box{Server: i, ID: p.id, Kind: p.kind, State: p.state, Since: fromUnix(since)}
+	return logic.Box{Server: i, ID: p.id, Kind: p.kind, State: p.state, Since: since}
+}
+
+// banned takes over a ban or a return.
+func (x *Exchange) banned(p *place, ban Ban) {
+	if ban.Back != p.ban.Back {
+		p.backAt = x.started(ban.Back)
+	}
+	p.ban = ban
 }
--- a/internal/net/exchange/clock.go
+++ b/internal/net/exchange/clock.go
@@ -15,6 +15,18 @@
 
 func (c clock) now() logic.Time { return c.at(time.Now()) }
 
+// stepMost is by how much the wall clock may be off ours before it counts as stepped: it is kept in step by small corrections.
+const stepMost = time.Second
+
+// step gives by how much the wall clock was stepped since the start.
+func (c clock) step(now time.Time, wall time.Time) time.Duration {
+	by := wall.Sub(c.start.Round(0)) - now.Sub(c.start)
+	if by.Abs() < stepMost {
+		return 0
+	}
+	return by
+}
+
 func (c clock) at(t time.Time) logic.Time {
 	unix := c.start.UnixNano() + int64(t.Sub(c.start))
 	return logic.Time(unix / int64(tick))
--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -57,6 +57,7 @@
 	resting  []int              // indices that were given back
 	told     uint64             // places that the list has told of so far
 	listed   bool
+	live     logic.Time // when the list was last told by its service; 0: not yet
 	alarms   alarms
 	timer    *time.Timer
 	tally    Tally
@@ -181,9 +182,9 @@
 			}
 			x.heard.add(b.ID)
 			p := &x.boxes[i]
-			p.renew(b, &x.told)
+			x.renew(p, b)
 			if ban, known := x.bans[b.ID]; known {
-				p.ban = ban
+				x.banned(p, ban)
 			}
 			kind, known := x.terms.Machines[b.Machine]
 			if !known {
@@ -192,6 +193,9 @@
 			p.kind, p.origin = kind, x.terms.Origin(kind)
 			list = append(list, x.shown(i))
 		}
+		if how == logic.Whole || how == logic.Changes {
+			x.live = now
+		}
 		x.balancer.List(now, how, list)
 		for i := range x.boxes {
 			x.giveBack(i)
--- a/internal/net/exchange/places.go
+++ b/internal/net/exchange/places.go
@@ -4,9 +4,13 @@
 	"slices"
 	"time"
 
+	"github.com/thistlerudder/thistlerudder/internal/terms"
 	"github.com/thistlerudder/thistlerudder/logic"
 )
 
+// startToldIn is how late a list may tell of a start: services notice some seconds late.
+const startToldIn = 30 * time.Second
+
 const (
 	passedTimes = 2 // mean times of its server after which a read is passed, if a later one was answered meanwhile
 	meanPart    = 8 // an answer counts as an eighth of the mean: a second's worth of them or so
@@ -15,8 +19,10 @@
 // place is a box as the list last told of it.
 type place struct {
 	id, address string
-	since       float64
-	nth         uint64 // another number for each box, start and address: what was kept to an earlier one isn't for it
+	since       float64    // its start, as the list tells it
+	startedAt   logic.Time // the same by our clock, as it was when it was heard of
+	backAt      logic.Time // when it was put back after a ban, likewise
+	nth         uint64     // another number for each box, start and address: what was kept to an earlier one isn't for it
 	out         []*Shot
 	mean        time.Duration // of the latest whole answers
 	answered    time.Time     // when the latest shot that was answered was sent
@@ -29,14 +35,35 @@
 }
 
 // renew takes over what the list says. A box that starts again or moves keeps its index.
-func (p *place) renew(b Box, told *uint64) {
+func (x *Exchange) renew(p *place, b Box) {
 	if b.State != logic.Gone && (p.id != b.ID || p.address != b.Address || p.since != b.StartedMs) {
-		*told++
-		p.id, p.address, p.since, p.nth = b.ID, b.Address, b.StartedMs, *told
+		x.told++
+		if p.id != b.ID || p.since != b.StartedMs {
+			at := x.started(b.StartedMs)
+			if p.id == b.ID && at > 0 && x.live-at > terms.Tenths(float64(startToldIn/time.Millisecond)) {
+				at = x.live // a list that was told since would have had it: its clock is off
+			}
+			p.startedAt = at
+		}
+		p.id, p.address, p.since, p.nth = b.ID, b.Address, b.StartedMs, x.told
 	}
 	p.gone, p.listed = b.State == logic.Gone, b.State
 }
 
+// started converts a start time of the list, whose clock agrees with ours as it is now. One in the future is an error of a clock: it is not
+// later than the moment at which it is heard of. 0 stays 0, which means long ago.
+func (x *Exchange) started(ms float64) logic.Time {
+	if ms == 0 {
+		return 0
+	}
+	now := time.Now()
+	at := fromUnix(ms) - terms.Tenths(float64(x.clock.step(now, x.wall()))/float64(time.Millisecond))
+	if heard := x.clock.at(now); at > heard+terms.Tenths(float64(stepMost/time.Millisecond)) {
+		at = heard
+	}
+	return max(1, at)
+}
+
 // index gives one for a new box: boxes come under new ids all day, so those of boxes that went are used anew.
 func (x *Exchange) index() int {
 	if last := len(x.resting) - 1; last >= 0 {
--- a/internal/net/servers/long.go
+++ b/internal/net/servers/long.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/thistlerudder/thistlerudder/internal/clock"
 	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
 )
 
@@ -77,7 +78,7 @@
 	end    context.CancelCauseFunc
 	left   int64
 	silent *time.Timer
-	since  atomic.Int64 // when the present read began, Unix time in nanoseconds; 0: none waits
+	since  atomic.Int64 // clock.Moment at which the present read began; 0: none waits
 	broke  func(error)  // told when it does
 
 	closed sync.Once
@@ -88,7 +89,7 @@
 
 // Read gives io.EOF only where the server has ended the answer as it should.
 func (f *flow) Read(b []byte) (int, error) {
-	f.since.Store(time.Now().UnixNano())
+	f.since.Store(int64(clock.Now()))
 	f.silent.Reset(silentMost)
 	n, err := f.from.Read(b)
 	f.since.Store(0)
@@ -104,7 +105,7 @@
 
 // look ends a flow whose read has waited for too long.
 func (f *flow) look() {
-	if since := f.since.Load(); since != 0 && time.Since(time.Unix(0, since)) >= silentMost {
+	if since := f.since.Load(); since != 0 && clock.Moment(since).Since() >= silentMost {
 		f.end(errHalf)
 	}
 }
