Show by a failing test that a voter never comes back from a full folder

One failed write ends the voter (folder.go, store.give) and nothing starts it again: with two of three folders full for a moment the fleet gives out no lease until somebody restarts a process.

--- a/internal/net/fellows/folder.go
+++ b/internal/net/fellows/folder.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -118,9 +119,28 @@
 // goes on serving.
 type store struct {
 	*raftbolt.BoltStore
+	folder string
 	broken func(error)
 }
 
+// folderFault lets tests fail a write to a folder's log, before it is made or after it; nil: none fails.
+var folderFault atomic.Pointer[func(folder string, made bool) error]
+
+// write makes a write to the log.
+func (s store) write(make func() error) error {
+	fault := folderFault.Load()
+	if fault != nil {
+		if err := (*fault)(s.folder, false); err != nil {
+			return err
+		}
+	}
+	err := make()
+	if err == nil && fault != nil {
+		err = (*fault)(s.folder, true)
+	}
+	return err
+}
+
 // give ends the library's goroutine that asked, once a write has failed: what would follow is a panic, or a vote that isn't kept.
 func (s store) give(err error) error {
 	if err != nil {
@@ -130,11 +150,17 @@
 	return nil
 }
 
-func (s store) SetUint64(key []byte, v uint64) error { return s.give(s.BoltStore.SetUint64(key, v)) }
-func (s store) Set(key, v []byte) error              { return s.give(s.BoltStore.Set(key, v)) }
-func (s store) StoreLog(l *raft.Log) error           { return s.StoreLogs([]*raft.Log{l}) }
+func (s store) SetUint64(key []byte, v uint64) error {
+	return s.give(s.write(func() error { return s.BoltStore.SetUint64(key, v) }))
+}
+
+func (s store) Set(key, v []byte) error {
+	return s.give(s.write(func() error { return s.BoltStore.Set(key, v) }))
+}
+
+func (s store) StoreLog(l *raft.Log) error { return s.StoreLogs([]*raft.Log{l}) }
 func (s store) StoreLogs(l []*raft.Log) error {
-	err := s.BoltStore.StoreLogs(l)
+	err := s.write(func() error { return s.BoltStore.StoreLogs(l) })
 	if err != nil {
 		s.broken(err)
 	}
--- /dev/null
+++ b/internal/net/fellows/rejoin_test.go
@@ -0,0 +1,59 @@
+package fellows
+
+import (
+	"context"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Two of three folders can't be written for a while, or fail in their sync after the write. When they can be again, the voters come back by
+// themselves, with what they had promised, and the fleet agrees again.
+func TestAVoterComesBackWhenItsFolderCanBeWritten(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		err   syscall.Errno
+		after bool // the write is made, and its sync fails
+	}{{"no space", syscall.ENOSPC, false}, {"an error of the disk", syscall.EIO, false}, {"an error of the sync", syscall.EIO, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			nodes := founded(t, fleetOf(t, 3))
+			leased := func() bool { s, err := nodes[0].client.Status(); return err == nil && len(s.Leases) == 3 }
+			eventually(t, "no leader", leased)
+			before, _ := nodes[0].client.Status()
+			var failing atomic.Bool
+			fault := func(folder string, made bool) error {
+				if failing.Load() && made == c.after && folder != nodes[0].fleet.Folder {
+					return c.err
+				}
+				return nil
+			}
+			folderFault.Store(&fault)
+			t.Cleanup(func() { folderFault.Store(nil) })
+			failing.Store(true)
+			client := NewClient(nodes[0].fleet, zap.NewNop())
+			defer client.Close()
+			done := make(chan uint64, 1)
+			ctx, stop := context.WithTimeout(t.Context(), 30*time.Second)
+			defer stop()
+			go client.Keep(ctx, "again", func(_ context.Context, g *Grip) bool { // asks all the while
+				done <- g.Token()
+				return true
+			})
+			eventually(t, "both vote on", func() bool { return nodes[1].status().Broken != "" && nodes[2].status().Broken != "" })
+			time.Sleep(500 * time.Millisecond)
+			failing.Store(false)
+			eventually(t, "they don't come back", func() bool { return nodes[1].status().Voter && nodes[2].status().Voter })
+			select {
+			case token := <-done:
+				if token <= before.Tokens {
+					t.Errorf("token %d after %d: what was promised is forgotten", token, before.Tokens)
+				}
+			case <-ctx.Done():
+				t.Fatal("no lease is given out")
+			}
+		})
+	}
+}
--- a/internal/net/fellows/voter.go
+++ b/internal/net/fellows/voter.go
@@ -104,7 +104,7 @@
 	c.Logger, c.NoLegacyTelemetry = quiet, true
 	led := make(chan bool, leadsKept)
 	c.NotifyCh = led
-	s := store{logs, v.once.broken}
+	s := store{logs, f.Folder, v.once.broken}
 	if v.raft, err = raft.NewRaft(c, machine{v}, s, s, snapshots, v.trans); err != nil {
 		_ = v.trans.Close()
 		_ = logs.Close()
