Show by a failing test that a full voter's folder crashes a node at its start

Found on the way to the voter that comes back: at its start the library writes its term (SetUint64); where that fails, store.give ends the voter, and end calls Shutdown on a library that has not been made yet: a nil pointer in a goroutine of its own, which takes the process with all that it serves.

--- /dev/null
+++ b/internal/net/fellows/full_test.go
@@ -0,0 +1,32 @@
+package fellows
+
+import (
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// A node whose voter's folder can't be written at its start serves on as one that only asks, says why, and votes once it can.
+func TestANodeStartsBesideAFolderThatIsFull(t *testing.T) {
+	all := fleetOf(t, 3)
+	nodes := founded(t, all)
+	eventually(t, "no leader", func() bool { s, err := nodes[0].client.Status(); return err == nil && len(s.Leases) == 3 })
+	nodes[2].Close()
+	fault := func(folder string, _ bool) error {
+		if folder == all[2].Folder {
+			return syscall.ENOSPC
+		}
+		return nil
+	}
+	folderFault.Store(&fault)
+	t.Cleanup(func() { folderFault.Store(nil) })
+	again := Start(all[2], figures{}, time.Second, 256, zap.NewNop())
+	t.Cleanup(sync.OnceFunc(again.Close))
+	eventually(t, "it doesn't say why it is no voter", func() bool { s := again.status(); return !s.Voter && strings.Contains(s.Broken, "no space left") })
+	folderFault.Store(nil)
+	eventually(t, "it doesn't vote again", func() bool { return again.status().Voter })
+}
