Let a voter come back when its folder can be written again, and a node start beside a full one

Its votes, terms and acknowledged entries are what the log holds; what was not written was never promised. A folder that is damaged or another's stays out, as before. Each transport has an end of its own, so that a further one follows on the same address. The library's first write is made before it has goroutines: its error is told, and the node serves on and only asks.

--- a/internal/net/fellows/fellows.go
+++ b/internal/net/fellows/fellows.go
@@ -90,6 +90,7 @@
 	f.porch = newPorch(l, f.lines, f.fleet.Lease/idlePart, f.fleet.Name, f.client.within(), f.id, f.answer)
 	if f.fleet.Folder != "" {
 		f.open()
+		f.tasks.Go(func() { f.rejoin(ctx) })
 	}
 	go f.porch.serve()
 	f.log.Info("takes part in the fleet", zap.String("fleet", f.fleet.Name), zap.String("address", f.fleet.Address),
@@ -144,14 +145,13 @@
 		f.mu.Lock()
 		f.paper = p
 		f.mu.Unlock()
-		l := layer{f.porch, dialer{f.fleet.Name, f.fleet.Node, f.fleet.Routes}, string(addressOf(p.ID, f.fleet.Address))}
+		l := newLayer(f.porch, dialer{f.fleet.Name, f.fleet.Node, f.fleet.Routes}, string(addressOf(p.ID, f.fleet.Address)))
 		v, err = startVoter(f.fleet, p, l, f.log.Named("voter"))
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.votes = v
+	f.votes, f.broken = v, err
 	if err != nil {
-		f.broken = err
 		f.paper = paper{}
 		f.log.Error("no voter, the node serves on and only asks", zap.Error(err))
 	}
--- a/internal/net/fellows/fellows_test.go
+++ b/internal/net/fellows/fellows_test.go
@@ -430,7 +430,7 @@
 		}
 		porch := newPorch(l, 256, time.Second, f.Name, time.Second, func() string { return p.ID }, nil)
 		go porch.serve()
-		v, err := startVoter(f, p, layer{porch, dialer{f.Name, f.Node, nil}, f.Address}, zap.NewNop())
+		v, err := startVoter(f, p, newLayer(porch, dialer{f.Name, f.Node, nil}, f.Address), zap.NewNop())
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/net/fellows/folder.go
+++ b/internal/net/fellows/folder.go
@@ -77,12 +77,7 @@
 	if err := os.Rename(f.Name(), path); err != nil {
 		return err
 	}
-	d, err := os.Open(filepath.Dir(path))
-	if err != nil {
-		return err
-	}
-	defer d.Close()
-	return d.Sync()
+	return syncFolder(filepath.Dir(path))
 }
 
 // look reads all of a log, so that one that was cut short or spoilt is found here, and not by a library that ends the
@@ -121,6 +116,13 @@
 	*raftbolt.BoltStore
 	folder string
 	broken func(error)
+	first  *firstWrite
+}
+
+// firstWrite keeps the error of the first write, by which the library begins. It has no goroutines yet that could end by it.
+type firstWrite struct {
+	made atomic.Bool
+	err  error
 }
 
 // folderFault lets tests fail a write to a folder's log, before it is made or after it; nil: none fails.
@@ -151,7 +153,12 @@
 }
 
 func (s store) SetUint64(key []byte, v uint64) error {
-	return s.give(s.write(func() error { return s.BoltStore.SetUint64(key, v) }))
+	err := s.write(func() error { return s.BoltStore.SetUint64(key, v) })
+	if s.first.made.CompareAndSwap(false, true) {
+		s.first.err = err
+		return err // the library panics, which newRaft recovers
+	}
+	return s.give(err)
 }
 
 func (s store) Set(key, v []byte) error {
--- a/internal/net/fellows/voter.go
+++ b/internal/net/fellows/voter.go
@@ -61,6 +61,8 @@
 	entries int
 
 	stop    chan struct{}
+	built   chan struct{} // closed when the library has started, or has failed to
+	down    chan struct{} // closed when it has ended, and its folder is free unless something is stuck
 	once    once
 	started atomic.Bool
 }
@@ -72,7 +74,7 @@
 		return nil, err
 	}
 	v := &Voter{log: log, fleet: f, paper: p, state: lease.NewState(), board: lease.NewBoard(), waits: map[uint64]chan lease.Answer{},
-		changed: make(chan struct{}), stop: make(chan struct{}), dialer: l.dialer, within: slowTimes * f.Delay,
+		changed: make(chan struct{}), stop: make(chan struct{}), built: make(chan struct{}), down: make(chan struct{}), dialer: l.dialer, within: slowTimes * f.Delay,
 		peers: peers{conns: map[raft.ServerID]*rpc.Client{}}}
 	v.alarm, v.divides, v.parts = newAlarm(v.ring), newAlarm(v.deal), map[uint64]chan budget.Answer{}
 	v.divider = budget.NewDivider(dividing{v}, v.state, budget.Unsafe{Reuse: faults.Without(faults.Reuse), Forget: faults.Without(faults.Forget)})
@@ -104,17 +106,29 @@
 	c.Logger, c.NoLegacyTelemetry = quiet, true
 	led := make(chan bool, leadsKept)
 	c.NotifyCh = led
-	s := store{logs, f.Folder, v.once.broken}
-	if v.raft, err = raft.NewRaft(c, machine{v}, s, s, snapshots, v.trans); err != nil {
+	s := store{logs, f.Folder, v.once.broken, &firstWrite{}}
+	v.raft, err = newRaft(c, machine{v}, s, snapshots, v.trans)
+	v.started.Store(err == nil)
+	close(v.built)
+	if err != nil {
 		_ = v.trans.Close()
 		_ = logs.Close()
 		return nil, fmt.Errorf("fleet.folder: %w", err)
 	}
-	v.started.Store(true)
 	go v.follow(led)
 	return v, nil
 }
 
+// newRaft starts the library. It panics where its first write fails, and that is told as an error.
+func newRaft(c *raft.Config, m machine, s store, snapshots raft.SnapshotStore, t raft.Transport) (r *raft.Raft, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = errors.Join(s.first.err, fmt.Errorf("the agreement does not start: %v", p))
+		}
+	}()
+	return raft.NewRaft(c, m, s, s, snapshots, t)
+}
+
 // lines brings the library's log into ours.
 type lines struct{ *zap.Logger }
 
@@ -123,8 +137,11 @@
 	return len(b), nil
 }
 
+var errLeaves = errors.New("the node leaves")
+
 // end stops taking part; err says why, nil: the node leaves.
 func (v *Voter) end(err error) {
+	<-v.built // a goroutine of the library may fail to write before it is handed over
 	v.mu.Lock()
 	if v.ended != nil {
 		v.mu.Unlock()
@@ -132,7 +149,7 @@
 	}
 	v.ended = err
 	if err == nil {
-		v.ended = errors.New("the node leaves")
+		v.ended = errLeaves
 	} else {
 		v.log.Error("this voter ends, its node serves on", zap.Error(err))
 	}
@@ -144,7 +161,9 @@
 	// that one. Its main goroutine, which votes, ends at once, so what is left over can be left behind.
 	down := make(chan struct{})
 	go func() {
-		_ = v.raft.Shutdown().Error()
+		if v.started.Load() {
+			_ = v.raft.Shutdown().Error()
+		}
 		close(down)
 	}()
 	select {
@@ -154,8 +173,13 @@
 	case <-time.After(downWithin):
 		v.log.Warn("a way to another voter is stuck, and left so")
 		_ = v.trans.Close() // not the log: whoever is left reads it yet
+		go func() {
+			<-down
+			_ = v.logs.Close() // a further voter waits for it
+		}()
 	}
 	v.peers.leave()
+	close(v.down)
 }
 
 // close ends it with its node; a leader hands on first, so that nobody has to wait for its silence to be noticed.
--- a/internal/net/fellows/wire.go
+++ b/internal/net/fellows/wire.go
@@ -331,7 +331,13 @@
 type layer struct {
 	*porch
 	dialer
-	self string
+	self   string
+	closed chan struct{} // the transport that runs on it has ended
+	once   *sync.Once
+}
+
+func newLayer(p *porch, d dialer, self string) layer {
+	return layer{p, d, self, make(chan struct{}), &sync.Once{}}
 }
 
 // A voter's address in the library holds its id too, so that a dial can say who is meant.
@@ -348,9 +354,17 @@
 		return c, nil
 	case <-l.done:
 		return nil, net.ErrClosed
+	case <-l.closed:
+		return nil, net.ErrClosed
 	}
 }
-func (l layer) Close() error   { return nil } // the porch closes itself, after the library has ended
+
+// Close ends this transport's part. The porch closes itself, after the library has ended, and another transport may follow on it.
+func (l layer) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
 func (l layer) Addr() net.Addr { return named(l.self) }
 
 type named string
