Take a change of the list up in place of building all anew, and cut once with the next request

Balancer.List (now in logic/list.go, named under policy) moves one server among those that are asked, and lays the cuts with the next request. Ways weighed: gathering changes for some milliseconds in boxlist delays a drain, which this does not. TestWhatIsAskedFollowsTheList holds the order against a list built anew.

--- /dev/null
+++ b/logic/list.go
@@ -0,0 +1,117 @@
+package logic
+
+// This file holds what the list of boxes changes: which servers there are, which of them are asked, and in which order.
+
+import (
+	"slices"
+	"strings"
+)
+
+// List tells of the boxes.
+func (b *Balancer) List(now Time, how ListKind, boxes []Box) {
+	b.clock(now)
+	if how == Failed {
+		if b.subscribed { // else the next call is due by itself, whatever becomes of this one
+			b.subscribed, b.askDue = false, now+Time(b.draw()*float64(AskSpread))
+			b.host.Wake(b.askDue, listHandle)
+		}
+		return
+	}
+	b.subscribed = b.subscribed || how != Persisted
+	if how != Changes {
+		b.ready, b.origins, b.inFlight = b.ready[:0], b.origins[:0], 0
+		for _, s := range b.servers {
+			if s != nil {
+				s.State = Gone
+			}
+		}
+	}
+	for _, x := range boxes {
+		b.leaves(x.Server)
+		b.renew(x)
+		if how == Changes {
+			b.enters(x.Server)
+		}
+	}
+	if how != Changes {
+		b.enterAll()
+	}
+	b.cuts = b.cuts[:0] // laid anew with the next lookup: a service may tell many changes in a row
+}
+
+// renew takes over what the list says of a server.
+func (b *Balancer) renew(x Box) {
+	for x.Server >= len(b.servers) {
+		b.servers = append(b.servers, nil)
+	}
+	s := b.servers[x.Server]
+	if s == nil || s.Since != x.Since || s.ID != x.ID {
+		// A restart makes a server another one, cold and without a past; its old shots still settle.
+		fresh := &server{budgetAt: b.now, calm: b.least, credit: creditMost,
+			cold: b.parts[ColdRate].Like(int64(b.now)), links: b.parts[CacheRoom].Like(int64(b.now))}
+		if s != nil {
+			fresh.inFlight = s.inFlight
+		}
+		s = fresh
+		b.servers[x.Server] = s
+	}
+	s.Box = x
+	if s.origin = term(b.terms, "mode", "") == "aside" && x.Kind == term(b.terms, "origin kind", -1); s.origin {
+		s.cold, s.links = nil, nil // these budgets are of caches
+	}
+}
+
+// byID finds a server's place among the ready caches.
+func (b *Balancer) byID(id string) (at int, found bool) {
+	return slices.BinarySearchFunc(b.ready, id, func(i int, id string) int { return strings.Compare(b.servers[i].ID, id) })
+}
+
+// leaves takes a server out of those that are asked, before what is known of it changes.
+func (b *Balancer) leaves(i int) {
+	if i >= len(b.servers) || b.servers[i] == nil || b.servers[i].State != Ready {
+		return
+	}
+	s := b.servers[i]
+	if s.origin {
+		b.origins = slices.DeleteFunc(b.origins, func(o int) bool { return o == i })
+		return
+	}
+	at, found := b.byID(s.ID)
+	for ; found && at < len(b.ready) && b.servers[b.ready[at]].ID == s.ID; at++ {
+		if b.ready[at] == i {
+			b.ready = slices.Delete(b.ready, at, at+1)
+			b.inFlight -= s.inFlight
+			return
+		}
+	}
+}
+
+// enters puts a server among those that are asked, if it is ready: caches in the order of their ids, origins in that of their indices.
+func (b *Balancer) enters(i int) {
+	s := b.servers[i]
+	switch {
+	case s.State != Ready:
+	case s.origin:
+		at, _ := slices.BinarySearch(b.origins, i)
+		b.origins = slices.Insert(b.origins, at, i)
+	default:
+		at, _ := b.byID(s.ID)
+		b.ready = slices.Insert(b.ready, at, i)
+		b.inFlight += s.inFlight
+	}
+}
+
+// enterAll does so for all servers at once.
+func (b *Balancer) enterAll() {
+	for i, s := range b.servers {
+		switch {
+		case s == nil || s.State != Ready:
+		case s.origin:
+			b.origins = append(b.origins, i)
+		default:
+			b.ready = append(b.ready, i)
+			b.inFlight += s.inFlight
+		}
+	}
+	slices.SortFunc(b.ready, func(x, y int) int { return strings.Compare(b.servers[x].ID, b.servers[y].ID) })
+}
--- /dev/null
+++ b/logic/list_order_test.go
@@ -0,0 +1,55 @@
+package logic
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// However changes and whole lists come, a server is asked exactly where it is ready: caches in the order of their ids, origins in that of their
+// indices, and what is in flight is counted at ready caches alone.
+func TestWhatIsAskedFollowsTheList(t *testing.T) {
+	r := rand.New(rand.NewSource(5))
+	for range 60 {
+		q := newQuiet(3, 10)
+		b, ids := q.b, map[int]string{}
+		for step := range 120 {
+			var boxes []Box
+			whole := r.Intn(12) == 0
+			for range 1 + r.Intn(4) {
+				i := r.Intn(20)
+				if ids[i] == "" || r.Intn(10) == 0 {
+					ids[i] = fmt.Sprintf("s-%04d-%d", r.Intn(10000), i)
+				}
+				boxes = append(boxes, Box{Server: i, ID: ids[i], Kind: r.Intn(5) / 4, State: State(r.Intn(3)), Since: Time(r.Intn(2))})
+			}
+			slices.SortFunc(boxes, func(x, y Box) int { return x.Server - y.Server })
+			boxes = slices.CompactFunc(boxes, func(x, y Box) bool { return x.Server == y.Server })
+			if whole {
+				b.List(q.now, Whole, boxes)
+			} else {
+				b.List(q.now, Changes, boxes)
+			}
+			for range r.Intn(3) {
+				q.lookup(q.key())
+			}
+			var ready, origins []int
+			inFlight := 0
+			for i, s := range b.servers {
+				switch {
+				case s == nil || s.State != Ready:
+				case s.origin:
+					origins = append(origins, i)
+				default:
+					ready, inFlight = append(ready, i), inFlight+s.inFlight
+				}
+			}
+			slices.SortFunc(ready, func(x, y int) int { return strings.Compare(b.servers[x].ID, b.servers[y].ID) })
+			if !slices.Equal(ready, b.ready) || !slices.Equal(origins, b.origins) || inFlight != b.inFlight {
+				t.Fatalf("step %d: asked are %v and %v with %d in flight, want %v, %v, %d", step, b.ready, b.origins, b.inFlight, ready, origins, inFlight)
+			}
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,6 +1,6 @@
 package logic
 
-// This file holds every decision of a balancer node. New makes one Balancer per node from the terms (a plain
+// This file and list.go hold every decision of a balancer node. New makes one Balancer per node from the terms (a plain
 // map of names to values) and a Host to act through; host.go has Host and the plain types. Then the caller
 // reports each thing that happens by calling a method: Lookup, Sent, Settled, Tried, Left, List, Part or Alarm,
 // with the clock. Methods act by calling the Host before they return. It is laid out to be read in order: the rules,
@@ -10,7 +10,6 @@
 	"math"
 	"slices"
 	"sort"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -214,6 +213,14 @@
 	}
 }
 
+// ownRange gives the place of the cache among the ready ones whose range holds a point, by cuts of the present list.
+func (b *Balancer) ownRange(point float64) int {
+	if b.now >= b.cutDue || len(b.cuts) != len(b.ready) {
+		b.recut()
+	}
+	return min(sort.SearchFloat64s(b.cuts, point), len(b.ready)-1)
+}
+
 // ---- The walk along the ranges ----
 
 // pick walks from the lookup's own range to the first cache that nothing speaks against; where one has no
@@ -223,11 +230,8 @@
 	if n == 0 {
 		return -1
 	}
-	if b.now >= b.cutDue || len(b.cuts) != n {
-		b.recut()
-	}
 	mean := b.mean()
-	at, busy, passed := min(sort.SearchFloat64s(b.cuts, l.point), n-1), -1, 0
+	at, busy, passed := b.ownRange(l.point), -1, 0
 	for step := 0; step < n && passed <= walkMost; step++ {
 		i := b.ready[(at+step)%n]
 		s := b.servers[i]
@@ -617,59 +621,6 @@
 	}
 }
 
-// List tells of the boxes.
-func (b *Balancer) List(now Time, how ListKind, boxes []Box) {
-	b.clock(now)
-	if how == Failed {
-		if b.subscribed { // else the next call is due by itself, whatever becomes of this one
-			b.subscribed, b.askDue = false, now+Time(b.draw()*float64(AskSpread))
-			b.host.Wake(b.askDue, listHandle)
-		}
-		return
-	}
-	b.subscribed = b.subscribed || how != Persisted
-	if how != Changes {
-		for _, s := range b.servers {
-			if s != nil {
-				s.State = Gone
-			}
-		}
-	}
-	for _, x := range boxes {
-		for x.Server >= len(b.servers) {
-			b.servers = append(b.servers, nil)
-		}
-		s := b.servers[x.Server]
-		if s == nil || s.Since != x.Since || s.ID != x.ID {
-			// A restart makes a server another one, cold and without a past; its old shots still settle.
-			fresh := &server{budgetAt: now, calm: b.least, credit: creditMost,
-				cold: b.parts[ColdRate].Like(int64(now)), links: b.parts[CacheRoom].Like(int64(now))}
-			if s != nil {
-				fresh.inFlight = s.inFlight
-			}
-			s = fresh
-			b.servers[x.Server] = s
-		}
-		s.Box = x
-		if s.origin = term(b.terms, "mode", "") == "aside" && x.Kind == term(b.terms, "origin kind", -1); s.origin {
-			s.cold, s.links = nil, nil // these budgets are of caches
-		}
-	}
-	b.ready, b.origins, b.inFlight = b.ready[:0], b.origins[:0], 0
-	for i, s := range b.servers {
-		if s != nil && s.State == Ready {
-			if s.origin {
-				b.origins = append(b.origins, i)
-			} else {
-				b.ready = append(b.ready, i)
-				b.inFlight += s.inFlight
-			}
-		}
-	}
-	slices.SortFunc(b.ready, func(x, y int) int { return strings.Compare(b.servers[x].ID, b.servers[y].ID) })
-	b.recut()
-}
-
 // clock moves the time on and does what is due.
 func (b *Balancer) clock(now Time) {
 	b.now = now
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -5,7 +5,6 @@
 	"math"
 	"math/rand"
 	"slices"
-	"sort"
 	"testing"
 	"testing/quick"
 
@@ -302,7 +301,7 @@
 func key(b *Balancer, server int) string {
 	for i := 0; ; i++ {
 		k := fmt.Sprint("key", i)
-		if b.ready[min(sort.SearchFloat64s(b.cuts, pointOf(xxhash.Sum64String(k)|1)), len(b.ready)-1)] == server {
+		if b.ready[b.ownRange(pointOf(xxhash.Sum64String(k)|1))] == server {
 			return k
 		}
 	}
--- a/logic/mean_test.go
+++ b/logic/mean_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand"
-	"sort"
 	"testing"
 	"testing/quick"
 
@@ -177,5 +176,5 @@
 
 // startOf is the place of a key's own range.
 func startOf(b *Balancer, key string) int {
-	return min(sort.SearchFloat64s(b.cuts, pointOf(xxhash.Sum64String(key)|1)), len(b.ready)-1)
+	return b.ownRange(pointOf(xxhash.Sum64String(key) | 1))
 }
