Give a head its time from its first byte, also where its connection's limit passes meanwhile

TestARequestThatBeginsBeforeALimitIsAnswered green, off the list; go test ./internal/net/clients: green, among them the tests that end halves of requests in time.

--- a/internal/net/clients/framing.go
+++ b/internal/net/clients/framing.go
@@ -84,6 +84,9 @@
 // amid says that a lookup has begun to come and has not come whole; for who reads the connection.
 func (f *framing) amid() bool { return f.at != inHead || f.lines > 0 || len(f.line) > 0 }
 
+// inHeadNow says that a head has begun to come and has not come whole; for who reads the connection.
+func (f *framing) inHeadNow() bool { return f.at == inHead && f.amid() }
+
 // ended takes a whole line.
 func (f *framing) ended(line []byte) {
 	switch f.at {
--- a/internal/net/clients/listener.go
+++ b/internal/net/clients/listener.go
@@ -180,6 +180,7 @@
 	wrote              atomic.Bool // some of an answer
 	shut               atomic.Bool // its client was told of the end
 	closing            sync.Once
+	headBegan          time.Time // the first byte of the latest head; for who reads the connection
 	since              time.Time // when it began to linger
 	dropped            int       // bytes, meanwhile
 	ahead              ahead
@@ -189,7 +190,7 @@
 // has passed without a look at the kernel, where a lookup may lie since before, and closing over it would turn it away unread.
 func (p *placed) Read(b []byte) (int, error) {
 	n, err := p.take(b)
-	if n == 0 && len(b) > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+	for n == 0 && len(b) > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		_ = p.raw.Control(func(fd uintptr) { n, _ = p.next(fd, b) }) // it never waits
 		if n > 0 {
 			err = nil
@@ -197,13 +198,21 @@
 		if n > 0 && p.woken.Swap(false) {
 			_ = p.SetReadDeadline(time.Now().Add(headersIn)) // for the rest of its head
 		}
+		if n > 0 || !p.extend() {
+			break
+		}
+		n, err = p.take(b)
 	}
 	if p.shut.Load() {
 		return 0, net.ErrClosed // a lookup read after the client was told of the end must not be sent on
 	}
+	begun := p.framing.inHeadNow()
 	if p.framing.read(b[:n]); p.framing.over() {
 		return 0, p.refuse()
 	}
+	if !begun && n > 0 {
+		p.headBegan = time.Now()
+	}
 	if n > 0 {
 		now := int64(clock.Now())
 		if p.heard.Swap(now) <= p.turn.Load() {
@@ -213,6 +222,17 @@
 	return n, err
 }
 
+// extend gives a head that has begun its own time, counted from its first byte, where a limit of its connection has passed meanwhile: a
+// connection's first time counts from its accept, and its client may have rested. Who was told to make way gets no more.
+func (p *placed) extend() bool {
+	by := p.headBegan.Add(headersIn)
+	if p.woken.Load() || !p.framing.inHeadNow() || !time.Now().Before(by) {
+		return false
+	}
+	_ = p.SetReadDeadline(by)
+	return true
+}
+
 // refuse turns a head away that is over its bound. net/http would hold its place for half a second, also when its client has
 // gone: a flood of such heads would keep all others out.
 func (p *placed) refuse() error {
