--- a/cmd/thistlerudder/commands.go
+++ b/cmd/thistlerudder/commands.go
@@ -118,7 +118,7 @@
 }
 
 // logger writes JSON lines to standard error; lines of one kind are sampled, so that a trouble that hits
-// every lookup can't fill the log.
+// every lookup can't fill the log. At debug each line is written, since one request is followed there by its id.
 func logger(level string) (*zap.Logger, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
@@ -126,7 +126,10 @@
 	}
 	z := zap.NewProductionConfig()
 	z.Level = zap.NewAtomicLevelAt(l)
-	z.Sampling = &zap.SamplingConfig{Initial: 10, Thereafter: 100}
+	z.Sampling = nil
+	if l > zapcore.DebugLevel {
+		z.Sampling = &zap.SamplingConfig{Initial: 10, Thereafter: 100}
+	}
 	z.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
 	z.DisableStacktrace = true
 	return z.Build()
--- a/internal/net/exchange/bans.go
+++ b/internal/net/exchange/bans.go
@@ -43,7 +43,8 @@
 func (x *Exchange) Heard(id string) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.heard.ids[id]
+	_, listed := x.places[id]
+	return listed || x.heard.ids[id]
 }
 
 // Bans takes over the whole list of bans and late returns. A server that is not on it stays as it is.
