--- a/internal/net/handover/seat.go
+++ b/internal/net/handover/seat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -17,6 +18,15 @@
 // lockCall is fcntl(2) for locks; tests let it fail.
 var lockCall = unix.FcntlFlock
 
+// lock makes a call for a lock, again where it was interrupted.
+func lock(fd uintptr, command int, at *unix.Flock_t) error {
+	for {
+		if err := lockCall(fd, command, at); !errors.Is(err, unix.EINTR) {
+			return err
+		}
+	}
+}
+
 // Seat is one process's place among those that serve as one node. It is a lock on one byte of a file, which ends with
 // its owner however that ends; a number in a file would outlive it.
 type Seat struct {
@@ -24,6 +34,7 @@
 
 	mu   sync.Mutex
 	file *os.File // nil: this process knows of no other
+	seen int      // others, at the latest look that went through
 }
 
 // Sit takes a seat. Without a folder there is nobody to be seen.
@@ -36,7 +47,7 @@
 		return &Seat{}, err
 	}
 	for nth := range int64(seats) {
-		if lockCall(f.Fd(), unix.F_OFD_SETLK, &unix.Flock_t{Type: unix.F_WRLCK, Start: nth, Len: 1}) == nil {
+		if lock(f.Fd(), unix.F_OFD_SETLK, &unix.Flock_t{Type: unix.F_WRLCK, Start: nth, Len: 1}) == nil {
 			return &Seat{file: f, nth: nth}, nil
 		}
 	}
@@ -53,10 +64,17 @@
 	}
 	for nth := range int64(seats) {
 		at := unix.Flock_t{Type: unix.F_WRLCK, Start: nth, Len: 1}
-		if nth != s.nth && lockCall(s.file.Fd(), unix.F_OFD_GETLK, &at) == nil && at.Type != unix.F_UNLCK {
+		if nth == s.nth {
+			continue
+		}
+		if lock(s.file.Fd(), unix.F_OFD_GETLK, &at) != nil {
+			return s.seen // nothing is known: what was stands
+		}
+		if at.Type != unix.F_UNLCK {
 			n++
 		}
 	}
+	s.seen = n
 	return n
 }
 
--- a/internal/net/handover/trouble_test.go
+++ b/internal/net/handover/trouble_test.go
@@ -24,7 +24,13 @@
 		t.Fatalf("%d others, want one", n)
 	}
 	for _, err := range []error{syscall.EINTR, syscall.EAGAIN, syscall.ENOLCK, syscall.EIO} {
-		lockCall = func(uintptr, int, *unix.Flock_t) error { return err }
+		failing := 20
+		lockCall = func(fd uintptr, command int, at *unix.Flock_t) error {
+			if failing--; failing >= 0 {
+				return err
+			}
+			return unix.FcntlFlock(fd, command, at)
+		}
 		if n := one.Others(); n != 1 {
 			t.Errorf("%v: %d others, want one as before", err, n)
 		}
