--- a/internal/net/boxlist/crowd_test.go
+++ b/internal/net/boxlist/crowd_test.go
@@ -28,6 +28,7 @@
 	cost, line, notice time.Duration
 	changes            []time.Duration // when each version came to be
 	began              time.Time
+	silent             time.Duration // when all watches that are open fall silent; 0: never
 
 	mu             sync.Mutex
 	free           time.Time // when the line is empty
@@ -49,8 +50,10 @@
 	*narrow
 	mu       sync.Mutex
 	answered time.Time // its last watch
+	waited   time.Time // when a silent watch's wait was over; zero: none was, or a list came since
 	known    map[int]time.Duration
 	watched  time.Duration // when it first had a watch
+	behind   time.Duration // the longest from the end of a silent watch's wait to the next list
 }
 
 func (c *caller) RoundTrip(r *http.Request) (*http.Response, error) {
@@ -95,6 +98,13 @@
 		}
 		c.mu.Unlock()
 		for end := time.Now().Add(time.Duration(hold) * time.Millisecond); time.Now().Before(end) && version <= from; {
+			if at := time.Since(c.began); c.silent > 0 && at >= c.silent && at < c.silent+20*time.Millisecond {
+				<-r.Context().Done()
+				c.mu.Lock()
+				c.waited = end
+				c.mu.Unlock()
+				return nil, r.Context().Err()
+			}
 			if !c.sleep(r, min(10*time.Millisecond, time.Until(end))) {
 				return nil, r.Context().Err()
 			}
@@ -108,6 +118,9 @@
 	if watch {
 		c.answered = time.Now()
 	}
+	if !c.waited.IsZero() {
+		c.behind, c.waited = max(c.behind, time.Since(c.waited)), time.Time{}
+	}
 	c.mu.Unlock()
 	servers := box
 	if watch && version == from {
@@ -251,6 +264,56 @@
 	}
 }
 
+// Watches that fall silent all at once end at times of their own, so that each node has its list again within 2 s of its watch's wait, also
+// where the service takes some tenths of a second for each call.
+func TestSilentWatchesDoNotEndTogether(t *testing.T) {
+	t.Parallel()
+	const nodes, cost, silent, lasts, most = 6, 400 * time.Millisecond, 13 * time.Second, 40 * time.Second, 2 * time.Second
+	terms, err := terms.Of(map[string]any{"registry-mode": "ask", "invariants": map[string]any{"ask-within-ms": 20000.},
+		"namespaces": []any{map[string]any{"name": "read", "repeat": "safe", "target-time-ms": 1., "time-limit-ms": 2.}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	late, worst := 0, time.Duration(0)
+	const days = 30
+	for seed := range uint64(days) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &narrow{cost: cost, line: 2 * time.Second, notice: time.Second, began: time.Now(), silent: silent, changes: []time.Duration{0}}
+			ctx, stop := context.WithCancel(t.Context())
+			var callers []*caller
+			var wg sync.WaitGroup
+			for n := range nodes {
+				c := &caller{narrow: s, known: map[int]time.Duration{}}
+				callers = append(callers, c)
+				x := exchange.New(terms, zap.NewNop())
+				f := New(x, "127.0.0.1:1", 20*time.Second, zap.NewNop())
+				f.transport.RegisterProtocol("http", c)
+				x.Start(seed*1000+uint64(n), nil, f)
+				if err := f.Known([]byte(fmt.Sprintf(`{"version":1,"full":true,"servers":[%s]}`, box))); err != nil {
+					t.Error(err)
+				}
+				wg.Go(func() { f.Run(ctx) })
+			}
+			time.Sleep(lasts)
+			stop()
+			wg.Wait()
+			synctest.Wait()
+			for _, c := range callers {
+				if worst = max(worst, c.behind); c.behind > most {
+					late++
+				}
+				if c.behind == 0 {
+					t.Error("a watch did not fall silent")
+				}
+			}
+		})
+	}
+	t.Logf("%d of %d lists later than %v after a silent watch's wait, the latest %v", late, days*nodes, most, worst)
+	if late > days*nodes/100 {
+		t.Errorf("%d of %d lists came later than %v after a silent watch's wait, the latest %v", late, days*nodes, most, worst)
+	}
+}
+
 // script answers a node's calls.
 type script func(query string) (code int, body string, after time.Duration)
 
