--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -17,6 +17,7 @@
 const (
 	readyMost  = 10 * time.Second
 	readyEvery = 5 * time.Millisecond
+	quitWithin = 300 * time.Millisecond
 	killAfter  = 700 * time.Millisecond // after the longest deadline, a process that was told to end is killed
 	comingFor  = 300 * time.Millisecond // after SIGTERM new connections go on coming
 
@@ -188,6 +189,8 @@
 	case <-p.ended:
 	case <-time.After(x.w.settings.longest() + killAfter):
 		x.w.broke(fmt.Sprintf("node %d: its process was still there %v after SIGTERM", x.n, x.w.settings.longest()+killAfter))
+		_ = p.cmd.Process.Signal(syscall.SIGQUIT) // its log then says where it waits
+		time.Sleep(quitWithin)
 		_ = p.cmd.Process.Kill()
 		<-p.ended
 	}
