Learn late second answers of each server by itself

One server that sends bytes 25 ms after its answers made requests to all others wait for up to 50 ms too.

--- a/internal/net/servers/dial.go
+++ b/internal/net/servers/dial.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"time"
 )
 
 var errNoRoom = errors.New("no descriptor or dial left")
@@ -25,7 +26,7 @@
 	kept    map[string]map[*conn]bool // open connections by place
 	bounded bool                      // atCache holds:
 	atCache int                       // connections to each cache, those being made included
-	quiet   quietPeriod
+	quiet   quietPeriods
 }
 
 func (d *dialer) dial(ctx context.Context, network, place string) (net.Conn, error) {
@@ -44,7 +45,7 @@
 	}
 	own := newConn(c.(socket), nil)
 	own.cache = to.cache
-	own.onUnsolicited = d.quiet.unsolicited
+	own.onUnsolicited = func(after time.Duration) { d.quiet.unsolicited(place, after) }
 	own.closed = sync.OnceFunc(func() { d.change(-1, place, own) })
 	d.change(0, place, own)
 	return own, nil
--- a/internal/net/servers/quiet.go
+++ b/internal/net/servers/quiet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -25,15 +26,22 @@
 	quietPart = 4
 )
 
-// quietPeriod learns how late servers send bytes that belong to no request.
+// quietPeriods learn how late each place's server sends bytes that belong to no request. Only those that did so lately are kept.
+type quietPeriods struct {
+	mu sync.Mutex
+	of map[string]quietPeriod
+}
+
+// quietPeriod is what was learned of one place.
 type quietPeriod struct {
-	mu   sync.Mutex
-	span time.Duration // zero: the least
-	seen time.Time     // when bytes that late were seen last
+	span time.Duration
+	seen time.Time // when bytes that late were seen last
 }
 
-// unsolicited notes bytes that came on an idle connection, so long after the latest byte of an answer.
-func (q *quietPeriod) unsolicited(after time.Duration) {
+func (p quietPeriod) over(now time.Time) bool { return now.Sub(p.seen) > quietKept }
+
+// unsolicited notes bytes that came on an idle connection to a place, so long after the latest byte of an answer.
+func (q *quietPeriods) unsolicited(place string, after time.Duration) {
 	span := min(quietFactor*after, quietMost)
 	if after > quietMost || span <= quietLeast {
 		return // too late to be waited for, or waited for in any case
@@ -41,19 +49,23 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	if span >= q.span || now.Sub(q.seen) > quietKept {
-		q.span, q.seen = span, now
+	maps.DeleteFunc(q.of, func(_ string, p quietPeriod) bool { return p.over(now) })
+	if q.of == nil {
+		q.of = map[string]quietPeriod{}
+	}
+	if span >= q.of[place].span {
+		q.of[place] = quietPeriod{span, now}
 	}
 }
 
-// wanted gives how long a connection has to be quiet before it is used again.
-func (q *quietPeriod) wanted() time.Duration {
+// wanted gives how long a connection to a place has to be quiet before it is used again.
+func (q *quietPeriods) wanted(place string) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.span == 0 || time.Since(q.seen) > quietKept {
-		return quietLeast
+	if p, known := q.of[place]; known && !p.over(time.Now()) {
+		return p.span
 	}
-	return q.span
+	return quietLeast
 }
 
 // awaitQuiet waits until a connection that is used again has brought nothing for a span. Where that would take more than a part of
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -68,6 +68,9 @@
 // hostOf names a place for the transport, which keeps connections by it.
 func hostOf(place uint64) string { return "place-" + strconv.FormatUint(place, 10) }
 
+// placeOf names a place as the dialer hears of it.
+func placeOf(place uint64) string { return hostOf(place) + ":80" }
+
 // toAddress is the key under which a dial's context has the address behind a place.
 type toAddress struct{}
 
@@ -184,7 +187,7 @@
 		GotConn: func(i httptrace.GotConnInfo) {
 			on.got(i.Conn, i.Reused, outgoing{client: shot.Wanted, beginBy: shot.BeginBy})
 			if i.Reused {
-				on.conn.awaitQuiet(ctx, s.dialer.quiet.wanted(), earlier(until, shot.BeginBy))
+				on.conn.awaitQuiet(ctx, s.dialer.quiet.wanted(placeOf(shot.Place)), earlier(until, shot.BeginBy))
 			}
 			if shot.Rest == nil {
 				r.Header["X-Expires-In"] = []string{expiresIn(on.deadline(shot, until))}
--- a/internal/net/servers/servers.go
+++ b/internal/net/servers/servers.go
@@ -76,7 +76,7 @@
 func (s *Servers) Resize(descriptors int) { s.dialer.resize(descriptors) }
 
 // HangUp closes the connections to a place that carry nothing, but for so many, without making its caller wait.
-func (s *Servers) HangUp(place uint64, but int) { go s.dialer.hangUp(hostOf(place)+":80", but) }
+func (s *Servers) HangUp(place uint64, but int) { go s.dialer.hangUp(placeOf(place), but) }
 
 // Most bounds the connections to each cache, those being made included.
 func (s *Servers) Most(n int) { s.dialer.bound(n) }
--- a/internal/net/servers/unsolicited_test.go
+++ b/internal/net/servers/unsolicited_test.go
@@ -100,26 +100,28 @@
 	}
 }
 
-// A second answer that was seen to come later than usual makes later requests wait for longer, for a while.
+// A second answer that was seen to come later than usual makes later requests to that server wait for longer, for a while, and no others.
 func TestLaterSecondAnswersAreLearned(t *testing.T) {
-	var q quietPeriod
-	if got := q.wanted(); got != quietLeast {
-		t.Errorf("at first %v, want %v", got, quietLeast)
-	}
-	q.unsolicited(time.Millisecond)
-	if got := q.wanted(); got != quietLeast {
-		t.Errorf("after a soon one %v, want %v", got, quietLeast)
-	}
-	q.unsolicited(20 * time.Millisecond)
-	if got := q.wanted(); got != 40*time.Millisecond {
-		t.Errorf("after a late one %v, want twice its 20 ms", got)
-	}
-	q.unsolicited(time.Second)
-	if got := q.wanted(); got != 40*time.Millisecond {
-		t.Errorf("after one that nobody can wait for %v, want no change", got)
+	const late = 20 * time.Millisecond
+	var q quietPeriods
+	wants := func(when, place string, want time.Duration) {
+		t.Helper()
+		if got := q.wanted(place); got != want {
+			t.Errorf("%s: %s waits for %v, want %v", when, place, got, want)
+		}
 	}
-	q.seen = q.seen.Add(-quietKept - time.Second)
-	if got := q.wanted(); got != quietLeast {
-		t.Errorf("long after %v, want %v", got, quietLeast)
+	wants("at first", "a", quietLeast)
+	q.unsolicited("a", time.Millisecond)
+	wants("after a soon one", "a", quietLeast)
+	q.unsolicited("a", late)
+	wants("after a late one", "a", quietFactor*late)
+	wants("after another's late one", "b", quietLeast)
+	q.unsolicited("a", time.Second)
+	wants("after one that nobody can wait for", "a", quietFactor*late)
+	q.of["a"] = quietPeriod{quietFactor * late, time.Now().Add(-quietKept - time.Second)}
+	wants("long after", "a", quietLeast)
+	q.unsolicited("b", late)
+	if len(q.of) != 1 {
+		t.Errorf("%d places are kept, want the one that did so lately", len(q.of))
 	}
 }
