--- a/changes/changes_test.go
+++ b/changes/changes_test.go
@@ -260,7 +260,6 @@
 	if home != 2 {
 		t.Errorf("it looked for its own %d times in 30 s, want 2: %v", home, d.parents)
 	}
-	alive = map[int]bool{}
 	all := len(d.parents)
 	for now := d.next(f); now < 60_000*lease.Millisecond; now = d.next(f) {
 		f.Unanswered(now, d.ask.ID)
--- a/changes/explore_test.go
+++ b/changes/explore_test.go
@@ -109,7 +109,7 @@
 			t.Parallel()
 			for seed := range uint64(5_000) {
 				if w, history := walk(u, seed, 400); w.fault != "" {
-					t.Log(fmt.Sprintf("seed %d, %d moves: %s", seed, len(history), w.fault))
+					t.Logf("seed %d, %d moves: %s", seed, len(history), w.fault)
 					return
 				}
 			}
--- a/changes/fleet_test.go
+++ b/changes/fleet_test.go
@@ -65,7 +65,6 @@
 	down    bool
 	wake    Time
 	from    uint64 // the revision after which a change is awaited here
-	behind  Time   // since when its age has been past the bound, 0: it is not
 	missed  uint64
 }
 
--- a/changes/world_test.go
+++ b/changes/world_test.go
@@ -87,8 +87,6 @@
 	return w
 }
 
-func (w *world) epoch() uint64 { return w.sources[w.leader].place.Epoch }
-
 // local is a child's clock: nodes and the second relay have slow ones.
 func (c *child) local() Time {
 	if c.n == 0 {
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -364,7 +364,7 @@
 	if err != nil || len(s.Broken) > 0 || s.Offered < 30000 {
 		t.Error(err, s.Offered, s.Broken, s.Faults)
 	}
-	t.Log(fmt.Sprintf("%d requests in %v, %.3f in time", s.Offered, time.Since(began).Round(time.Millisecond), s.Share()))
+	t.Logf("%d requests in %v, %.3f in time", s.Offered, time.Since(began).Round(time.Millisecond), s.Share())
 }
 
 // A description varies to one for each value, each with one key changed; a fault names the key and the value.
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -39,8 +39,6 @@
 	free    []int
 	known   map[int]logic.Box // the list as told, where the fleet's trials go by it
 	drained map[int]logic.Time
-	told    uint64 // news that has come
-	leaving bool
 }
 
 func (w *world) newNode(number int, seed uint64) *node {
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -14,7 +14,6 @@
 type job struct {
 	key   uint64
 	write bool
-	work  float64 // in mean services
 	done  func(logic.Code)
 }
 
--- a/internal/net/admin/admin.go
+++ b/internal/net/admin/admin.go
@@ -110,7 +110,8 @@
 
 func (a *Admin) answer(h http.Header, r *http.Request) (int, string) {
 	path := r.URL.EscapedPath()
-	wanted, act := http.MethodGet, func() (int, string) { return 0, "" }
+	wanted := http.MethodGet
+	var act func() (int, string)
 	switch {
 	case path == statusPath:
 		act = a.status
--- a/internal/rig/judge.go
+++ b/internal/rig/judge.go
@@ -4,11 +4,9 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"math"
 	"os"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -259,12 +257,3 @@
 }
 
 func (v *verdict) broken() []string { return slices.Concat(v.door, v.outside, v.order) }
-
-// names in the order of their kinds, for a line.
-func counted(of map[string]int) string {
-	var parts []string
-	for _, k := range slices.Sorted(maps.Keys(of)) {
-		parts = append(parts, fmt.Sprintf("%s %d", k, of[k]))
-	}
-	return strings.Join(parts, ", ")
-}
--- a/lease/explore_test.go
+++ b/lease/explore_test.go
@@ -121,7 +121,7 @@
 		t.Run(without, func(t *testing.T) {
 			for seed := range uint64(20_000) {
 				if w, history := walk(without, seed, 400); w.fault != "" {
-					t.Log(fmt.Sprintf("seed %d, %d moves: %s", seed, len(history), w.fault))
+					t.Logf("seed %d, %d moves: %s", seed, len(history), w.fault)
 					return
 				}
 			}
