Fix when an attempt's time is over as it is ordered

Until read the time of an attempt's sending beside the lock, while the sending of a long body may move it under it (by reading). It is a field of its own now, written once. go test -race -short ./internal/net/exchange ./internal/net/servers: green.

--- a/internal/net/exchange/exchange.go
+++ b/internal/net/exchange/exchange.go
@@ -253,6 +253,7 @@
 	if s.Origin = h.boxes[server].origin; h.parted {
 		h.bounded(s)
 	}
+	s.until = s.sent.Add(s.Within)
 	permitted := h.mayStart(t, s)
 	if t.over.Load() {
 		return // only a module that panicked can order this
--- a/internal/net/exchange/ticket.go
+++ b/internal/net/exchange/ticket.go
@@ -135,6 +135,7 @@
 	server  int
 	number  int
 	sent    time.Time
+	until   time.Time   // when the node stops waiting for an answer, as it was decided
 	watch   *time.Timer // looks whether others have passed it
 	told    bool        // the module holds it to be over
 	settled bool
@@ -158,10 +159,10 @@
 
 // Until gives when the node stops waiting for an answer. It counts from the decision, not from when the shot is carried out.
 func (s *Shot) Until(carried time.Time) time.Time {
-	if s.sent.IsZero() {
+	if s.until.IsZero() {
 		return carried.Add(s.Within)
 	}
-	return s.sent.Add(s.Within)
+	return s.until
 }
 
 // ClientUntil gives when the client's time is over; zero where that is not known.
