Keep what a request was denied with the request, and not with its connection

Cause: the transport hands a connection on with an answer's last byte; carried.withheld then read from the connection what the next request on it was denied (NotQuiet, since mostly), and the answered request was sent again. What is denied is a field of the request's own now.

--- a/internal/net/servers/answers_test.go
+++ b/internal/net/servers/answers_test.go
@@ -120,7 +120,7 @@
 func TestAResetThatAWriteHasMetIsNoEnd(t *testing.T) {
 	near, far := tcp(t)
 	c := newConn(near, func() {})
-	c.take(false, outgoing{})
+	c.take(false, &outgoing{})
 	if _, err := c.Write([]byte("head")); err != nil {
 		t.Fatal(err)
 	}
@@ -146,7 +146,7 @@
 	for _, resets := range []bool{true, false} {
 		near, far := tcp(t)
 		c := newConn(near, func() {})
-		c.take(false, outgoing{})
+		c.take(false, &outgoing{})
 		wrote := make(chan error, 1)
 		go func() {
 			_, err := c.Write(make([]byte, 32<<20)) // more than the kernel holds
--- a/internal/net/servers/conn.go
+++ b/internal/net/servers/conn.go
@@ -29,17 +29,14 @@
 	failed        atomic.Bool  // a write came to an end before its last byte
 
 	mu      sync.Mutex
-	change  sync.Cond     // of reading, gone and writing
-	reading bool          // the transport waits for bytes, so it has none left over
-	gone    bool          // closed on our side, or about to be
-	retired bool          // by our own choice, so that it tells nothing of the server
-	busy    int           // requests it was taken for that are not over
-	idle    time.Time     // when it was made, or the latest of them was over
-	begun   bool          // the present request's first byte is about to be written, or was
-	early   bool          // bytes came before that, so that it must not be written
-	request outgoing      // what has to hold for that
-	denied  permit.Reason // why it was not written; Granted where nothing spoke against it
-	whole   func()        // to be told once what is still in the transport's buffer has been written; nil: nobody
+	change  sync.Cond // of reading, gone and writing
+	reading bool      // the transport waits for bytes, so it has none left over
+	gone    bool      // closed on our side, or about to be
+	retired bool      // by our own choice, so that it tells nothing of the server
+	busy    int       // requests it was taken for that are not over
+	idle    time.Time // when it was made, or the latest of them was over
+	request *outgoing // the present one, or the latest
+	whole   func()    // to be told once what is still in the transport's buffer has been written; nil: nobody
 	read    int64
 	latest  time.Time     // when the latest bytes came at all; zero: none have
 	heard   time.Time     // when the latest bytes of the present answer came; zero: none have
@@ -55,13 +52,17 @@
 
 func newConn(c socket, closed func()) *conn {
 	raw, _ := c.SyscallConn() // fails for a nil connection only
-	own := &conn{Conn: c, raw: raw, closed: closed, idle: time.Now()}
+	own := &conn{Conn: c, raw: raw, closed: closed, idle: time.Now(), request: &outgoing{}}
 	own.change.L = &own.mu
 	return own
 }
 
-// outgoing is what has to hold for a request when its first byte is written.
+// outgoing is a request on a connection, and what has to hold when its first byte is written. It is the request's own: the transport hands a
+// connection on before who used it last has asked what became of its request.
 type outgoing struct {
+	begun   bool                 // its first byte is about to be written, or was
+	early   bool                 // bytes came before that, so that it must not be written
+	denied  permit.Reason        // why it was not written; Granted where nothing spoke against it
 	refused permit.Reason        // by an earlier step, or Granted
 	client  func() permit.Reason // whether its client still waits, asked just before; nil: it does
 	beginBy time.Time            // when its first byte must have been written; zero: any time
@@ -77,11 +78,12 @@
 func (c *conn) Write(b []byte) (int, error) {
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(takenIn)) // first: nothing lies between the looks and the write
 	c.mu.Lock()
-	if !c.begun {
-		c.denied = c.look()
+	request := c.request
+	if !request.begun {
+		request.denied = c.look(request)
 	}
-	c.begun = true
-	denied := c.denied
+	request.begun = true
+	denied := request.denied
 	c.writing = denied == permit.Granted
 	c.mu.Unlock()
 	if denied != permit.Granted {
@@ -110,17 +112,17 @@
 // look gathers what is known of the present request, and decides whether its first byte may be written now. A process that has no
 // core for a while between a look and the write would act on what was true before, so a look that took long is made anew. Called
 // with the lock held.
-func (c *conn) look() (denied permit.Reason) {
+func (c *conn) look(request *outgoing) (denied permit.Reason) {
 	for range looksMost {
 		began := time.Now()
-		c.early = c.early || c.waiting()
+		request.early = request.early || c.waiting()
 		client := permit.Granted
-		if c.request.client != nil {
-			client = c.request.client()
+		if request.client != nil {
+			client = request.client()
 		}
 		now := time.Now() // last, and no call of the kernel
-		denied = permit.Send{Refused: c.request.refused, ConnectionEnding: c.retired, Unsolicited: c.early || c.gone, Client: client,
-			Gathered: now.Sub(began), Now: now, BeginBy: c.request.beginBy, Until: c.request.until, Told: c.request.told}.Decide()
+		denied = permit.Send{Refused: request.refused, ConnectionEnding: c.retired, Unsolicited: request.early || c.gone, Client: client,
+			Gathered: now.Sub(began), Now: now, BeginBy: request.beginBy, Until: request.until, Told: request.told}.Decide()
 		if denied != permit.FactsStale {
 			break
 		}
@@ -198,7 +200,7 @@
 			c.came(time.Now())
 		}
 		c.read += int64(n)
-		c.early = c.early || n > 0 && !c.begun
+		c.request.early = c.request.early || n > 0 && !c.request.begun
 		return true
 	})
 	switch {
@@ -216,7 +218,7 @@
 
 // came notes when bytes came. Called with the lock held.
 func (c *conn) came(now time.Time) {
-	if unsolicited := c.busy == 0 || !c.begun; unsolicited && c.onUnsolicited != nil && !c.latest.IsZero() {
+	if unsolicited := c.busy == 0 || !c.request.begun; unsolicited && c.onUnsolicited != nil && !c.latest.IsZero() {
 		c.onUnsolicited(now.Sub(c.latest))
 	}
 	if !c.heard.IsZero() {
@@ -225,28 +227,28 @@
 	c.heard, c.latest = now, now
 }
 
-// refuse says that the present request must not be written, and why.
-func (c *conn) refuse(why permit.Reason) {
+// refuse says that a request must not be written, and why.
+func (c *conn) refuse(request *outgoing, why permit.Reason) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.request.refused = why
+	request.refused = why
 }
 
-// tells notes which time the present request tells its server to have, and when that is over.
-func (c *conn) tells(left time.Duration, until time.Time) {
+// tells notes which time a request tells its server to have, and when that is over.
+func (c *conn) tells(request *outgoing, left time.Duration, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.request.told, c.request.until = left, until
+	request.told, request.until = left, until
 }
 
-// withheld says that the present request was not written, and why.
-func (c *conn) withheld() permit.Reason {
+// withheld says that a request was not written, and why.
+func (c *conn) withheld(request *outgoing) permit.Reason {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.denied == permit.Granted && c.early {
+	if request.denied == permit.Granted && request.early {
 		return permit.UnsolicitedBytes // bytes came before it; then it is not written either
 	}
-	return c.denied
+	return request.denied
 }
 
 // ended tells an end that the server made from a reset. The kernel tells of a reset once: a write that fails by it takes the word,
@@ -265,15 +267,14 @@
 
 // take makes the connection ready for a request. After an answer the transport goes on to read, or closes if
 // there is more than the answer: one of the two must have happened.
-func (c *conn) take(reused bool, request outgoing) (written, read int64) {
+func (c *conn) take(reused bool, request *outgoing) (written, read int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy++
 	for reused && !c.reading && !c.gone {
 		c.change.Wait()
 	}
-	c.begun, c.early, c.whole = false, false, nil
-	c.request, c.denied = request, permit.Granted
+	c.request, c.whole = request, nil
 	c.heard, c.pause = time.Time{}, 0
 	return c.written.Load(), c.read
 }
--- /dev/null
+++ b/internal/net/servers/denial_test.go
@@ -0,0 +1,31 @@
+package servers
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/permit"
+)
+
+// The transport hands a connection on when an answer's last byte was read, before who sent that request has asked what became of it. What the next
+// request was denied is not its denial: it would be sent again though it was answered.
+func TestADenialIsOfItsOwnRequest(t *testing.T) {
+	near, _ := tcp(t)
+	c := newConn(near, func() {})
+	first, second := &outgoing{}, &outgoing{refused: permit.NotQuiet}
+	c.take(false, first)
+	if _, err := c.Write([]byte("first")); err != nil {
+		t.Fatal(err)
+	}
+	c.take(false, second)
+	if why := c.withheld(first); why != permit.Granted {
+		t.Errorf("the first request, which was written, was withheld: %v", why)
+	}
+	_, err := c.Write([]byte("second"))
+	if why := (denial{}); !errors.As(err, &why) || why.reason != permit.NotQuiet || c.withheld(second) != permit.NotQuiet {
+		t.Errorf("the second request: %v", err)
+	}
+	if why := c.withheld(first); why != permit.Granted {
+		t.Errorf("the first request counts as withheld when the second was: %v", why)
+	}
+}
--- a/internal/net/servers/quiet.go
+++ b/internal/net/servers/quiet.go
@@ -70,7 +70,7 @@
 
 // awaitQuiet waits until a connection that is used again has brought nothing for a span. Where that would take more than a part of
 // the time up to by, or the context ends meanwhile, the request is refused here.
-func (c *conn) awaitQuiet(ctx context.Context, span time.Duration, by time.Time) {
+func (c *conn) awaitQuiet(ctx context.Context, request *outgoing, span time.Duration, by time.Time) {
 	c.mu.Lock()
 	latest := c.latest
 	c.mu.Unlock()
@@ -82,7 +82,7 @@
 		return // quiet, or too late in any case
 	}
 	if wait > left/quietPart {
-		c.refuse(permit.NotQuiet)
+		c.refuse(request, permit.NotQuiet)
 		return
 	}
 	timer := time.NewTimer(wait)
@@ -90,6 +90,6 @@
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
-		c.refuse(permit.NodeLeaving) // or the time is over: the transport says which
+		c.refuse(request, permit.NodeLeaving) // or the time is over: the transport says which
 	}
 }
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -82,12 +82,14 @@
 // carried is the connection that a shot went out on, if it got one.
 type carried struct {
 	conn          *conn
+	request       *outgoing
 	written, read int64 // bytes there had been before
 }
 
-func (on *carried) got(c net.Conn, reused bool, request outgoing) {
+func (on *carried) got(c net.Conn, reused bool, request *outgoing) {
 	on.release() // the transport may have found the first one broken
 	on.conn, _ = c.(*conn)
+	on.request = request
 	on.written, on.read = on.conn.take(reused, request)
 }
 
@@ -113,7 +115,7 @@
 	if !client.IsZero() {
 		told = permit.Deadline(told, time.Until(client))
 	}
-	on.conn.tells(told, client)
+	on.conn.tells(on.request, told, client)
 	if faults.Without(faults.ToldDeadline) {
 		told += time.Second / 2
 	}
@@ -125,7 +127,7 @@
 	if on.conn == nil {
 		return permit.Granted
 	}
-	return on.conn.withheld()
+	return on.conn.withheld(on.request)
 }
 
 // answered says that bytes came back.
@@ -185,9 +187,9 @@
 	var r *http.Request
 	r = request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			on.got(i.Conn, i.Reused, outgoing{client: shot.Wanted, beginBy: shot.BeginBy})
+			on.got(i.Conn, i.Reused, &outgoing{client: shot.Wanted, beginBy: shot.BeginBy})
 			if i.Reused {
-				on.conn.awaitQuiet(ctx, s.dialer.quiet.wanted(placeOf(shot.Place)), earlier(until, shot.BeginBy))
+				on.conn.awaitQuiet(ctx, on.request, s.dialer.quiet.wanted(placeOf(shot.Place)), earlier(until, shot.BeginBy))
 			}
 			if shot.Rest == nil {
 				r.Header["X-Expires-In"] = []string{expiresIn(on.deadline(shot, until))}
--- a/internal/net/servers/servers_test.go
+++ b/internal/net/servers/servers_test.go
@@ -114,7 +114,7 @@
 		c := newConn(raw.(socket), func() {})
 		defer c.Close()
 		if first == "take" {
-			c.take(false, outgoing{})
+			c.take(false, &outgoing{})
 			if c.retire() {
 				t.Error("given back with a request on it")
 			}
@@ -123,7 +123,7 @@
 		if !c.retire() {
 			t.Error("not given back")
 		}
-		c.take(true, outgoing{})
+		c.take(true, &outgoing{})
 		if n, err := c.Write([]byte("x")); n != 0 || err == nil {
 			t.Errorf("%d bytes written on what is about to be closed: %v", n, err)
 		}
@@ -370,24 +370,24 @@
 func TestBytesBeforeARequestAreNotItsAnswer(t *testing.T) {
 	near, far := tcp(t)
 	c := newConn(near, func() {})
-	c.take(false, outgoing{})
+	c.take(false, &outgoing{})
 	_, _ = far.Write([]byte("early"))
 	for end := time.Now().Add(time.Second); !c.waiting() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
-	if n, err := c.Write([]byte("request")); n != 0 || err == nil || c.written.Load() != 0 || !c.early {
+	if n, err := c.Write([]byte("request")); n != 0 || err == nil || c.written.Load() != 0 || !c.request.early {
 		t.Errorf("unread bytes: wrote %d, %v", n, err)
 	}
-	c.take(false, outgoing{})
+	c.take(false, &outgoing{})
 	_, _ = c.Read(make([]byte, 9))
 	if n, err := c.Write([]byte("request")); n != 0 || err == nil {
 		t.Errorf("bytes read before: wrote %d, %v", n, err)
 	}
-	c.take(false, outgoing{})
-	if n, err := c.Write([]byte("request")); n != 7 || err != nil || c.early {
+	c.take(false, &outgoing{})
+	if n, err := c.Write([]byte("request")); n != 7 || err != nil || c.request.early {
 		t.Errorf("a clean connection: wrote %d, %v", n, err)
 	}
-	c.take(false, outgoing{})
+	c.take(false, &outgoing{})
 	far.Close() // with the request unread, so that it is a reset
 	for end := time.Now().Add(time.Second); !c.waiting() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
