--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -22,9 +22,9 @@
 )
 
 const (
-	triesMost = 3                    // connections tried: more than that don't break by chance
-	tellAnew  = 5 * time.Millisecond // a server hears what is left of a shot's time, up to so much
-	takenIn   = 5 * time.Second      // for bytes that are written to a server, or to a client, to find room there
+	triesMost = 3                     // connections tried: more than that don't break by chance
+	tellAnew  = 50 * time.Millisecond // a server hears what is left of a shot's time, up to so much
+	takenIn   = 5 * time.Second       // for bytes that are written to a server, or to a client, to find room there
 )
 
 // onceOnly is a body that the transport can't rewind, and so won't send again when a kept connection
