Let a test of idle connections wait until its slow request has reached the server

The test took a dial under way for a connection in use; HangUp then closed it before its request was written, the request went on the connection that should have idled, and both were gone after its second. A connection that carries nothing yet may be closed, so the code is as meant.

--- a/internal/net/servers/servers_test.go
+++ b/internal/net/servers/servers_test.go
@@ -134,12 +134,13 @@
 // the same moment.
 func TestHangUpClosesWhatIsIdle(t *testing.T) {
 	var opened, served atomic.Int64
-	hold := make(chan struct{})
+	hold, begun := make(chan struct{}), make(chan struct{})
 	s, server := side(t), raw(t, func(c net.Conn, r *http.Request, nth int) {
 		if nth == 0 {
 			opened.Add(1)
 		}
 		if served.Add(1); r.RequestURI == "/slow" {
+			close(begun)
 			<-hold
 		}
 		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
@@ -165,6 +166,7 @@
 	}
 	slow := make(chan exchange.End)
 	go func() { slow <- send("/slow") }()
+	<-begun // a connection that no request was written to yet carries nothing, and may be closed
 	open(1)
 	send("/quick")
 	open(2)
