--- a/internal/net/node/renew_test.go
+++ b/internal/net/node/renew_test.go
@@ -86,3 +86,55 @@
 	signals <- syscall.SIGHUP
 	until("the whole file is not followed", func() bool { return asked[1].Load() > 0 })
 }
+
+// A configuration that can't be read when its signal comes, for want of descriptors, by the disk, or as it is being replaced, is read
+// once it can be: the list goes over without another signal.
+func TestAConfigurationIsReadOnceItCanBe(t *testing.T) {
+	var asked atomic.Int64
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		if r.URL.RawQuery != "" {
+			<-r.Context().Done()
+		}
+		fmt.Fprint(w, `{"version":1,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:1","kind":"box","state":"Ready"}]}`)
+	}))
+	t.Cleanup(func() { discovery.CloseClientConnections(); discovery.Close() })
+	text := func(discovery string) []byte {
+		return fmt.Appendf(nil, `{"listen":"127.0.0.1:7070","discovery":%q,"settings":{"namespaces":[{"name":"read","repeat":"safe",
+			"target-time-ms":200,"time-limit-ms":750}]}}`, discovery)
+	}
+	path := filepath.Join(t.TempDir(), "node.json")
+	if err := os.WriteFile(path, text("127.0.0.1:1"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := terms.Read(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, logs := observer.New(zap.InfoLevel)
+	x := exchange.New(s.Terms, zap.NewNop())
+	list := boxlist.New(x, s.Discovery, time.Second, zap.NewNop())
+	x.Start(1, nil, list)
+	go list.Run(t.Context())
+	signals := make(chan os.Signal, 1)
+	go renew(t.Context(), signals, s, list, zap.New(core))
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	signals <- syscall.SIGHUP
+	time.Sleep(300 * time.Millisecond)
+	if n := logs.FilterLevelExact(zap.ErrorLevel).Len(); n != 1 {
+		t.Errorf("a file that can't be read is told of %d times, want once", n)
+	}
+	if err := os.WriteFile(path+".new", text(discovery.Listener.Addr().String()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(2 * time.Second); asked.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the new configuration is not followed within 2 s of the moment from which it can be read")
+		}
+	}
+}
