Refuse a call on the bans that comes while their file can't be read

Book.change took a failed read for no file, and wrote the file from what this process knew: a server that the other process had taken out, and answered 200 for, was back in use in both. Now that call is answered 500 and changes nothing; no file, or one that is no list, is as before. Beside it a look that fails after the rename no longer answers 500 for what is written.

--- a/internal/net/bans/bans.go
+++ b/internal/net/bans/bans.go
@@ -131,7 +131,7 @@
 	if s, err := stampOf(b.path); err != nil || s == b.seen {
 		return
 	}
-	if entries, ok := b.read(); ok && !slices.Equal(entries, b.entries) {
+	if entries, err := b.read(); err == nil && !slices.Equal(entries, b.entries) {
 		b.entries = entries
 		b.apply(slices.Clone(entries))
 	}
@@ -147,8 +147,12 @@
 			return err
 		}
 		defer unlock()
-		if entries, ok := b.read(); ok {
+		entries, err := b.read()
+		switch {
+		case err == nil:
 			b.entries = entries
+		case !errors.Is(err, errNoList):
+			return err // written without what it holds, the file would lack what the other process was told
 		}
 	}
 	forgotten := time.Now().Add(-recallFor).UnixMilli()
@@ -166,11 +170,14 @@
 	return nil
 }
 
-// read gives the file's entries. A file that can't be read is none: what this process knows stands.
-func (b *Book) read() ([]Entry, bool) {
+// errNoList says that there is no list of bans: no file yet, or one that holds something else.
+var errNoList = errors.New("there is no list of bans")
+
+// read gives the file's entries. Where there is no list, or it can't be read just now, what this process knows stands.
+func (b *Book) read() ([]Entry, error) {
 	s, err := stampOf(b.path)
 	if errors.Is(err, fs.ErrNotExist) {
-		return nil, false
+		return nil, errNoList
 	}
 	var text []byte
 	if err == nil && s.size <= fileMost {
@@ -178,7 +185,7 @@
 	}
 	if err != nil {
 		b.complain(err) // the file may be in order, so it is read again at the next look
-		return nil, false
+		return nil, fmt.Errorf("the bans can't be read: %w", err)
 	}
 	known := b.seen == s
 	b.seen = s
@@ -187,9 +194,9 @@
 		if !known {
 			b.log.Error("the bans can't be read, those known stand", zap.Error(err))
 		}
-		return nil, false
+		return nil, errNoList
 	}
-	return entries, true
+	return entries, nil
 }
 
 // parse gives the entries of a file's text.
@@ -230,8 +237,10 @@
 	if err := os.Rename(aside, b.path); err != nil {
 		return err
 	}
-	b.seen, err = stampOf(b.path)
-	return err
+	if b.seen, err = stampOf(b.path); err != nil {
+		b.complain(err) // it is written; the next look reads it
+	}
+	return nil
 }
 
 func stampOf(path string) (stamp, error) {
