Make our own calls of the kernel in one package, through which each of them can fail

The loops that make an interrupted call again stood in five places, and tests let poll, locks and reads of a file fail by a variable each. Package kernel has the calls now (read, peek, poll, lock, read and put a file, write) and, in builds with the tag faults, one seam for them and for the accepts and connects of the standard library.

--- /dev/null
+++ b/internal/kernel/fail_on.go
@@ -0,0 +1,59 @@
+//go:build faults
+
+package kernel
+
+import (
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+)
+
+// RateVariable tells a process which share of its calls is to fail, by errors drawn from Documented.
+const RateVariable = "THISTLERUDDER_KERNEL_FAILURES"
+
+// Documented are the errors of each call that its manual page documents, but for those of a faulty caller (EBADF, EFAULT, EINVAL, ENOTSOCK).
+var Documented = map[Call][]syscall.Errno{
+	Read:     {syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS, syscall.EIO},
+	Peek:     {syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS, syscall.EIO},
+	Write:    {syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS, syscall.EIO, syscall.EPERM},
+	Poll:     {syscall.EINTR, syscall.EAGAIN, syscall.ENOMEM},
+	Lock:     {syscall.EINTR, syscall.EAGAIN, syscall.EACCES, syscall.ENOLCK},
+	ReadFile: {syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM, syscall.EIO, syscall.ENOENT},
+	Put:      {syscall.EINTR, syscall.ENOSPC, syscall.EDQUOT, syscall.EIO, syscall.EROFS, syscall.EMFILE, syscall.ENFILE},
+	Connect: {syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENETUNREACH,
+		syscall.ENETDOWN, syscall.EPERM, syscall.EACCES, syscall.EINTR},
+	Accept: {syscall.EINTR, syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.EPERM},
+}
+
+var failing atomic.Pointer[func(Call) error]
+
+// Fail lets f say how each call fails from now on, nil where it does not; a nil f ends that.
+func Fail(f func(Call) error) {
+	if f == nil {
+		failing.Store(nil)
+		return
+	}
+	failing.Store(&f)
+}
+
+func failure(call Call) error {
+	if f := failing.Load(); f != nil {
+		return (*f)(call)
+	}
+	return nil
+}
+
+func init() {
+	rate, err := strconv.ParseFloat(os.Getenv(RateVariable), 64)
+	if err != nil || rate <= 0 {
+		return
+	}
+	Fail(func(call Call) error {
+		if errs := Documented[call]; len(errs) > 0 && rand.Float64() < rate {
+			return os.NewSyscallError(string(call), errs[rand.IntN(len(errs))])
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/kernel/fail_test.go
@@ -0,0 +1,59 @@
+//go:build faults
+
+package kernel
+
+import (
+	"errors"
+	"syscall"
+	"testing"
+
+	"golang.org/x/sys/unix"
+)
+
+// failTimes lets a call fail so often.
+func failTimes(t *testing.T, of Call, err error, times int) {
+	Fail(func(call Call) error {
+		if call != of {
+			return nil
+		}
+		if times--; times >= 0 {
+			return err
+		}
+		return nil
+	})
+	t.Cleanup(func() { Fail(nil) })
+}
+
+// What was interrupted is made again, however often; another error is given at once.
+func TestInterruptedCallsAreMadeAgain(t *testing.T) {
+	near, far, raw := pair(t)
+	if _, err := far.Write([]byte("abc")); err != nil {
+		t.Fatal(err)
+	}
+	until(t, func() bool { there, _ := poll(raw, unix.POLLIN); return there != 0 })
+	path := t.TempDir() + "/f"
+	calls := map[Call]func() error{
+		Peek: func() (err error) {
+			_ = raw.Control(func(fd uintptr) { _, err = PeekSocket(fd, make([]byte, 1)) })
+			return err
+		},
+		Read: func() (err error) {
+			_ = raw.Control(func(fd uintptr) { _, err = ReadSocket(fd, make([]byte, 1)) })
+			return err
+		},
+		Poll:     func() error { _, err := poll(raw, unix.POLLIN); return err },
+		Write:    func() error { _, err := WriteAll(near.Write, []byte("x")); return err },
+		Put:      func() error { return PutFile(path, []byte("x")) },
+		ReadFile: func() error { _, err := FileText("/dev/null"); return err },
+	}
+	for call, make := range calls {
+		failTimes(t, call, syscall.EINTR, 20)
+		if err := make(); err != nil {
+			t.Errorf("%s: %v after an interruption", call, err)
+		}
+		failTimes(t, call, syscall.EIO, 1)
+		if err := make(); !errors.Is(err, syscall.EIO) {
+			t.Errorf("%s: %v, want the input/output error", call, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/kernel/kernel.go
@@ -0,0 +1,116 @@
+// Package kernel makes the system calls that the node makes itself, beside those of the standard library. Each is made again where a
+// signal interrupted it. Builds with the tag faults can let each of them fail, and those that the standard library makes.
+package kernel
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Call is a kind of system call.
+type Call string
+
+// The calls.
+const (
+	Read     Call = "read"  // of a socket, without waiting
+	Peek     Call = "peek"  // recv with MSG_PEEK, without waiting
+	Write    Call = "write" // of a socket
+	Poll     Call = "poll"
+	Lock     Call = "lock"      // fcntl of an open file description
+	ReadFile Call = "read file" // open, read and close
+	Put      Call = "put file"  // write beside, and rename
+	Connect  Call = "connect"   // socket and connect
+	Accept   Call = "accept"
+)
+
+// again makes a call until it succeeds, or fails for a reason that does not pass.
+func again[T any](call Call, make func() (T, error)) (result T, err error) {
+	for {
+		if err = failure(call); err == nil {
+			result, err = make()
+		}
+		if !errors.Is(err, syscall.EINTR) {
+			return result, err
+		}
+	}
+}
+
+// Failure gives the error by which a call is to fail that the standard library makes; in a release there is none.
+func Failure(call Call) error { return failure(call) }
+
+// ReadSocket reads what a socket has, without waiting: n 0 and no error is its end. EAGAIN: there is nothing now.
+func ReadSocket(fd uintptr, b []byte) (n int, err error) {
+	n, err = again(Read, func() (int, error) { return syscall.Read(int(fd), b) })
+	return max(n, 0), err
+}
+
+// PeekSocket does the same and leaves the bytes where they are.
+func PeekSocket(fd uintptr, b []byte) (n int, err error) {
+	n, err = again(Peek, func() (int, error) {
+		n, _, err := syscall.Recvfrom(int(fd), b, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return n, err
+	})
+	return max(n, 0), err
+}
+
+// PollNow looks which of the events of one descriptor are there, without waiting.
+func PollNow(fd uintptr, events int16) (there int16, err error) {
+	look := []unix.PollFd{{Fd: int32(fd), Events: events}}
+	for {
+		n, err := again(Poll, func() (int, error) { return unix.Poll(look, 0) })
+		switch {
+		case errors.Is(err, unix.EAGAIN): // documented as a lack that passes, like EINTR
+		case err != nil || n <= 0:
+			return 0, err
+		default:
+			return look[0].Revents & events, nil
+		}
+	}
+}
+
+// FileLock makes a call for a lock on an open file.
+func FileLock(fd uintptr, command int, at *unix.Flock_t) error {
+	_, err := again(Lock, func() (struct{}, error) { return struct{}{}, unix.FcntlFlock(fd, command, at) })
+	return err
+}
+
+// FileText reads a whole file.
+func FileText(path string) ([]byte, error) {
+	return again(ReadFile, func() ([]byte, error) { return os.ReadFile(path) })
+}
+
+// PutFile puts a whole new file in the place of the one at path: killed at any moment, it leaves one of the two. It writes path + ".new",
+// so only one may do so at a time.
+func PutFile(path string, text []byte) error {
+	_, err := again(Put, func() (struct{}, error) {
+		aside := path + ".new"
+		if err := os.WriteFile(aside, text, 0o600); err != nil {
+			return struct{}{}, err
+		}
+		return struct{}{}, os.Rename(aside, path)
+	})
+	return err
+}
+
+// WriteAll writes to a connection until all is out, or an error that does not pass. n is how many bytes are out.
+func WriteAll(write func([]byte) (int, error), b []byte) (n int, err error) {
+	return again(Write, func() (int, error) { return write(b) })
+}
+
+// Dialer makes connections, as net.Dialer's method does.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dialing gives a dialer whose calls of the kernel can fail as connect(2) and socket(2) do.
+func Dialing(dial Dialer) Dialer {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if err := failure(Connect); err != nil {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: err}
+		}
+		return dial(ctx, network, address)
+	}
+}
--- /dev/null
+++ b/internal/kernel/kernel_test.go
@@ -0,0 +1,103 @@
+package kernel
+
+import (
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// pair gives both ends of a connection on loopback, and the first one's descriptor.
+func pair(t *testing.T) (near *net.TCPConn, far net.Conn, raw syscall.RawConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	far, err = net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	near = c.(*net.TCPConn)
+	t.Cleanup(func() { far.Close(); near.Close() })
+	if raw, err = near.SyscallConn(); err != nil {
+		t.Fatal(err)
+	}
+	return near, far, raw
+}
+
+// A socket's bytes are peeked at and then read; with none there both say EAGAIN, and its end is 0 bytes.
+func TestSocketsAreReadWithoutWaiting(t *testing.T) {
+	_, far, raw := pair(t)
+	buffer := make([]byte, 8)
+	var n int
+	var err error
+	control := func(f func(uintptr, []byte) (int, error)) {
+		t.Helper()
+		if e := raw.Control(func(fd uintptr) { n, err = f(fd, buffer) }); e != nil {
+			t.Fatal(e)
+		}
+	}
+	for _, f := range []func(uintptr, []byte) (int, error){PeekSocket, ReadSocket} {
+		if control(f); n != 0 || !errors.Is(err, syscall.EAGAIN) {
+			t.Errorf("%d bytes, %v, want none and EAGAIN", n, err)
+		}
+	}
+	if _, err := far.Write([]byte("ab")); err != nil {
+		t.Fatal(err)
+	}
+	until(t, func() bool { there, _ := poll(raw, unix.POLLIN); return there != 0 })
+	for _, f := range []func(uintptr, []byte) (int, error){PeekSocket, ReadSocket} {
+		if control(f); n != 2 || err != nil {
+			t.Errorf("%d bytes, %v, want two", n, err)
+		}
+	}
+	far.Close()
+	until(t, func() bool { there, _ := poll(raw, unix.POLLRDHUP); return there != 0 })
+	if control(ReadSocket); n != 0 || err != nil {
+		t.Errorf("%d bytes, %v, want the end", n, err)
+	}
+}
+
+func poll(raw syscall.RawConn, events int16) (there int16, err error) {
+	_ = raw.Control(func(fd uintptr) { there, err = PollNow(fd, events) })
+	return there, err
+}
+
+func until(t *testing.T, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it never holds")
+		}
+	}
+}
+
+// A file is replaced as a whole, and one that can't be is named.
+func TestFilesAreReplacedWhole(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "f")
+	for _, text := range []string{"one", "two"} {
+		if err := PutFile(path, []byte(text)); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := FileText(path); string(got) != text || err != nil {
+			t.Errorf("%q, %v, want %q", got, err, text)
+		}
+	}
+	if _, err := os.Stat(path + ".new"); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("what is written beside stays: %v", err)
+	}
+	if err := PutFile(filepath.Join(path, "below"), nil); err == nil {
+		t.Error("a file below a file was written")
+	}
+}
--- a/internal/net/acceptor/acceptor.go
+++ b/internal/net/acceptor/acceptor.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/kernel"
 )
 
 const (
@@ -42,7 +44,7 @@
 // is not a listening socket.
 func (l *Listener) Accept() (net.Conn, error) {
 	for pause := pauseFirst; ; pause = min(2*pause, pauseMost) {
-		c, err := l.Listener.Accept()
+		c, err := l.accept()
 		if err == nil || permanent(err) {
 			return c, err
 		}
@@ -55,6 +57,14 @@
 	}
 }
 
+// accept makes one call.
+func (l *Listener) accept() (net.Conn, error) {
+	if err := kernel.Failure(kernel.Accept); err != nil {
+		return nil, err
+	}
+	return l.Listener.Accept()
+}
+
 // permanent says that accept will not succeed again on this socket. accept(2) documents these of the descriptor and the call; all
 // other errors belong to one connection or to the state of the machine.
 func permanent(err error) bool {
--- a/internal/net/bans/bans.go
+++ b/internal/net/bans/bans.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/kernel"
 )
 
 const (
@@ -28,9 +30,6 @@
 	fileMost      = 1 << 20 // bytes; more than the most entries take
 )
 
-// readFile is os.ReadFile; tests let it fail.
-var readFile = os.ReadFile
-
 // Entry is one server that was taken out.
 type Entry struct {
 	ID   string `json:"id"`
@@ -181,7 +180,7 @@
 	}
 	var text []byte
 	if err == nil && s.size <= fileMost {
-		text, err = readFile(b.path)
+		text, err = kernel.FileText(b.path)
 	}
 	if err != nil {
 		b.complain(err) // the file may be in order, so it is read again at the next look
@@ -230,11 +229,7 @@
 	if err != nil {
 		return err
 	}
-	aside := b.path + ".new"
-	if err := os.WriteFile(aside, text, 0o600); err != nil {
-		return err
-	}
-	if err := os.Rename(aside, b.path); err != nil {
+	if err := kernel.PutFile(b.path, text); err != nil {
 		return err
 	}
 	if b.seen, err = stampOf(b.path); err != nil {
--- a/internal/net/bans/trouble_test.go
+++ b/internal/net/bans/trouble_test.go
@@ -1,14 +1,33 @@
+//go:build faults
+
 package bans
 
 import (
+	"math"
 	"os"
 	"slices"
 	"syscall"
 	"testing"
 
 	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/kernel"
 )
 
+// failReads lets the next readings of a file fail.
+func failReads(t *testing.T, err error, times int) {
+	kernel.Fail(func(call kernel.Call) error {
+		if call != kernel.ReadFile {
+			return nil
+		}
+		if times--; times >= 0 {
+			return os.NewSyscallError("read", err)
+		}
+		return nil
+	})
+	t.Cleanup(func() { kernel.Fail(nil) })
+}
+
 // What the other process of a node was told is read again where reading it failed for want of descriptors or by the disk: the ban is in
 // force in both.
 func TestABanIsReadAgainAfterAFailure(t *testing.T) {
@@ -16,14 +35,7 @@
 		folder := t.TempDir()
 		one, other := open(folder, zap.NewNop()), open(folder, zap.NewNop())
 		must(t, one.Out("a"))
-		failing := 2
-		readFile = func(path string) ([]byte, error) {
-			if failing--; failing >= 0 {
-				return nil, &os.PathError{Op: "read", Path: path, Err: err}
-			}
-			return os.ReadFile(path)
-		}
-		t.Cleanup(func() { readFile = os.ReadFile })
+		failReads(t, err, 2)
 		for range 3 {
 			other.Look()
 		}
@@ -36,16 +48,15 @@
 // A call that comes while the file can't be read is refused, and loses nothing of what the other process was told: written from what
 // this process knew, the file would lack it.
 func TestAChangeKeepsWhatCannotBeRead(t *testing.T) {
-	t.Cleanup(func() { readFile = os.ReadFile })
-	for _, err := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EIO, syscall.EINTR, syscall.ENOMEM, syscall.EAGAIN} {
+	for _, err := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EIO, syscall.ENOMEM, syscall.EAGAIN} {
 		folder := t.TempDir()
 		one, other := open(folder, zap.NewNop()), open(folder, zap.NewNop())
 		must(t, one.Out("a"))
-		readFile = func(path string) ([]byte, error) { return nil, &os.PathError{Op: "read", Path: path, Err: err} }
+		failReads(t, err, math.MaxInt)
 		if other.Out("b") == nil {
 			t.Errorf("%v: a call is answered well though the file could not be read", err)
 		}
-		readFile = os.ReadFile
+		kernel.Fail(nil)
 		must(t, other.Out("c"))
 		one.Look()
 		for _, each := range []*reader{one, other} {
@@ -55,3 +66,15 @@
 		}
 	}
 }
+
+// A call whose reading is only interrupted goes through, and keeps what the other process was told.
+func TestAnInterruptedReadIsMadeAgain(t *testing.T) {
+	folder := t.TempDir()
+	one, other := open(folder, zap.NewNop()), open(folder, zap.NewNop())
+	must(t, one.Out("a"))
+	failReads(t, syscall.EINTR, 3)
+	must(t, other.Out("b"))
+	if ids := other.out(); !slices.Equal(ids, []string{"a", "b"}) {
+		t.Errorf("out are %v, want a and b", ids)
+	}
+}
--- a/internal/net/boxlist/watch.go
+++ b/internal/net/boxlist/watch.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/thistlerudder/thistlerudder/internal/faults"
+	"github.com/thistlerudder/thistlerudder/internal/kernel"
 	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
 	"github.com/thistlerudder/thistlerudder/logic"
 )
@@ -122,7 +123,7 @@
 		orders:   make(chan struct{}, 1),
 		moved:    make(chan struct{}, 1),
 		transport: &http.Transport{
-			DialContext:            faults.Dialing("list", (&net.Dialer{Timeout: connectIn}).DialContext),
+			DialContext:            faults.Dialing("list", kernel.Dialing((&net.Dialer{Timeout: connectIn}).DialContext)),
 			DisableCompression:     true,
 			MaxConnsPerHost:        connsMost,
 			MaxIdleConns:           1,
--- a/internal/net/clients/ahead.go
+++ b/internal/net/clients/ahead.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/thistlerudder/thistlerudder/internal/kernel"
 )
 
 const (
@@ -47,7 +49,7 @@
 		p.ahead.drop(n)
 		return n, nil
 	}
-	return read(fd, b)
+	return kernel.ReadSocket(fd, b)
 }
 
 // take waits for bytes.
@@ -67,14 +69,6 @@
 	return n, nil
 }
 
-// read reads what the kernel has, without waiting.
-func read(fd uintptr, b []byte) (n int, err error) {
-	for n, err = syscall.Read(int(fd), b); errors.Is(err, syscall.EINTR); {
-		n, err = syscall.Read(int(fd), b)
-	}
-	return max(n, 0), err
-}
-
 // lookBehind reads ahead where much lies behind a lookup: its client's end comes only once the bytes before it have been taken. It says
 // whether it did.
 func (p *placed) lookBehind() (did bool) {
@@ -90,10 +84,7 @@
 			p.ahead.mu.Lock()
 			defer p.ahead.mu.Unlock()
 			if !did {
-				n, _, err := syscall.Recvfrom(int(fd), (*buffer)[:aheadFrom], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-				for errors.Is(err, syscall.EINTR) {
-					n, _, err = syscall.Recvfrom(int(fd), (*buffer)[:aheadFrom], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-				}
+				n, err := kernel.PeekSocket(fd, (*buffer)[:aheadFrom])
 				did = err == nil && n == aheadFrom
 			}
 			for did && len(p.ahead.left) < aheadMost {
@@ -102,7 +93,7 @@
 					p.ahead.of.Add(-size)
 					return
 				}
-				n, _ := read(fd, *buffer)
+				n, _ := kernel.ReadSocket(fd, *buffer)
 				p.ahead.left = append(p.ahead.left, (*buffer)[:n]...)
 				p.ahead.of.Add(int64(n) - size)
 				if n == 0 {
--- a/internal/net/clients/listener.go
+++ b/internal/net/clients/listener.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/thistlerudder/thistlerudder/internal/clock"
+	"github.com/thistlerudder/thistlerudder/internal/kernel"
 	"github.com/thistlerudder/thistlerudder/internal/net/acceptor"
 )
 
@@ -113,20 +114,13 @@
 	return there || !known
 }
 
-// pollCall is poll(2); tests let it fail.
-var pollCall = unix.Poll
-
 // shows says whether one of these events is there at a descriptor now, and whether that could be found out. Of one that is closed
 // nothing is there.
 func shows(raw syscall.RawConn, events int16) (there, known bool) {
 	known = true
 	_ = raw.Control(func(fd uintptr) {
-		look := []unix.PollFd{{Fd: int32(fd), Events: events}}
-		n, err := pollCall(look, 0)
-		for errors.Is(err, unix.EINTR) || errors.Is(err, unix.EAGAIN) {
-			n, err = pollCall(look, 0)
-		}
-		there, known = err == nil && n > 0 && look[0].Revents&events != 0, err == nil
+		found, err := kernel.PollNow(fd, events)
+		there, known = found != 0, err == nil
 	})
 	return there, known
 }
@@ -247,7 +241,7 @@
 
 func (p *placed) Write(b []byte) (int, error) {
 	p.wrote.Store(true)
-	return p.TCPConn.Write(b)
+	return kernel.WriteAll(p.TCPConn.Write, b)
 }
 
 // gone looks whether the client has ended its connection, also where bytes that it sent before are not read yet, behind
@@ -298,11 +292,12 @@
 	b := buffers.Get().(*[]byte)
 	defer buffers.Put(b)
 	for p.dropped < lingerBytes {
-		n, err := unix.Read(int(fd), *b)
-		switch p.dropped += max(n, 0); {
+		n, err := kernel.ReadSocket(fd, *b)
+		p.dropped += n
+		switch {
 		case errors.Is(err, unix.EAGAIN):
 			return false
-		case n <= 0 && !errors.Is(err, unix.EINTR):
+		case n == 0:
 			return true
 		}
 	}
--- a/internal/net/clients/poll_test.go
+++ b/internal/net/clients/poll_test.go
@@ -1,22 +1,27 @@
+//go:build faults
+
 package clients
 
 import (
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/thistlerudder/thistlerudder/internal/kernel"
 )
 
 // failPoll lets the next calls of poll fail.
 func failPoll(t *testing.T, err error, times int) {
-	pollCall = func(fds []unix.PollFd, timeout int) (int, error) {
-		if times--; times >= 0 {
-			return 0, err
+	var left atomic.Int64
+	left.Store(int64(times))
+	kernel.Fail(func(call kernel.Call) error {
+		if call == kernel.Poll && left.Add(-1) >= 0 {
+			return err
 		}
-		return unix.Poll(fds, timeout)
-	}
-	t.Cleanup(func() { pollCall = unix.Poll })
+		return nil
+	})
+	t.Cleanup(func() { kernel.Fail(nil) })
 }
 
 // A poll that was interrupted tells nothing, and is made again; one that fails for good holds nobody to have gone, and no queue to be empty.
--- a/internal/net/handover/seat.go
+++ b/internal/net/handover/seat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -10,23 +9,13 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/thistlerudder/thistlerudder/internal/kernel"
 )
 
 // seats is how many processes of one node may serve at once; two do, and a few more may overlap when one is killed.
 const seats = 8
 
-// lockCall is fcntl(2) for locks; tests let it fail.
-var lockCall = unix.FcntlFlock
-
-// lock makes a call for a lock, again where it was interrupted.
-func lock(fd uintptr, command int, at *unix.Flock_t) error {
-	for {
-		if err := lockCall(fd, command, at); !errors.Is(err, unix.EINTR) {
-			return err
-		}
-	}
-}
-
 // Seat is one process's place among those that serve as one node. It is a lock on one byte of a file, which ends with
 // its owner however that ends; a number in a file would outlive it.
 type Seat struct {
@@ -47,7 +36,7 @@
 		return &Seat{}, err
 	}
 	for nth := range int64(seats) {
-		if lock(f.Fd(), unix.F_OFD_SETLK, &unix.Flock_t{Type: unix.F_WRLCK, Start: nth, Len: 1}) == nil {
+		if kernel.FileLock(f.Fd(), unix.F_OFD_SETLK, &unix.Flock_t{Type: unix.F_WRLCK, Start: nth, Len: 1}) == nil {
 			return &Seat{file: f, nth: nth}, nil
 		}
 	}
@@ -67,7 +56,7 @@
 		if nth == s.nth {
 			continue
 		}
-		if lock(s.file.Fd(), unix.F_OFD_GETLK, &at) != nil {
+		if kernel.FileLock(s.file.Fd(), unix.F_OFD_GETLK, &at) != nil {
 			return s.seen // nothing is known: what was stands
 		}
 		if at.Type != unix.F_UNLCK {
--- a/internal/net/handover/trouble_test.go
+++ b/internal/net/handover/trouble_test.go
@@ -1,12 +1,28 @@
+//go:build faults
+
 package handover
 
 import (
 	"syscall"
 	"testing"
 
-	"golang.org/x/sys/unix"
+	"github.com/thistlerudder/thistlerudder/internal/kernel"
 )
 
+// failLocks lets the next calls for a lock fail.
+func failLocks(t *testing.T, err error, times int) {
+	kernel.Fail(func(call kernel.Call) error {
+		if call != kernel.Lock {
+			return nil
+		}
+		if times--; times >= 0 {
+			return err
+		}
+		return nil
+	})
+	t.Cleanup(func() { kernel.Fail(nil) })
+}
+
 // A look at the seats that fails tells nothing of the others: taken for nobody, it would give this process the parts of the limits that
 // another one uses.
 func TestALookThatFailsTellsNothing(t *testing.T) {
@@ -19,23 +35,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { lockCall = unix.FcntlFlock })
 	if n := one.Others(); n != 1 {
 		t.Fatalf("%d others, want one", n)
 	}
 	for _, err := range []error{syscall.EINTR, syscall.EAGAIN, syscall.ENOLCK, syscall.EIO} {
-		failing := 20
-		lockCall = func(fd uintptr, command int, at *unix.Flock_t) error {
-			if failing--; failing >= 0 {
-				return err
-			}
-			return unix.FcntlFlock(fd, command, at)
-		}
+		failLocks(t, err, 20)
 		if n := one.Others(); n != 1 {
 			t.Errorf("%v: %d others, want one as before", err, n)
 		}
 	}
-	lockCall = unix.FcntlFlock
+	kernel.Fail(nil)
 	other.Leave()
 	if n := one.Others(); n != 0 {
 		t.Errorf("%d others once the other has left", n)
@@ -44,14 +53,7 @@
 
 // A seat is found where a lock was interrupted.
 func TestASeatIsFoundThoughALockWasInterrupted(t *testing.T) {
-	interrupted := 3
-	lockCall = func(fd uintptr, cmd int, at *unix.Flock_t) error {
-		if interrupted--; interrupted >= 0 {
-			return syscall.EINTR
-		}
-		return unix.FcntlFlock(fd, cmd, at)
-	}
-	t.Cleanup(func() { lockCall = unix.FcntlFlock })
+	failLocks(t, syscall.EINTR, 3)
 	s, err := Sit(t.TempDir(), "n")
 	if err != nil || s.nth != 0 {
 		t.Errorf("seat %d, %v", s.nth, err)
--- a/internal/net/servers/conn.go
+++ b/internal/net/servers/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/thistlerudder/thistlerudder/internal/faults"
+	"github.com/thistlerudder/thistlerudder/internal/kernel"
 	"github.com/thistlerudder/thistlerudder/internal/net/permit"
 )
 
@@ -89,7 +90,7 @@
 	if denied != permit.Granted {
 		return 0, denial{denied}
 	}
-	n, err := c.Conn.Write(b)
+	n, err := kernel.WriteAll(c.Conn.Write, b)
 	c.written.Add(int64(n))
 	c.mu.Lock()
 	if n < len(b) {
@@ -169,10 +170,7 @@
 func (c *conn) waiting() bool {
 	there := false
 	_ = c.raw.Control(func(fd uintptr) { // not Read, which would wait for the transport's own
-		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		for errors.Is(err, syscall.EINTR) {
-			_, _, err = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		}
+		_, err := kernel.PeekSocket(fd, make([]byte, 1))
 		there = !errors.Is(err, syscall.EAGAIN) // an end, a reset, or an error that makes it no use
 	})
 	return there
@@ -188,13 +186,9 @@
 	over := c.raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		for n, err = syscall.Read(int(fd), b); errors.Is(err, syscall.EINTR); {
-			n, err = syscall.Read(int(fd), b)
-		}
-		if errors.Is(err, syscall.EAGAIN) {
+		if n, err = kernel.ReadSocket(fd, b); errors.Is(err, syscall.EAGAIN) {
 			return false
 		}
-		n = max(n, 0)
 		c.reading = false
 		if n > 0 {
 			c.came(time.Now())
--- a/internal/net/servers/dial.go
+++ b/internal/net/servers/dial.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/thistlerudder/thistlerudder/internal/kernel"
 )
 
 var errNoRoom = errors.New("no descriptor or dial left")
@@ -38,7 +40,7 @@
 	if !d.begin(address, place, to.cache) {
 		return nil, errNoRoom
 	}
-	c, err := d.DialContext(ctx, network, address)
+	c, err := kernel.Dialing(d.DialContext)(ctx, network, address)
 	d.end(address, err != nil)
 	if err != nil {
 		return nil, err
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -188,7 +189,8 @@
 	select {
 	case <-p.ended:
 	case <-time.After(x.w.settings.longest() + killAfter):
-		x.w.broke(fmt.Sprintf("node %d: its process was still there %v after SIGTERM", x.n, x.w.settings.longest()+killAfter))
+		x.w.broke(fmt.Sprintf("node %d: its process was still there %v after SIGTERM, %s", x.n, x.w.settings.longest()+killAfter,
+			stateOf(p.cmd.Process.Pid)))
 		_ = p.cmd.Process.Signal(syscall.SIGQUIT) // its log then says where it waits
 		time.Sleep(quitWithin)
 		_ = p.cmd.Process.Kill()
@@ -199,6 +201,21 @@
 	}
 }
 
+// stateOf tells what the kernel says of a process: whether it runs, has ended already (zombie), or is gone.
+func stateOf(pid int) string {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return "gone"
+	}
+	var found []string
+	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, "State:") || strings.HasPrefix(line, "Threads:") || strings.HasPrefix(line, "VmRSS:") {
+			found = append(found, strings.Join(strings.Fields(line), " "))
+		}
+	}
+	return strings.Join(found, ", ")
+}
+
 // restart ends the process with SIGTERM, and starts the next.
 func (x *node) restart() error {
 	time.AfterFunc(comingFor, func() { x.accepting.Store(false) })
