Show by failing tests what calls of the kernel that fail here cost servers and clients

Each documented error of our reads, peeks and writes, let fail one by one: ENOMEM and ENOBUFS for a moment end a client's request with no answer (lost), and an error of this machine on a connection to a server is one or two strikes against that server.

--- /dev/null
+++ b/internal/net/clients/failing_test.go
@@ -0,0 +1,63 @@
+//go:build faults
+
+package clients
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/thistlerudder/thistlerudder/internal/kernel"
+	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
+)
+
+// A request that meets a moment in which the machine lacks memory, as it is read, looked after or answered, is answered whole.
+func TestRequestsOutliveAMomentsLackOfMemory(t *testing.T) {
+	const aMoment = 2
+	for _, call := range []kernel.Call{kernel.Read, kernel.Write, kernel.Poll} {
+		for _, lack := range []syscall.Errno{syscall.ENOMEM, syscall.ENOBUFS} {
+			c, ships, address := serve(t, 8, true)
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { conn.Close() })
+			for end := time.Now().Add(time.Second); c.Open() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			}
+			var left atomic.Int64
+			left.Store(aMoment)
+			kernel.Fail(func(made kernel.Call) error {
+				if made == call && left.Add(-1) >= 0 {
+					return lack
+				}
+				return nil
+			})
+			t.Cleanup(func() { kernel.Fail(nil) })
+			fmt.Fprintf(conn, "GET /read/k HTTP/1.1\r\nHost: h\r\nX-Trace-Id: t\r\nX-Expires-In: 300m\r\n\r\n")
+			go func() {
+				select {
+				case s := <-ships:
+					s.Wanted()
+					s.Settle(exchange.Whole, exchange.Answer{Body: []byte("value")})
+				case <-time.After(time.Second):
+				}
+			}()
+			_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Errorf("%s, %v: %v", call, lack, err)
+				continue
+			}
+			if body, err := io.ReadAll(resp.Body); resp.StatusCode != http.StatusOK || string(body) != "value" || err != nil {
+				t.Errorf("%s, %v: %d %q %v", call, lack, resp.StatusCode, body, err)
+			}
+			kernel.Fail(nil)
+		}
+	}
+}
--- /dev/null
+++ b/internal/net/servers/failing_test.go
@@ -0,0 +1,86 @@
+//go:build faults
+
+package servers
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/thistlerudder/thistlerudder/internal/kernel"
+	"github.com/thistlerudder/thistlerudder/internal/net/exchange"
+	"github.com/thistlerudder/thistlerudder/logic"
+)
+
+// failCalls lets one kind of call fail so often.
+func failCalls(t *testing.T, of kernel.Call, err error, times int64) {
+	var left atomic.Int64
+	left.Store(times)
+	kernel.Fail(func(call kernel.Call) error {
+		if call == of && left.Add(-1) >= 0 {
+			return err
+		}
+		return nil
+	})
+	t.Cleanup(func() { kernel.Fail(nil) })
+}
+
+// A read or a write that fails by this machine tells nothing of the server: one that lacked memory for a moment is made again, and the
+// attempt is answered; one that goes on failing ends the attempt, as not run where its last byte was not written, and as in doubt after that.
+func TestFailingReadsAndWritesAreNotTheServers(t *testing.T) {
+	const aMoment, forGood = 2, 1 << 30
+	answered, unsent := []logic.Code{logic.Answered}, []logic.Code{logic.Unsent}
+	either := []logic.Code{logic.Unsent, logic.CalledOff} // the connection's first read may fail before anything is written, or after it
+	for _, c := range []struct {
+		call  kernel.Call
+		err   syscall.Errno
+		times int64
+		want  []logic.Code
+	}{
+		{kernel.Read, syscall.ENOMEM, aMoment, answered},
+		{kernel.Read, syscall.ENOBUFS, aMoment, answered},
+		{kernel.Write, syscall.ENOMEM, aMoment, answered},
+		{kernel.Write, syscall.ENOBUFS, aMoment, answered},
+		{kernel.Peek, syscall.ENOMEM, aMoment, answered},
+		{kernel.Read, syscall.ENOMEM, forGood, either},
+		{kernel.Read, syscall.EIO, forGood, either},
+		{kernel.Write, syscall.ENOBUFS, forGood, unsent},
+		{kernel.Write, syscall.EPERM, forGood, unsent},
+		{kernel.Write, syscall.EIO, forGood, unsent},
+		{kernel.Peek, syscall.ENOMEM, forGood, unsent},
+	} {
+		var reached atomic.Int64
+		s, server := side(t), raw(t, func(c net.Conn, r *http.Request, nth int) {
+			reached.Add(1)
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		})
+		failCalls(t, c.call, c.err, c.times)
+		end, _ := s.send(shot(server, "GET", ""))
+		kernel.Fail(nil)
+		if !slices.Contains(c.want, end.Code()) {
+			t.Errorf("%s, %v, %d times: %v (%v), want one of %v", c.call, c.err, c.times, end, end.Code(), c.want)
+		}
+		if !end.MayHaveRun() && reached.Load() > 0 {
+			t.Errorf("%s, %v, %d times: %v counts as not run, and has", c.call, c.err, c.times, end)
+		}
+		if end == exchange.Whole {
+			continue
+		}
+		for by := time.Now().Add(time.Second); ; time.Sleep(time.Millisecond) {
+			s.dialer.mu.Lock()
+			open := s.dialer.open
+			s.dialer.mu.Unlock()
+			if open == 0 {
+				break
+			} else if time.Now().After(by) {
+				t.Errorf("%s, %v: %d connections are still open", c.call, c.err, open)
+				break
+			}
+		}
+	}
+}
