Put no failing call of this machine down to a server, and outlive a moment's lack of memory

Package kernel makes a call that failed by ENOMEM or ENOBUFS again, up to four times within 2 ms, so that a request is read and its answer written. On a connection to a server a read or write that goes on failing by this machine (EIO, EPERM, ENOBUFS, ...) is no word on that server: not run where its last byte was not written (conn.failedHere; NoRoom), in doubt after that (Withdrawn). A connection that can't be looked at is no longer taken for one with unsolicited bytes: a reason of its own, facts_unknown.

--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -1,5 +1,5 @@
 // Package kernel makes the system calls that the node makes itself, beside those of the standard library. Each is made again where a
-// signal interrupted it. Builds with the tag faults can let each of them fail, and those that the standard library makes.
+// signal interrupted it, and a few times where the machine lacked memory for it. Builds with the tag faults can let each of them fail, and those that the standard library makes.
 package kernel
 
 import (
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -28,13 +29,29 @@
 	Accept   Call = "accept"
 )
 
-// again makes a call until it succeeds, or fails for a reason that does not pass.
+const (
+	shortTries = 4                      // further calls where the machine lacked memory: the lack passes as others give theirs back
+	shortPause = 500 * time.Microsecond // before each of them
+)
+
+// short says that a call failed for want of memory of this machine: nothing is wrong with what it was made for, and the same call may
+// succeed at once.
+func short(err error) bool {
+	return errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ENOBUFS)
+}
+
+// again makes a call until it succeeds, or fails for a reason that does not pass. It waits shortTries times shortPause at the most.
 func again[T any](call Call, make func() (T, error)) (result T, err error) {
-	for {
+	for tries := 0; ; {
 		if err = failure(call); err == nil {
 			result, err = make()
 		}
-		if !errors.Is(err, syscall.EINTR) {
+		switch {
+		case errors.Is(err, syscall.EINTR):
+		case short(err) && tries < shortTries:
+			tries++
+			time.Sleep(shortPause)
+		default:
 			return result, err
 		}
 	}
@@ -99,7 +116,12 @@
 
 // WriteAll writes to a connection until all is out, or an error that does not pass. n is how many bytes are out.
 func WriteAll(write func([]byte) (int, error), b []byte) (n int, err error) {
-	return again(Write, func() (int, error) { return write(b) })
+	_, err = again(Write, func() (int, error) {
+		wrote, err := write(b[n:])
+		n += wrote
+		return wrote, err
+	})
+	return n, err
 }
 
 // Dialer makes connections, as net.Dialer's method does.
--- a/internal/net/permit/permit.go
+++ b/internal/net/permit/permit.go
@@ -18,6 +18,7 @@
 	TooLate                        // the time by which the first byte has to be written has passed
 	DeadlineStale                  // the request tells a deadline beyond what is left to its client
 	FactsStale                     // what is known was gathered too long ago to be acted on
+	FactsUnknown                   // the connection could not be looked at
 	NodeLeaving                    // the node takes its attempts back
 	AttemptOut                     // an earlier attempt is out, and one may be out at a time
 	MayHaveRun                     // an earlier attempt may have run, and nothing makes a repeat harmless
@@ -27,7 +28,7 @@
 )
 
 var names = [Reasons]string{"granted", "request_over", "client_gone", "connection_ending", "unsolicited_bytes", "not_quiet", "too_late",
-	"deadline_stale", "facts_stale", "node_leaving", "attempt_out", "may_have_run", "window_over", "body_sent"}
+	"deadline_stale", "facts_stale", "facts_unknown", "node_leaving", "attempt_out", "may_have_run", "window_over", "body_sent"}
 
 // String gives the reason's name in figures and logs.
 func (r Reason) String() string { return names[r] }
@@ -49,6 +50,7 @@
 	Refused          Reason        // by an earlier step, or Granted
 	ConnectionEnding bool          // the connection is closed, or about to be, on our side
 	Unsolicited      bool          // bytes, or the connection's end, have come that belong to no request
+	Unknown          bool          // the connection could not be looked at
 	Client           Reason        // Granted, RequestOver or ClientGone
 	Gathered         time.Duration // how long it took to learn this
 	Now              time.Time     // read last
@@ -66,6 +68,8 @@
 		return ConnectionEnding
 	case s.Unsolicited:
 		return UnsolicitedBytes
+	case s.Unknown:
+		return FactsUnknown
 	case s.Client != Granted:
 		return s.Client
 	case !s.BeginBy.IsZero() && s.Now.After(s.BeginBy):
--- a/internal/net/permit/permit_test.go
+++ b/internal/net/permit/permit_test.go
@@ -19,6 +19,7 @@
 		TooLate:          func(s *Send) { s.BeginBy = now.Add(-1) },
 		DeadlineStale:    func(s *Send) { s.Told += 2 * deadlineSlack },
 		FactsStale:       func(s *Send) { s.Gathered = FactsFor },
+		FactsUnknown:     func(s *Send) { s.Unknown = true },
 	} {
 		s := sound
 		if change(&s); s.Decide() != want {
--- a/internal/net/servers/conn.go
+++ b/internal/net/servers/conn.go
@@ -28,6 +28,7 @@
 	onUnsolicited func(after time.Duration)
 	written       atomic.Int64 // bytes
 	failed        atomic.Bool  // a write came to an end before its last byte
+	failedHere    atomic.Bool  // a read or a write failed by this machine, which tells nothing of the server
 
 	mu      sync.Mutex
 	change  sync.Cond // of reading, gone and writing
@@ -95,6 +96,7 @@
 	c.mu.Lock()
 	if n < len(b) {
 		c.failed.Store(true)
+		c.failedHere.Store(c.failedHere.Load() || local(err))
 	}
 	c.writing = false
 	c.change.Broadcast()
@@ -116,13 +118,14 @@
 func (c *conn) look(request *outgoing) (denied permit.Reason) {
 	for range looksMost {
 		began := time.Now()
-		request.early = request.early || c.waiting()
+		waiting, unknown := c.waiting()
+		request.early = request.early || waiting
 		client := permit.Granted
 		if request.client != nil {
 			client = request.client()
 		}
 		now := time.Now() // last, and no call of the kernel
-		denied = permit.Send{Refused: request.refused, ConnectionEnding: c.retired, Unsolicited: request.early || c.gone, Client: client,
+		denied = permit.Send{Refused: request.refused, ConnectionEnding: c.retired || c.failedHere.Load(), Unsolicited: request.early || c.gone, Unknown: unknown, Client: client,
 			Gathered: now.Sub(began), Now: now, BeginBy: request.beginBy, Until: request.until, Told: request.told}.Decide()
 		if denied != permit.FactsStale {
 			break
@@ -166,14 +169,15 @@
 	return c.pause
 }
 
-// waiting looks for bytes, or the connection's end, that have come and that nobody has read yet.
-func (c *conn) waiting() bool {
-	there := false
+// waiting looks for bytes, or the connection's end, that have come and that nobody has read yet. unknown: this machine didn't let it look.
+func (c *conn) waiting() (there, unknown bool) {
 	_ = c.raw.Control(func(fd uintptr) { // not Read, which would wait for the transport's own
 		_, err := kernel.PeekSocket(fd, make([]byte, 1))
-		there = !errors.Is(err, syscall.EAGAIN) // an end, a reset, or an error that makes it no use
+		nothing := errors.Is(err, syscall.EAGAIN)
+		unknown = !nothing && local(err)
+		there = !nothing && !unknown // an end, a reset, or an error that makes it no use
 	})
-	return there
+	return there, unknown
 }
 
 // Read takes bytes and notes them in one step. With a step between the two, a request could be written when stray
@@ -203,6 +207,7 @@
 	case errors.Is(err, syscall.ECONNRESET) && faults.Without(faults.ResetIsNoEnd):
 		return 0, io.EOF
 	case err != nil:
+		c.failedHere.Store(c.failedHere.Load() || local(err))
 		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
 	case n == 0 && len(b) > 0:
 		return 0, c.ended()
--- a/internal/net/servers/failing_test.go
+++ b/internal/net/servers/failing_test.go
@@ -59,6 +59,7 @@
 			reached.Add(1)
 			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 		})
+		s.dialer.Timeout = time.Second // a connect that a busy machine holds up is not what is looked at here
 		failCalls(t, c.call, c.err, c.times)
 		end, _ := s.send(shot(server, "GET", ""))
 		kernel.Fail(nil)
--- a/internal/net/servers/send.go
+++ b/internal/net/servers/send.go
@@ -227,6 +227,8 @@
 		return endOf(denied), exchange.Answer{}, denial{denied}
 	case err != nil && ctx.Err() != nil:
 		return s.gaveUp(ctx), exchange.Answer{}, err
+	case err != nil && on.conn.failedHere.Load():
+		return exchange.Withdrawn, exchange.Answer{}, err
 	case err != nil || how != exchange.Whole:
 		return how, answer, err
 	}
@@ -296,8 +298,12 @@
 		return exchange.Unwritten // its last byte never came to us
 	case ctx.Err() != nil:
 		return s.gaveUp(ctx)
+	case on.unwritten() && on.conn.failedHere.Load():
+		return exchange.NoRoom
 	case on.unwritten():
 		return exchange.Unwritten
+	case on.conn.failedHere.Load():
+		return exchange.Withdrawn
 	case on.answered() && !breaks(err):
 		return exchange.Spoilt
 	default:
