--- a/internal/kernel/fail_on.go
+++ b/internal/kernel/fail_on.go
@@ -10,9 +10,6 @@
 	"syscall"
 )
 
-// RateVariable tells a process which share of its calls is to fail, by errors drawn from Documented.
-const RateVariable = "THISTLERUDDER_KERNEL_FAILURES"
-
 // Documented are the errors of each call that its manual page documents, but for those of a faulty caller (EBADF, EFAULT, EINVAL, ENOTSOCK).
 var Documented = map[Call][]syscall.Errno{
 	Read:     {syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS, syscall.EIO},
@@ -51,9 +48,14 @@
 		return
 	}
 	Fail(func(call Call) error {
-		if errs := Documented[call]; len(errs) > 0 && rand.Float64() < rate {
-			return os.NewSyscallError(string(call), errs[rand.IntN(len(errs))])
+		if rand.Float64() >= rate {
+			return nil
+		}
+		errs := Documented[call]
+		err := errs[rand.IntN(len(errs))]
+		if (call == Read || call == Write) && (err == syscall.EIO || err == syscall.EPERM) {
+			return nil
 		}
-		return nil
+		return os.NewSyscallError(string(call), err)
 	})
 }
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -29,6 +29,10 @@
 	Accept   Call = "accept"
 )
 
+// RateVariable tells a process of a build with the tag faults which share of its calls is to fail, by documented errors but for those that
+// end a connection: what was read from a client can't be answered then.
+const RateVariable = "THISTLERUDDER_KERNEL_FAILURES"
+
 const (
 	shortTries = 4                      // further calls where the machine lacked memory: the lack passes as others give theirs back
 	shortPause = 500 * time.Microsecond // before each of them
