Show by a failing test that a step back of the clock silences the fleet's roll-up

The period's number is the wall clock's, and the fleet keeps the last one: after a step back each further one counts as repeated until the clock has caught up. The wall clock is read through the package's own variable here, and the line tells its number.

--- /dev/null
+++ b/internal/net/fellows/rollup_test.go
@@ -0,0 +1,60 @@
+package fellows
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/thistlerudder/thistlerudder/internal/clock"
+	"github.com/thistlerudder/thistlerudder/internal/terms"
+)
+
+// The roll-up goes on after the wall clock was stepped back by an hour, and after it was stepped forward: one line a period, each with a number of
+// its own.
+func TestTheRollUpGoesOnAfterAStepOfTheClock(t *testing.T) {
+	var offset atomic.Int64
+	wallClock = func() time.Time { return clock.Wall().Add(time.Duration(offset.Load())) }
+	core, logs := observer.New(zap.InfoLevel)
+	all := fleetOf(t, 3)
+	var nodes []*Fellows
+	for _, f := range all {
+		f.Tasks = []string{terms.TaskRollUp}
+		nodes = append(nodes, Start(f, figures{"resolved": 1}, time.Second, 256, zap.New(core)))
+	}
+	t.Cleanup(func() {
+		var closing sync.WaitGroup
+		for _, n := range nodes {
+			closing.Go(n.Close)
+		}
+		closing.Wait()
+		wallClock = clock.Wall
+	})
+	c := NewClient(all[0], zap.NewNop())
+	t.Cleanup(c.Close)
+	eventually(t, "the fleet is not founded", func() bool { return c.Found(0) == nil })
+	lines := func() int { return logs.FilterMessage("roll-up").Len() }
+	eventually(t, "no period is written", func() bool { return lines() > 0 })
+	for _, step := range []time.Duration{-time.Hour, 0, time.Hour, -2 * time.Second} {
+		before := lines()
+		offset.Store(int64(step))
+		const periods = 6 // one may be begun, and one or two are skipped where the step is small
+		for end := time.Now().Add(periods * time.Second); lines() < before+2; time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Errorf("%v: %d periods are written within %d, want two", step, lines()-before, periods)
+				break
+			}
+		}
+	}
+	seen := map[uint64]bool{}
+	for _, line := range logs.FilterMessage("roll-up").All() {
+		number, _ := line.ContextMap()["number"].(uint64)
+		if seen[number] {
+			t.Errorf("period %d is written twice", number)
+		}
+		seen[number] = true
+	}
+}
--- a/internal/net/fellows/tasks.go
+++ b/internal/net/fellows/tasks.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/thistlerudder/thistlerudder/internal/clock"
 	"github.com/thistlerudder/thistlerudder/internal/terms"
 	"github.com/thistlerudder/thistlerudder/lease"
 )
@@ -53,16 +54,20 @@
 
 const missingMost = 32 // names that a sheet tells; of more it tells how many
 
+// wallClock gives the time by which the fleet's periods are told; tests step it.
+var wallClock = clock.Wall
+
 // rollUp writes one line a period for the whole fleet. The fleet itself keeps which period was the last, so none is written
 // twice; one that nobody wrote is told as a gap by who writes next.
 func (f *Fellows) rollUp(ctx context.Context, g *Grip) bool {
 	period := f.fleet.RollUp
 	for {
-		at := time.Now().Truncate(period).Add(period)
+		now := wallClock()
+		at := now.Truncate(period).Add(period)
 		select {
 		case <-ctx.Done():
 			return true
-		case <-time.After(time.Until(at)):
+		case <-time.After(at.Sub(now)):
 		}
 		number := uint64(at.UnixMilli() / period.Milliseconds())
 		s, err := f.client.Status()
@@ -94,7 +99,7 @@
 			f.log.Warn("roll-up: gap", zap.Time("from", time.UnixMilli(int64(last)*period.Milliseconds())),
 				zap.Time("until", at.Add(-period)), zap.Uint64("periods", number-last-1))
 		}
-		f.log.Info("roll-up", zap.Time("until", at), zap.Duration("period", period), zap.Uint64("token", g.Token()),
+		f.log.Info("roll-up", zap.Time("until", at), zap.Uint64("number", number), zap.Duration("period", period), zap.Uint64("token", g.Token()),
 			zap.Int("nodes", x.Nodes), zap.Strings("missing", x.Missing), zap.Any("sums", x.Sums))
 	}
 }
