Let the fleet's roll-up go on from its last number after a step back of the clock

A holder whose clock stands two periods and more before the fleet's latest number takes the one after that, and says so; a period behind, another has written it, as before.

--- a/internal/net/fellows/tasks.go
+++ b/internal/net/fellows/tasks.go
@@ -76,6 +76,11 @@
 			continue
 		}
 		last := s.Facts[terms.TaskRollUp].Number
+		if next := followingPeriod(number, last); next != number {
+			f.log.Warn("the wall clock stands before the fleet's last period, the numbers go on from there", zap.Time("until", at),
+				zap.Uint64("last", last))
+			number = next
+		}
 		x := f.gather(s.nodes())
 		text, _ := json.Marshal(x)
 		if len(x.Missing) > missingMost {
@@ -104,6 +109,15 @@
 	}
 }
 
+// followingPeriod gives the number under which a period is written that ends now by the wall clock, where last was the fleet's latest. The
+// fleet takes only numbers that grow. One period behind it, another holder has written it; further behind, a clock was stepped back.
+func followingPeriod(byClock, last uint64) uint64 {
+	if last > byClock+1 {
+		return last + 1
+	}
+	return byClock
+}
+
 // gather asks all nodes for their figures.
 func (f *Fellows) gather(nodes map[string]string) (x sheet) {
 	x.Sums = map[string]int64{}
