--- a/internal/kernel/fail_on.go
+++ b/internal/kernel/fail_on.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"net"
 	"os"
 	"strconv"
 	"sync/atomic"
@@ -59,3 +60,22 @@
 		return os.NewSyscallError(string(call), err)
 	})
 }
+
+// failingConn fails in reading and writing as their calls of the kernel would.
+type failingConn struct{ net.Conn }
+
+func whole(c net.Conn) net.Conn { return failingConn{c} }
+
+func (c failingConn) Read(b []byte) (int, error) {
+	if err := failure(Read); err != nil {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: err}
+	}
+	return c.Conn.Read(b)
+}
+
+func (c failingConn) Write(b []byte) (int, error) {
+	if err := failure(Write); err != nil {
+		return 0, &net.OpError{Op: "write", Net: "tcp", Addr: c.RemoteAddr(), Err: err}
+	}
+	return c.Conn.Write(b)
+}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -140,3 +140,15 @@
 		return dial(ctx, network, address)
 	}
 }
+
+// DialingWhole is Dialing for connections that are only read and written by the standard library: those calls can fail too.
+func DialingWhole(dial Dialer) Dialer {
+	connect := Dialing(dial)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := connect(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return whole(c), nil
+	}
+}
--- a/internal/net/boxlist/watch.go
+++ b/internal/net/boxlist/watch.go
@@ -123,7 +123,7 @@
 		orders:   make(chan struct{}, 1),
 		moved:    make(chan struct{}, 1),
 		transport: &http.Transport{
-			DialContext:            faults.Dialing("list", kernel.Dialing((&net.Dialer{Timeout: connectIn}).DialContext)),
+			DialContext:            faults.Dialing("list", kernel.DialingWhole((&net.Dialer{Timeout: connectIn}).DialContext)),
 			DisableCompression:     true,
 			MaxConnsPerHost:        connsMost,
 			MaxIdleConns:           1,
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -78,6 +78,7 @@
 type audience struct {
 	ledger *ledger
 	node   int
+	life   *life
 	mu     sync.Mutex
 	told   map[string]string   // states, by server
 	news   map[string]*drained // the latest drains, by server
@@ -85,7 +86,10 @@
 }
 
 func newAudience(l *ledger, node int) *audience {
-	return &audience{ledger: l, node: node, told: map[string]string{}, news: map[string]*drained{}}
+	a := &audience{ledger: l, node: node, life: &life{node: node, from: time.Now(), ready: map[string]time.Time{}}, told: map[string]string{},
+		news: map[string]*drained{}}
+	l.change(func() { l.lives = append(l.lives, a.life) })
+	return a
 }
 
 // end says that the process has ended.
@@ -94,6 +98,7 @@
 	defer a.mu.Unlock()
 	a.ended = true
 	a.ledger.change(func() {
+		a.life.to = time.Now()
 		for _, n := range a.news {
 			n.ended = time.Now()
 		}
@@ -190,9 +195,12 @@
 	last := a.news[id]
 	a.told[id] = state
 	a.ledger.change(func() {
+		if _, before := a.life.ready[id]; !drains && !before {
+			a.life.ready[id] = now
+		}
 		switch {
 		case drains && !a.ended && (last == nil || !last.back.IsZero()):
-			a.news[id] = &drained{server: id, node: a.node, told: now}
+			a.news[id] = &drained{server: id, node: a.node, by: a.life, told: now}
 			a.ledger.drains = append(a.ledger.drains, a.news[id])
 		case !drains && last != nil && last.back.IsZero():
 			last.back = now
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -253,28 +253,36 @@
 	}
 }
 
-// drains judges whether a server was used after the grace.
+// drains judges whether a server was used after the grace. While two processes serve as the node it isn't known which of them acted: then one
+// of them has to have been allowed to.
 func (j *judgement) drains() {
 	for _, a := range j.r.attempts {
 		lag, sure := j.lag(a.first)
-		if !sure || j.handedOver(a.first) {
+		if !sure || !j.toldOfDrain(a) {
 			continue
 		}
-		for _, d := range j.l.drains {
-			if d.server == a.server && d.node == j.r.node && a.first.Sub(d.told) > j.s.grace+lag &&
-				(d.back.IsZero() || d.back.After(a.first)) && (d.ended.IsZero() || d.ended.After(a.first)) {
-				j.broke("drain", "sent to %s %v after it was told, grace %v", d.server, a.first.Sub(d.told), j.s.grace)
-			}
+		allowed := func(p *life) bool {
+			return p.node == j.r.node && (p.may(a.server, a.first, j.l.drains, j.s.grace+lag) || p.may(a.server, a.first.Add(-lag), j.l.drains, j.s.grace))
+		}
+		if !slices.ContainsFunc(j.l.lives, allowed) {
+			j.broke("drain", "sent to %s after its drain, grace %v, %s", a.server, j.s.grace, j.drainsOf(a))
 		}
 	}
 }
 
-// handedOver says that two processes may have served as the node then, so that it isn't known which of them acted.
-func (j *judgement) handedOver(t time.Time) bool {
-	for _, s := range j.l.stops {
-		if s.node == j.r.node && s.kind == "handed over" && t.After(s.from) && t.Before(s.to.Add(ownSlack)) {
-			return true
+// toldOfDrain says that a process of the node was told, before an attempt, that its server drains.
+func (j *judgement) toldOfDrain(a *attempt) bool {
+	return slices.ContainsFunc(j.l.drains, func(d *drained) bool {
+		return d.server == a.server && d.node == j.r.node && d.told.Before(a.first)
+	})
+}
+
+// drainsOf tells what the node's processes were told of an attempt's server before it.
+func (j *judgement) drainsOf(a *attempt) (text string) {
+	for _, d := range j.l.drains {
+		if d.server == a.server && d.node == j.r.node && d.told.Before(a.first) {
+			text += fmt.Sprintf("told %v before; ", a.first.Sub(d.told).Round(time.Millisecond))
 		}
 	}
-	return false
+	return text
 }
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -56,6 +56,7 @@
 	strange  []string                   // ids at servers that no client sent
 	stops    []stop
 	drains   []*drained
+	lives    []*life
 	late     []lateness
 	excused  map[string]int
 	seconds  map[string]time.Duration // second answers that came later than they were to, by their body
@@ -72,11 +73,33 @@
 type drained struct {
 	server string
 	node   int
+	by     *life // the process that was told
 	told   time.Time
 	back   time.Time // when it was told that the server is ready again; zero: it wasn't
 	ended  time.Time // when the process that was told ended; zero: it runs
 }
 
+// life is that of one process of a node.
+type life struct {
+	node     int
+	from, to time.Time            // zero: it runs
+	ready    map[string]time.Time // when it was first told that a server is ready
+}
+
+// may says whether the process may send to a server at a time, as far as it was told of it with a grace.
+func (p *life) may(server string, at time.Time, drains []*drained, grace time.Duration) bool {
+	first, told := p.ready[server]
+	if p.from.After(at) || !p.to.IsZero() && p.to.Before(at) || !told || first.After(at) {
+		return false
+	}
+	for _, d := range drains {
+		if d.by == p && d.server == server && at.Sub(d.told) > grace && (d.back.IsZero() || d.back.After(at)) {
+			return false
+		}
+	}
+	return true
+}
+
 // lateness is a moment at which the judge's own process was late.
 type lateness struct {
 	at time.Time
