Read a voter's list of free pages with the look at its log, before the library does

The look opens the log to be read only, where the library leaves the list of free pages out; opened to be written, it panicked over a spoilt one and ended the process. Such a folder is refused as damaged now, and the node serves on.

--- a/internal/net/fellows/folder.go
+++ b/internal/net/fellows/folder.go
@@ -92,7 +92,8 @@
 			err = fmt.Errorf("fleet.folder: %s is damaged: %v", path, r)
 		}
 	}()
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{ReadOnly: true, Timeout: openWithin})
+	// With the list of free pages: the library reads it only when a log is opened to be written, and panics where it is spoilt.
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{ReadOnly: true, PreLoadFreelist: true, Timeout: openWithin})
 	if err != nil {
 		return fmt.Errorf("fleet.folder: %s is damaged or in use: %w", path, err)
 	}
