--- a/internal/kernel/fail_on.go
+++ b/internal/kernel/fail_on.go
@@ -36,6 +36,18 @@
 	failing.Store(&f)
 }
 
+// FailTimes lets the next so many calls of one kind fail, until a Fail ends that.
+func FailTimes(of Call, err error, times int64) {
+	var left atomic.Int64
+	left.Store(times)
+	Fail(func(call Call) error {
+		if call == of && left.Add(-1) >= 0 {
+			return os.NewSyscallError(string(call), err)
+		}
+		return nil
+	})
+}
+
 func failure(call Call) error {
 	if f := failing.Load(); f != nil {
 		return (*f)(call)
--- a/internal/kernel/fail_test.go
+++ b/internal/kernel/fail_test.go
@@ -10,22 +10,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// failTimes lets a call fail so often.
-func failTimes(t *testing.T, of Call, err error, times int) {
-	Fail(func(call Call) error {
-		if call != of {
-			return nil
-		}
-		if times--; times >= 0 {
-			return err
-		}
-		return nil
-	})
-	t.Cleanup(func() { Fail(nil) })
-}
-
 // What was interrupted is made again, however often, and a few times where memory lacked; another error is given at once.
 func TestCallsThatPassAreMadeAgain(t *testing.T) {
+	t.Cleanup(func() { Fail(nil) })
 	near, far, raw := pair(t)
 	if _, err := far.Write([]byte("abc")); err != nil {
 		t.Fatal(err)
@@ -47,21 +34,21 @@
 		ReadFile: func() error { _, err := FileText("/dev/null"); return err },
 	}
 	for call, make := range calls {
-		failTimes(t, call, syscall.EINTR, 20)
+		FailTimes(call, syscall.EINTR, 20)
 		if err := make(); err != nil {
 			t.Errorf("%s: %v after an interruption", call, err)
 		}
 		for _, lack := range []syscall.Errno{syscall.ENOMEM, syscall.ENOBUFS} {
-			failTimes(t, call, lack, shortTries)
+			FailTimes(call, lack, shortTries)
 			if err := make(); err != nil {
 				t.Errorf("%s: %v after a moment's lack", call, err)
 			}
-			failTimes(t, call, lack, shortTries+1)
+			FailTimes(call, lack, shortTries+1)
 			if err := make(); !errors.Is(err, lack) {
 				t.Errorf("%s: %v, want the lack that lasts, %v", call, err, lack)
 			}
 		}
-		failTimes(t, call, syscall.EIO, 1)
+		FailTimes(call, syscall.EIO, 1)
 		if err := make(); !errors.Is(err, syscall.EIO) {
 			t.Errorf("%s: %v, want the input/output error", call, err)
 		}
--- a/internal/net/bans/trouble_test.go
+++ b/internal/net/bans/trouble_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"math"
-	"os"
 	"slices"
 	"syscall"
 	"testing"
@@ -14,28 +13,15 @@
 	"github.com/thistlerudder/thistlerudder/internal/kernel"
 )
 
-// failReads lets the next readings of a file fail.
-func failReads(t *testing.T, err error, times int) {
-	kernel.Fail(func(call kernel.Call) error {
-		if call != kernel.ReadFile {
-			return nil
-		}
-		if times--; times >= 0 {
-			return os.NewSyscallError("read", err)
-		}
-		return nil
-	})
-	t.Cleanup(func() { kernel.Fail(nil) })
-}
-
 // What the other process of a node was told is read again where reading it failed for want of descriptors or by the disk: the ban is in
 // force in both.
 func TestABanIsReadAgainAfterAFailure(t *testing.T) {
+	t.Cleanup(func() { kernel.Fail(nil) })
 	for _, err := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EIO, syscall.EINTR, syscall.ENOMEM, syscall.EAGAIN} {
 		folder := t.TempDir()
 		one, other := open(folder, zap.NewNop()), open(folder, zap.NewNop())
 		must(t, one.Out("a"))
-		failReads(t, err, 2)
+		kernel.FailTimes(kernel.ReadFile, err, 2)
 		for range 3 {
 			other.Look()
 		}
@@ -48,11 +34,12 @@
 // A call that comes while the file can't be read is refused, and loses nothing of what the other process was told: written from what
 // this process knew, the file would lack it.
 func TestAChangeKeepsWhatCannotBeRead(t *testing.T) {
+	t.Cleanup(func() { kernel.Fail(nil) })
 	for _, err := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EIO, syscall.ENOMEM, syscall.EAGAIN} {
 		folder := t.TempDir()
 		one, other := open(folder, zap.NewNop()), open(folder, zap.NewNop())
 		must(t, one.Out("a"))
-		failReads(t, err, math.MaxInt)
+		kernel.FailTimes(kernel.ReadFile, err, math.MaxInt64)
 		if other.Out("b") == nil {
 			t.Errorf("%v: a call is answered well though the file could not be read", err)
 		}
@@ -69,10 +56,11 @@
 
 // A call whose reading is only interrupted goes through, and keeps what the other process was told.
 func TestAnInterruptedReadIsMadeAgain(t *testing.T) {
+	t.Cleanup(func() { kernel.Fail(nil) })
 	folder := t.TempDir()
 	one, other := open(folder, zap.NewNop()), open(folder, zap.NewNop())
 	must(t, one.Out("a"))
-	failReads(t, syscall.EINTR, 3)
+	kernel.FailTimes(kernel.ReadFile, syscall.EINTR, 3)
 	must(t, other.Out("b"))
 	if ids := other.out(); !slices.Equal(ids, []string{"a", "b"}) {
 		t.Errorf("out are %v, want a and b", ids)
--- a/internal/net/clients/failing_test.go
+++ b/internal/net/clients/failing_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -20,6 +19,7 @@
 // A request that meets a moment in which the machine lacks memory, as it is read, looked after or answered, is answered whole.
 func TestRequestsOutliveAMomentsLackOfMemory(t *testing.T) {
 	const aMoment = 2
+	t.Cleanup(func() { kernel.Fail(nil) })
 	for _, call := range []kernel.Call{kernel.Read, kernel.Write, kernel.Poll} {
 		for _, lack := range []syscall.Errno{syscall.ENOMEM, syscall.ENOBUFS} {
 			c, ships, address := serve(t, 8, true)
@@ -30,15 +30,7 @@
 			t.Cleanup(func() { conn.Close() })
 			for end := time.Now().Add(time.Second); c.Open() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
 			}
-			var left atomic.Int64
-			left.Store(aMoment)
-			kernel.Fail(func(made kernel.Call) error {
-				if made == call && left.Add(-1) >= 0 {
-					return lack
-				}
-				return nil
-			})
-			t.Cleanup(func() { kernel.Fail(nil) })
+			kernel.FailTimes(call, lack, aMoment)
 			fmt.Fprintf(conn, "GET /read/k HTTP/1.1\r\nHost: h\r\nX-Trace-Id: t\r\nX-Expires-In: 300m\r\n\r\n")
 			go func() {
 				select {
--- a/internal/net/clients/poll_test.go
+++ b/internal/net/clients/poll_test.go
@@ -3,7 +3,6 @@
 package clients
 
 import (
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -11,26 +10,14 @@
 	"github.com/thistlerudder/thistlerudder/internal/kernel"
 )
 
-// failPoll lets the next calls of poll fail.
-func failPoll(t *testing.T, err error, times int) {
-	var left atomic.Int64
-	left.Store(int64(times))
-	kernel.Fail(func(call kernel.Call) error {
-		if call == kernel.Poll && left.Add(-1) >= 0 {
-			return err
-		}
-		return nil
-	})
-	t.Cleanup(func() { kernel.Fail(nil) })
-}
-
 // A poll that was interrupted tells nothing, and is made again; one that fails for good holds nobody to have gone, and no queue to be empty.
 func TestAPollThatFailsTellsNothing(t *testing.T) {
+	t.Cleanup(func() { kernel.Fail(nil) })
 	t.Run("interrupted", func(t *testing.T) {
 		b, p, far := pair(t)
 		far.Close()
 		waitFor(t, p.gone)
-		failPoll(t, syscall.EINTR, 3)
+		kernel.FailTimes(kernel.Poll, syscall.EINTR, 3)
 		if !p.gone() {
 			t.Error("a client that has gone was held to be there")
 		}
@@ -38,7 +25,7 @@
 		b.taken.Store(0)
 		dial(t, b.Addr().String())
 		waitFor(t, b.queued)
-		failPoll(t, syscall.EINTR, 3)
+		kernel.FailTimes(kernel.Poll, syscall.EINTR, 3)
 		if !b.queued() {
 			t.Error("a socket with a connection in its queue was held to be empty")
 		}
@@ -46,7 +33,7 @@
 	t.Run("out of memory", func(t *testing.T) {
 		b, p, _ := pair(t)
 		b.came.Store(0)
-		failPoll(t, syscall.ENOMEM, 1<<30)
+		kernel.FailTimes(kernel.Poll, syscall.ENOMEM, 1<<30)
 		if p.gone() {
 			t.Error("a client that is there was held to have gone")
 		}
--- a/internal/net/handover/trouble_test.go
+++ b/internal/net/handover/trouble_test.go
@@ -9,23 +9,10 @@
 	"github.com/thistlerudder/thistlerudder/internal/kernel"
 )
 
-// failLocks lets the next calls for a lock fail.
-func failLocks(t *testing.T, err error, times int) {
-	kernel.Fail(func(call kernel.Call) error {
-		if call != kernel.Lock {
-			return nil
-		}
-		if times--; times >= 0 {
-			return err
-		}
-		return nil
-	})
-	t.Cleanup(func() { kernel.Fail(nil) })
-}
-
 // A look at the seats that fails tells nothing of the others: taken for nobody, it would give this process the parts of the limits that
 // another one uses.
 func TestALookThatFailsTellsNothing(t *testing.T) {
+	t.Cleanup(func() { kernel.Fail(nil) })
 	folder := t.TempDir()
 	one, err := Sit(folder, "n")
 	if err != nil {
@@ -39,7 +26,7 @@
 		t.Fatalf("%d others, want one", n)
 	}
 	for _, err := range []error{syscall.EINTR, syscall.EAGAIN, syscall.ENOLCK, syscall.EIO} {
-		failLocks(t, err, 20)
+		kernel.FailTimes(kernel.Lock, err, 20)
 		if n := one.Others(); n != 1 {
 			t.Errorf("%v: %d others, want one as before", err, n)
 		}
@@ -53,7 +40,8 @@
 
 // A seat is found where a lock was interrupted.
 func TestASeatIsFoundThoughALockWasInterrupted(t *testing.T) {
-	failLocks(t, syscall.EINTR, 3)
+	t.Cleanup(func() { kernel.Fail(nil) })
+	kernel.FailTimes(kernel.Lock, syscall.EINTR, 3)
 	s, err := Sit(t.TempDir(), "n")
 	if err != nil || s.nth != 0 {
 		t.Errorf("seat %d, %v", s.nth, err)
--- a/internal/net/servers/failing_test.go
+++ b/internal/net/servers/failing_test.go
@@ -17,22 +17,10 @@
 	"github.com/thistlerudder/thistlerudder/logic"
 )
 
-// failCalls lets one kind of call fail so often.
-func failCalls(t *testing.T, of kernel.Call, err error, times int64) {
-	var left atomic.Int64
-	left.Store(times)
-	kernel.Fail(func(call kernel.Call) error {
-		if call == of && left.Add(-1) >= 0 {
-			return err
-		}
-		return nil
-	})
-	t.Cleanup(func() { kernel.Fail(nil) })
-}
-
 // A read or a write that fails by this machine tells nothing of the server: one that lacked memory for a moment is made again, and the
 // attempt is answered; one that goes on failing ends the attempt, as not run where its last byte was not written, and as in doubt after that.
 func TestFailingReadsAndWritesAreNotTheServers(t *testing.T) {
+	t.Cleanup(func() { kernel.Fail(nil) })
 	const aMoment, forGood = 2, 1 << 30
 	answered, unsent := []logic.Code{logic.Answered}, []logic.Code{logic.Unsent}
 	either := []logic.Code{logic.Unsent, logic.CalledOff} // the connection's first read may fail before anything is written, or after it
@@ -60,7 +48,7 @@
 			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 		})
 		s.dialer.Timeout = time.Second // a connect that a busy machine holds up is not what is looked at here
-		failCalls(t, c.call, c.err, c.times)
+		kernel.FailTimes(c.call, c.err, c.times)
 		end, _ := s.send(shot(server, "GET", ""))
 		kernel.Fail(nil)
 		if !slices.Contains(c.want, end.Code()) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,6 +45,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	kept(t, run, seed)
+	if judged := run.Requests - run.Void; judged < run.Requests/2 || judged < 1000 {
+		t.Errorf("only %d of %d requests could be judged", judged, run.Requests)
+	}
+}
+
+// kept says that a run kept the rules, and served enough of its requests to show anything.
+func kept(t *testing.T, run Run, seed uint64) {
+	t.Helper()
 	t.Log(run.Summary())
 	if len(run.Breaks) > 0 {
 		t.Errorf("%d breaks of the rules; the run again: seed %d", len(run.Breaks), seed)
@@ -52,9 +61,6 @@
 	if counts := run.Outcomes; counts["served"] < run.Requests/2 {
 		t.Errorf("only %d of %d requests were served", counts["served"], run.Requests)
 	}
-	if judged := run.Requests - run.Void; judged < run.Requests/2 || judged < 1000 {
-		t.Errorf("only %d of %d requests could be judged", judged, run.Requests)
-	}
 }
 
 // The same with calls of the kernel that fail in the nodes at all times, as their manual pages document: one in fifty, several at once.
@@ -67,13 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Log(run.Summary())
-	if len(run.Breaks) > 0 {
-		t.Errorf("%d breaks of the rules; the run again: seed %d", len(run.Breaks), seed)
-	}
-	if counts := run.Outcomes; counts["served"] < run.Requests/2 {
-		t.Errorf("only %d of %d requests were served", counts["served"], run.Requests)
-	}
+	kept(t, run, seed)
 }
 
 // The judge says so where a safeguard is taken out of the nodes: one that never spoke would prove nothing.
