Show by a failing test that one or two caches that hang end all attempts for 4.8 s

Ten ends of attempts, 1 to 20 caches, cold and warm, 40 s each: only time-outs at one or two caches let more than 4 s pass in which 15 and more requests are turned away with no attempt in between (4.58 to 5.26 s).

--- /dev/null
+++ b/logic/trying_test.go
@@ -0,0 +1,48 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+// Whatever its servers answer, and however few they are, a node does not turn all requests away for 4 s: some attempt is made in between. The
+// operators' bound holds where 15 and more were turned away.
+func TestANodeGoesOnTryingWhateverItsServersAnswer(t *testing.T) {
+	const (
+		rejectedMost = 4000 * Millisecond
+		countsFrom   = 15
+		every        = 20 * Millisecond
+		lasts        = 40000 * Millisecond
+	)
+	for _, caches := range []int{1, 2, 5, 20} {
+		for _, code := range []Code{Errored, Full, TimedOut, Unconnected, Broken, CalledOff, Unsent, Missing, Crowded, Unheard} {
+			for _, cold := range []bool{false, true} {
+				f := newFake(int64(caches)*100+int64(code), caches)
+				if cold {
+					for i := range f.boxes[:caches] {
+						f.boxes[i].Since = f.now
+					}
+					f.b.List(f.now, Changes, f.boxes)
+				}
+				since, rejected, longest := f.now, 0, Time(0)
+				for end := f.now + lasts; f.now < end; f.pass(every) {
+					lkp, c := f.ask(0, fmt.Sprint("k", f.rnd.Intn(50)), false, f.now+800*Millisecond)
+					if len(c.shots) > 0 {
+						since, rejected = f.now, 0
+					} else if rejected++; rejected >= countsFrom {
+						longest = max(longest, f.now-since)
+					}
+					for code != TimedOut && f.lkps[lkp] == c && c.out > 0 {
+						f.settle(lkp, len(c.shots)-1, code)
+					}
+				}
+				if longest >= rejectedMost {
+					t.Errorf("%d caches, code %d, cold %v: all are turned away for %d ms", caches, code, cold, longest/Millisecond)
+				}
+				if len(f.faults) > 0 {
+					t.Errorf("%d caches, code %d: %v", caches, code, f.faults[0])
+				}
+			}
+		}
+	}
+}
