--- a/logic/cold_test.go
+++ b/logic/cold_test.go
@@ -211,6 +211,10 @@
 		change func(c *coldCase)
 	}{
 		{"N is 1", 1, 80, func(*coldCase) {}},
+		{"one node", 1, 80, func(c *coldCase) { c.nodes = 1 }},
+		{"one node, N is 10", 10, 10, func(c *coldCase) { c.nodes = 1 }},
+		{"three nodes", 1, 80, func(c *coldCase) { c.nodes = 3 }},
+		{"three nodes, N is 4", 4, 20, func(c *coldCase) { c.nodes = 3 }},
 		{"20 nodes", 1, 40, func(c *coldCase) { c.nodes = 20 }},
 		{"300 nodes", 1, 15, func(c *coldCase) { c.nodes = 300 }},
 		{"300 nodes, N is 10", 10, 2, func(c *coldCase) { c.nodes = 300 }},
