Show by a failing test that a step back of the clock lets what is put back count as warm

The start on the list and the time of a ban were compared as Unix times. Of steps of 3 s and an hour, both ways, one is red: an hour back, a server that started ten minutes before it was taken out.

--- a/internal/net/exchange/wall_test.go
+++ b/internal/net/exchange/wall_test.go
@@ -43,3 +43,35 @@
 		t.Errorf("a cache that has started since the list was last told counts as %v old", age)
 	}
 }
+
+// What operators put back is cold, wherever the wall clock stood when it was taken out: its start was before that all the same. One that has started
+// since it was taken out is as old as its start.
+func TestWhatIsPutBackIsColdWhateverTheClockDid(t *testing.T) {
+	const close = 2 * time.Second
+	for _, step := range []time.Duration{0, 3 * time.Second, -3 * time.Second, time.Hour, -time.Hour} {
+		x := start(t, &fleet{})
+		since := func() time.Duration { return spanOf(x.clock.now() - x.shown(x.places["new"]).Since) }
+		wall := func() float64 { return float64(x.wall().UnixMilli()) }
+		started := boxes[0]
+		started.ID, started.Address = "new", "new:1"
+		started.StartedMs = wall() - 600_000
+		x.List(logic.Changes, []Box{started})
+		x.wall = func() time.Time { return time.Now().Round(0).Add(step) }
+		ban := Ban{ID: "new", Out: wall()}
+		x.Bans([]Ban{ban})
+		ban.Back = wall() + 1
+		x.Bans([]Ban{ban})
+		if age := since(); age < -close || age > close {
+			t.Errorf("stepped by %v: what was just put back counts as %v old", step, age)
+		}
+		ban = Ban{ID: "new", Out: wall() - 9_000}
+		x.Bans([]Ban{ban})
+		started.StartedMs = wall() - 5_000
+		x.List(logic.Changes, []Box{started})
+		ban.Back = wall()
+		x.Bans([]Ban{ban})
+		if age := since(); age < 5*time.Second-close || age > 5*time.Second+close {
+			t.Errorf("stepped by %v: what has started 5 s ago, after it was taken out, counts as %v old", step, age)
+		}
+	}
+}
