Compare a server's start and the time of its ban by our own clock

Both are converted as they are heard of, as the return is; a step of the wall clock between them no longer makes an old start look newer than the ban.

--- a/internal/net/exchange/bans.go
+++ b/internal/net/exchange/bans.go
@@ -86,7 +86,7 @@
 	case p.ban.Out == 0:
 	case p.ban.Back == 0 && p.listed == logic.Ready:
 		p.state = logic.Draining
-	case p.ban.Back > 0 && p.since < p.ban.Out:
+	case p.ban.Back > 0 && p.startedAt < p.outAt:
 		since = p.backAt
 	}
 	if p.state == logic.Draining && faults.Without(faults.DrainNews) {
@@ -97,6 +97,9 @@
 
 // banned takes over a ban or a return.
 func (x *Exchange) banned(p *place, ban Ban) {
+	if ban.Out != p.ban.Out {
+		p.outAt = x.started(ban.Out)
+	}
 	if ban.Back != p.ban.Back {
 		p.backAt = x.started(ban.Back)
 	}
--- a/internal/net/exchange/places.go
+++ b/internal/net/exchange/places.go
@@ -21,7 +21,8 @@
 	id, address string
 	since       float64    // its start, as the list tells it
 	startedAt   logic.Time // the same by our clock, as it was when it was heard of
-	backAt      logic.Time // when it was put back after a ban, likewise
+	outAt       logic.Time // when it was taken out, likewise; 0: never
+	backAt      logic.Time // when it was put back after that, likewise
 	nth         uint64     // another number for each box, start and address: what was kept to an earlier one isn't for it
 	out         []*Shot
 	mean        time.Duration // of the latest whole answers
