Bound the tries of a poll that says EAGAIN

It was asked again without end, under the lock of a connection to a server too. Found by reading; the test would hang before.

--- a/internal/kernel/fail_test.go
+++ b/internal/kernel/fail_test.go
@@ -48,6 +48,12 @@
 				t.Errorf("%s: %v, want the lack that lasts, %v", call, err, lack)
 			}
 		}
+		if call == Poll {
+			FailTimes(call, syscall.EAGAIN, 1<<40)
+			if err := make(); !errors.Is(err, syscall.EAGAIN) {
+				t.Errorf("%s: %v, want an end to a lack that lasts", call, err)
+			}
+		}
 		FailTimes(call, syscall.EIO, 1)
 		if err := make(); !errors.Is(err, syscall.EIO) {
 			t.Errorf("%s: %v, want the input/output error", call, err)
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -39,9 +39,9 @@
 )
 
 // short says that a call failed for want of memory of this machine: nothing is wrong with what it was made for, and the same call may
-// succeed at once.
-func short(err error) bool {
-	return errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ENOBUFS)
+// succeed at once. poll(2) may say EAGAIN for that.
+func short(call Call, err error) bool {
+	return errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ENOBUFS) || call == Poll && errors.Is(err, syscall.EAGAIN)
 }
 
 // again makes a call until it succeeds, or fails for a reason that does not pass. It waits shortTries times shortPause at the most.
@@ -52,7 +52,7 @@
 		}
 		switch {
 		case errors.Is(err, syscall.EINTR):
-		case short(err) && tries < shortTries:
+		case short(call, err) && tries < shortTries:
 			tries++
 			time.Sleep(shortPause)
 		default:
@@ -82,16 +82,10 @@
 // PollNow looks which of the events of one descriptor are there, without waiting.
 func PollNow(fd uintptr, events int16) (there int16, err error) {
 	look := []unix.PollFd{{Fd: int32(fd), Events: events}}
-	for {
-		n, err := again(Poll, func() (int, error) { return unix.Poll(look, 0) })
-		switch {
-		case errors.Is(err, unix.EAGAIN): // documented as a lack that passes, like EINTR
-		case err != nil || n <= 0:
-			return 0, err
-		default:
-			return look[0].Revents & events, nil
-		}
+	if _, err := again(Poll, func() (int, error) { return unix.Poll(look, 0) }); err != nil {
+		return 0, err
 	}
+	return look[0].Revents & events, nil
 }
 
 // FileLock makes a call for a lock on an open file.
