--- a/internal/kernel/fail_test.go
+++ b/internal/kernel/fail_test.go
@@ -33,29 +33,29 @@
 		Put:      func() error { return PutFile(path, []byte("x")) },
 		ReadFile: func() error { _, err := FileText("/dev/null"); return err },
 	}
-	for call, make := range calls {
+	for call, do := range calls {
 		FailTimes(call, syscall.EINTR, 20)
-		if err := make(); err != nil {
+		if err := do(); err != nil {
 			t.Errorf("%s: %v after an interruption", call, err)
 		}
 		for _, lack := range []syscall.Errno{syscall.ENOMEM, syscall.ENOBUFS} {
 			FailTimes(call, lack, shortTries)
-			if err := make(); err != nil {
+			if err := do(); err != nil {
 				t.Errorf("%s: %v after a moment's lack", call, err)
 			}
 			FailTimes(call, lack, shortTries+1)
-			if err := make(); !errors.Is(err, lack) {
+			if err := do(); !errors.Is(err, lack) {
 				t.Errorf("%s: %v, want the lack that lasts, %v", call, err, lack)
 			}
 		}
 		if call == Poll {
 			FailTimes(call, syscall.EAGAIN, 1<<40)
-			if err := make(); !errors.Is(err, syscall.EAGAIN) {
+			if err := do(); !errors.Is(err, syscall.EAGAIN) {
 				t.Errorf("%s: %v, want an end to a lack that lasts", call, err)
 			}
 		}
 		FailTimes(call, syscall.EIO, 1)
-		if err := make(); !errors.Is(err, syscall.EIO) {
+		if err := do(); !errors.Is(err, syscall.EIO) {
 			t.Errorf("%s: %v, want the input/output error", call, err)
 		}
 	}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -45,10 +45,10 @@
 }
 
 // again makes a call until it succeeds, or fails for a reason that does not pass. It waits shortTries times shortPause at the most.
-func again[T any](call Call, make func() (T, error)) (result T, err error) {
+func again[T any](call Call, do func() (T, error)) (result T, err error) {
 	for tries := 0; ; {
 		if err = failure(call); err == nil {
-			result, err = make()
+			result, err = do()
 		}
 		switch {
 		case errors.Is(err, syscall.EINTR):
