Count how late a stand-in's second answer is from before its first one

It took the time after the first write had returned, and lost its core before that. Counted from before the write such an answer is told apart; nothing else is excused by it. That a second answer beyond the quiet period is taken for the next request's the first time stands among the open risks, as before.

--- a/internal/soak/cache.go
+++ b/internal/soak/cache.go
@@ -270,8 +270,8 @@
 	works()
 	s.ledger.makes(id, body)
 	over()
+	answered := time.Now() // before the write: this process may have no core between it and the next line
 	fmt.Fprint(c, whole)
-	answered := time.Now()
 	switch how {
 	case twice:
 		time.Sleep(s.between(time.Millisecond, 6*time.Millisecond))
