--- a/internal/net/boxlist/crowd_test.go
+++ b/internal/net/boxlist/crowd_test.go
@@ -275,7 +275,7 @@
 		t.Fatal(err)
 	}
 	late, worst := 0, time.Duration(0)
-	const days = 30
+	const days, partMost = 120, 200 // so that a few by chance, of waits that are drawn, are told from a crowd
 	for seed := range uint64(days) {
 		synctest.Test(t, func(t *testing.T) {
 			s := &narrow{cost: cost, line: 2 * time.Second, notice: time.Second, began: time.Now(), silent: silent, changes: []time.Duration{0}}
@@ -309,7 +309,7 @@
 		})
 	}
 	t.Logf("%d of %d lists later than %v after a silent watch's wait, the latest %v", late, days*nodes, most, worst)
-	if late > days*nodes/100 {
+	if late > days*nodes/partMost {
 		t.Errorf("%d of %d lists came later than %v after a silent watch's wait, the latest %v", late, days*nodes, most, worst)
 	}
 }
