Tell a second connection by its coming, and not by a count of looks

The test took the third look for the one on the second connection. Where its wait of 50 ms on the first one takes over 0.2 s, the deadline told is too long by then and that connection is given up after one look, so that nothing held the second.

--- a/internal/net/node/gone_test.go
+++ b/internal/net/node/gone_test.go
@@ -111,7 +111,8 @@
 	fetching  chan struct{} // and its fetch is out
 	target    string
 	came      *atomic.Int64 // at the target
-	first     chan net.Conn // the target's first connection, where two are wanted
+	first     chan net.Conn // the target's first connection, where two are wanted,
+	second    chan struct{} // and the second one has come
 	addresses map[string]string
 	behinds   *atomic.Int64
 	tally     exchange.Tally
@@ -212,6 +213,9 @@
 					}()
 					continue
 				}
+				if n == 1 {
+					close(s.second)
+				}
 				to, err := net.Dial("tcp", second.Addr().String())
 				if err != nil {
 					return
@@ -274,12 +278,12 @@
 		}
 	case dials:
 		in.Gone = func() bool {
-			switch looks++; looks {
-			case 1: // half a line comes in the very moment, so that nothing is written
+			switch looks++; {
+			case looks == 1: // half a line comes in the very moment, so that nothing is written
 				c := <-s.first
 				fmt.Fprint(c, "HTTP/1.1 2")
 				time.Sleep(50 * time.Millisecond)
-			case 3: // on the second connection
+			case s.onSecond():
 				s.there()
 				<-s.open
 			}
@@ -289,6 +293,17 @@
 	a.Lookup = &in
 }
 
+// onSecond says that a look is on the second connection. The looks on the first are one or two: it is given up after one where the deadline that
+// it tells has become too long meanwhile.
+func (s *standing) onSecond() bool {
+	select {
+	case <-s.second:
+		return true
+	case <-time.After(20 * time.Millisecond): // for the accept; under what makes a look stale
+		return false
+	}
+}
+
 // start makes the node between them, and gives its address and what lets it take connections.
 func (s *standing) start() (address string, serve func()) {
 	namespace := func(name, repeat string) map[string]any {
@@ -330,7 +345,7 @@
 // play brings the request to its place, has its client go or stay, lets it go on after a while, and looks what came.
 func (w waiting) play(t *testing.T, held time.Duration) {
 	s := &standing{waiting: w, t: t, at: make(chan struct{}), open: make(chan struct{}), other: make(chan struct{}),
-		fetching: make(chan struct{}), first: make(chan net.Conn, 1)}
+		fetching: make(chan struct{}), first: make(chan net.Conn, 1), second: make(chan struct{})}
 	s.there = sync.OnceFunc(func() { close(s.at) })
 	release := sync.OnceFunc(func() { close(s.open) })
 	defer release()
