--- a/internal/net/servers/failing_test.go
+++ b/internal/net/servers/failing_test.go
@@ -73,3 +73,17 @@
 		}
 	}
 }
+
+// A read that fails by this machine in the middle of an answer is no word on the server either.
+func TestAReadThatFailsAmidAnAnswerIsNotTheServers(t *testing.T) {
+	t.Cleanup(func() { kernel.Fail(nil) })
+	s, server := side(t), raw(t, func(c net.Conn, r *http.Request, nth int) {
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nok")
+		time.Sleep(30 * time.Millisecond) // the first half is read
+		kernel.FailTimes(kernel.Read, syscall.EIO, 1<<30)
+		fmt.Fprint(c, "ok")
+	})
+	if end, _ := s.send(shot(server, "GET", "")); end.Code() != logic.CalledOff || !end.MayHaveRun() {
+		t.Errorf("%v (%v), want one that tells nothing of the server and is in doubt", end, end.Code())
+	}
+}
