Tell servers the client's time for a streamed body, and answer when it is over

Seen by callers: a request with a body over 64 KB got no answer where its origin hung, and every server of such a request was told to go on for 15 minutes.

Cause: one value held two times. balancerDeadline added 15 minutes for the upload to the deadline of the answer; routing ordered the attempt with that timeout, exchange told it to the server, and wroteRequest started it again at the body's last byte. So the wait for the answer was 15 minutes long.

Change: two times, each with its own timer. Until the head is written an attempt has the time that is left to the request, as any other; then a body may take 15 minutes (uploadTimeout); from its last byte on the wait for the answer has the attempt's timeout (answerTimeout). The server is told the latter, within what its client has left in any case: the client's last byte may lie in the kernel already. It counts its time from its last byte, so it needs no more. An answer of unknown length is streamed after half of that time; it was held back for up to half of 15 minutes. Request.Timeout, which Attempt.Timeout hid and nobody read, is gone.

After: TestStreamedUploadToHangingOriginGetsAnswerByDeadline, unchanged but for a constant that moved, and TestStreamedUploadDeclaresClientTimeout (red before: "told 15m0.4s, the client waits for 400ms") pass.

--- a/cmd/thistlerudder/soaktest_on.go
+++ b/cmd/thistlerudder/soaktest_on.go
@@ -24,6 +24,8 @@
 	duration := soakCmd.Flags().Duration("for", 20*time.Second, "duration of each run")
 	disabledSafeguard := soakCmd.Flags().String("without", "", "a safeguard to disable; the runs should then fail")
 	programPath := soakCmd.Flags().String("program", "", "path of the program to run as nodes; this program if empty")
+	uploadShare := soakCmd.Flags().Float64("uploads", 0, "share of requests, from 0 to 1, with a streamed body, in addition to those by chance")
+	originHangShare := soakCmd.Flags().Float64("origin-hangs", 0, "share of attempts, from 0 to 1, that the origin does not answer, in addition to its faults")
 	keepLogs := soakCmd.Flags().Bool("keep", false, "keep the nodes' logs of runs that violate a rule")
 	soakCmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		from, to, err := parseSeedRange(*seeds)
@@ -33,6 +35,9 @@
 		if *nodes < 2 || *nodes > 100 {
 			return fmt.Errorf("nodes: expected 2 to 100, not %d", *nodes)
 		}
+		if *uploadShare < 0 || *uploadShare > 1 || *originHangShare < 0 || *originHangShare > 1 {
+			return fmt.Errorf("uploads, origin-hangs: expected 0 to 1, not %g and %g", *uploadShare, *originHangShare)
+		}
 		if *disabledSafeguard != "" && !slices.Contains(faults.SoakSafeguards, *disabledSafeguard) {
 			return fmt.Errorf("without: expected one of %v, not %q", faults.SoakSafeguards, *disabledSafeguard)
 		}
@@ -47,7 +52,8 @@
 		defer stop()
 		failed := 0
 		for seed := from; seed <= to; seed++ {
-			result, err := soaktest.Run(ctx, soaktest.Plan{Program: program, Nodes: *nodes, Duration: *duration, Seed: seed, DisabledSafeguard: *disabledSafeguard, KeepLogs: *keepLogs})
+			result, err := soaktest.Run(ctx, soaktest.Plan{Program: program, Nodes: *nodes, Duration: *duration, Seed: seed, DisabledSafeguard: *disabledSafeguard, KeepLogs: *keepLogs,
+				UploadShare: *uploadShare, OriginHangShare: *originHangShare})
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", seed, err)
 			}
--- a/internal/net/dispatch/attempt.go
+++ b/internal/net/dispatch/attempt.go
@@ -16,7 +16,7 @@
 	*Request
 	Address     string
 	Incarnation uint64        // of the endpoint; a new number after each restart, change of address or ejection
-	Timeout     time.Duration // how long the node waits for an answer
+	Timeout     time.Duration // how long the node waits for an answer, and with a BodyStream again from its last byte on
 	Origin      bool          // the endpoint is the origin
 	SendBy      time.Time     // deadline for writing the first byte; zero: none
 
@@ -24,7 +24,7 @@
 	endpointIndex  int
 	number         int         // position among the request's attempts, from 0
 	startedAt      time.Time   // when the balancer decided; after ReportBodySent: when the streamed body was written
-	deadline       time.Time   // when the node stops waiting for an answer; never changes
+	deadline       time.Time   // when the node stops waiting for an answer, or with a BodyStream for a connection; never changes
 	bypassTimer    *time.Timer // runs checkBypassed; nil: the attempt is not checked
 	reported       bool        // the result was reported to the balancer
 	finished       bool        // Finish was called
@@ -81,7 +81,7 @@
 }
 
 // AttemptDeadline returns when the node stops waiting for an answer. The timeout counts from the balancer's decision.
-// takenAt, when the transport received the attempt, applies only to attempts without a Dispatcher, as in tests.
+// A streamed body must have begun by then; the wait for its answer counts from its last byte. takenAt, when the transport received the attempt, applies only to attempts without a Dispatcher, as in tests.
 func (a *Attempt) AttemptDeadline(takenAt time.Time) time.Time {
 	if a.deadline.IsZero() {
 		return takenAt.Add(a.Timeout)
@@ -89,7 +89,8 @@
 	return a.deadline
 }
 
-// ClientDeadline returns when the client stops waiting; zero: unknown.
+// ClientDeadline returns when the client stops waiting, or with a streamed body the earliest such time, since its last
+// byte may lie in the kernel already; zero: unknown.
 func (a *Attempt) ClientDeadline() time.Time {
 	if a.pending == nil {
 		return time.Time{}
--- a/internal/net/dispatch/dispatcher.go
+++ b/internal/net/dispatch/dispatcher.go
@@ -61,9 +61,6 @@
 	ErrDuplicateID = errors.New("a lookup with this id is out already")
 )
 
-// maxBodyDuration bounds the upload of a streamed request body. It is longer than the slowest client takes.
-const maxBodyDuration = 15 * time.Minute
-
 // Dispatcher reports a node's events to its balancer and carries out the balancer's orders. Its methods may be called
 // from any goroutine, after Start.
 type Dispatcher struct {
@@ -143,8 +140,9 @@
 }
 
 // Submit passes a client's request to the balancer. receivedAt is when the last byte of a buffered request was
-// received. The client waits until timeout after it. A timeout above the configuration's longest deadline is reduced to
-// that deadline. Submit returns ErrUnknownClass or ErrDuplicateID if it does not accept the request.
+// received, or of a streamed one its head. The client waits until timeout after the request's last byte. A timeout above
+// the configuration's longest deadline is reduced to that deadline. Submit returns ErrUnknownClass or ErrDuplicateID if it
+// does not accept the request.
 func (d *Dispatcher) Submit(request Request, receivedAt time.Time, timeout time.Duration) (*PendingRequest, error) {
 	class, known := d.settings.Classes[request.Class]
 	if !known {
@@ -154,7 +152,8 @@
 	if !known {
 		tenant = -1
 	}
-	r := &PendingRequest{Request: request, dispatcher: d, receivedAt: receivedAt, answers: make(chan Answer, 1)}
+	r := &PendingRequest{Request: request, dispatcher: d, receivedAt: receivedAt, clientDeadline: receivedAt.Add(timeout),
+		answers: make(chan Answer, 1)}
 	duplicate := false
 	d.withLock("request", r, func(now routing.Time) {
 		if duplicate = d.requests.contains(request.TraceID); duplicate {
@@ -166,7 +165,7 @@
 			Class:     class,
 			Tenant:    tenant,
 			Key:       request.Key,
-			Deadline:  d.clock.toRoutingTime(d.balancerDeadline(r, timeout)),
+			Deadline:  d.clock.toRoutingTime(receivedAt.Add(min(timeout, d.settings.MaxDeadline))),
 			Work:      request.EstimatedMs,
 			Write:     request.Write,
 			Streaming: request.BodyStream != nil,
@@ -178,18 +177,6 @@
 	return r, nil
 }
 
-// balancerDeadline returns the deadline for the balancer, and sets the request's clientDeadline. For a streamed body
-// the timeout counts from the last byte, which the transport enforces: the balancer's deadline is later by
-// maxBodyDuration, and clientDeadline stays unset.
-func (d *Dispatcher) balancerDeadline(r *PendingRequest, timeout time.Duration) time.Time {
-	deadline := r.receivedAt.Add(min(timeout, d.settings.MaxDeadline))
-	if r.BodyStream != nil {
-		return deadline.Add(maxBodyDuration)
-	}
-	r.clientDeadline = r.receivedAt.Add(timeout)
-	return deadline
-}
-
 // Ready reports whether requests can be routed, which takes a non-empty endpoint list.
 func (d *Dispatcher) Ready() bool {
 	d.mu.Lock()
--- a/internal/net/dispatch/pending_request.go
+++ b/internal/net/dispatch/pending_request.go
@@ -12,8 +12,8 @@
 type PendingRequest struct {
 	Request
 	dispatcher     *Dispatcher // never changes
-	receivedAt     time.Time   // never changes
-	clientDeadline time.Time   // set before any attempt; zero: unknown, as the body is streamed
+	receivedAt     time.Time   // of the last byte, or of the head of a request with a streamed body; never changes
+	clientDeadline time.Time   // when the client stops waiting, or with a streamed body the earliest such time; never changes
 	answers        chan Answer // holds the final answer; its capacity is 1, so that sending never blocks
 
 	ended              atomic.Bool // no attempt may begin; set with the lock held, read without it
--- a/internal/net/dispatch/request.go
+++ b/internal/net/dispatch/request.go
@@ -1,7 +1,5 @@
 package dispatch
 
-import "time"
-
 // Request is a client's request: the fields that routing needs, and the parts that are forwarded unchanged. It must not
 // change after Submit.
 type Request struct {
@@ -11,9 +9,8 @@
 
 	Method, Target          string // the target is the raw path and query
 	TraceID, IdempotencyKey string
-	Body                    []byte        // the whole body, or the part before BodyStream
-	BodyStream              *BodyStream   // rest of a streamed body; nil: none
-	Length                  int64         // of a streamed body, in bytes; -1: unknown
-	Timeout                 time.Duration // of a request with a streamed body, counted from its last byte
-	ClientGone              func() bool   // reports whether the client has closed its connection; nil: unknown
+	Body                    []byte      // the whole body, or the part before BodyStream
+	BodyStream              *BodyStream // rest of a streamed body; nil: none
+	Length                  int64       // of a streamed body, in bytes; -1: unknown
+	ClientGone              func() bool // reports whether the client has closed its connection; nil: unknown
 }
--- a/internal/net/dispatch/streaming_test.go
+++ b/internal/net/dispatch/streaming_test.go
@@ -14,7 +14,7 @@
 	for started, want := range map[bool]int{false: 2, true: 1} {
 		transport := &fakeTransport{}
 		d := startDispatcher(t, transport)
-		request := Request{Class: "read", Write: true, BodyStream: NewBodyStream(strings.NewReader("rest")), Length: 4, Timeout: 1e9}
+		request := Request{Class: "read", Write: true, BodyStream: NewBodyStream(strings.NewReader("rest")), Length: 4}
 		pending := submit(t, d, request, time.Second)
 		attempt := transport.take(0)
 		if started {
--- a/internal/net/frontend/request.go
+++ b/internal/net/frontend/request.go
@@ -43,9 +43,7 @@
 	}
 	request.Class, request.Key = classAndKey(request.Target)
 	request.EstimatedMs = workHint(r.Header.Get("X-Size-Hint"))
-	timeout, err = parseTimeout(r.Header.Get("X-Expires-In"))
-	request.Timeout = timeout
-	return timeout, err
+	return parseTimeout(r.Header.Get("X-Expires-In"))
 }
 
 // workHint converts an X-Size-Hint from microseconds to milliseconds. It returns 0 if the hint is absent or malformed.
--- a/internal/net/node/long_test.go
+++ b/internal/net/node/long_test.go
@@ -299,9 +299,8 @@
 // deadline of a streamed body counts from the body's last byte.
 func TestStreamedUploadToHangingOriginGetsAnswerByDeadline(t *testing.T) {
 	const (
-		deadline  = 400 * time.Millisecond
-		lostAfter = 500 * time.Millisecond // beyond the deadline a request without an answer is lost
-		size      = 70 << 10               // bytes; a body over 64 KB is streamed
+		deadline = 400 * time.Millisecond
+		size     = 70 << 10 // bytes; a body over 64 KB is streamed
 	)
 	release := make(chan struct{})
 	received := make(chan error, 1)
--- /dev/null
+++ b/internal/net/node/upload_test.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// lostAfter is how long after its deadline a request without an answer is lost.
+const lostAfter = 500 * time.Millisecond
+
+const uploadTimeout = 400 * time.Millisecond // for which the clients of these tests wait, from their body's last byte
+
+// upload is a client that sends a long body.
+type upload struct {
+	t    *testing.T
+	conn net.Conn
+	size int64
+}
+
+// startUpload connects and sends the head of a request with a body of size bytes.
+func startUpload(t *testing.T, address, target, trace string, size int64) *upload {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	fmt.Fprintf(c, "%s HTTP/1.1\r\nHost: n\r\nX-Trace-Id: %s\r\nX-Expires-In: %dm\r\nContent-Length: %d\r\n\r\n", target, trace,
+		uploadTimeout.Milliseconds(), size)
+	return &upload{t: t, conn: c, size: size}
+}
+
+// sendBytes sends n bytes of the body.
+func (u *upload) sendBytes(n int64) error {
+	_, err := io.Copy(u.conn, &pattern{size: n})
+	return err
+}
+
+// answer waits for the answer until a time, and returns its status; 0: there was none.
+func (u *upload) answer(until time.Time) (status int, err error) {
+	_ = u.conn.SetReadDeadline(until)
+	r, err := http.ReadResponse(bufio.NewReader(u.conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	defer r.Body.Close()
+	_, err = io.Copy(io.Discard, r.Body)
+	return r.StatusCode, err
+}
+
+// A server is told at most the time that the client waits for its answer, not the time that the upload may take.
+func TestStreamedUploadDeclaresClientTimeout(t *testing.T) {
+	declared := make(chan string, 1)
+	w := newTestEnv(t, nil, "a")
+	w.handleRaw = func(_ string, rw http.ResponseWriter, r *http.Request) {
+		declared <- r.Header.Get("X-Expires-In")
+		_, _ = io.Copy(io.Discard, r.Body)
+		fmt.Fprint(rw, "kept")
+	}
+	s := w.nodeConfig(128)
+	startNode(t, s)
+	for i, size := range []int64{70 << 10, 300 << 10, 4 * megabyte} {
+		for _, chunked := range []bool{false, true} {
+			trace := fmt.Sprint("t", i, chunked)
+			c, err := net.Dial("tcp", s.ListenAddress)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			head := fmt.Sprintf("PUT /once/k HTTP/1.1\r\nHost: n\r\nX-Trace-Id: %s\r\nX-Expires-In: %dm\r\n", trace, uploadTimeout.Milliseconds())
+			if chunked {
+				fmt.Fprint(c, head+"Transfer-Encoding: chunked\r\n\r\n")
+				chunks := httputil.NewChunkedWriter(c)
+				_, _ = io.Copy(chunks, &pattern{size: size})
+				_ = chunks.Close()
+				fmt.Fprint(c, "\r\n")
+			} else {
+				fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n", head, size)
+				_, _ = io.Copy(c, &pattern{size: size})
+			}
+			select {
+			case text := <-declared:
+				micros, err := strconv.ParseInt(strings.TrimSuffix(text, "u"), 10, 64)
+				if told := time.Duration(micros) * time.Microsecond; err != nil || told > uploadTimeout || told < uploadTimeout/2 {
+					t.Errorf("%d bytes, chunked %v: the server was told %v, the client waits for %v", size, chunked, told, uploadTimeout)
+				}
+			case <-time.After(2 * time.Second):
+				t.Fatalf("%d bytes, chunked %v: no attempt", size, chunked)
+			}
+			if status, err := (&upload{conn: c}).answer(time.Now().Add(2 * time.Second)); status != http.StatusOK {
+				t.Errorf("%d bytes, chunked %v: status %d, %v", size, chunked, status, err)
+			}
+		}
+	}
+}
--- a/internal/net/upstream/exchange.go
+++ b/internal/net/upstream/exchange.go
@@ -13,29 +13,36 @@
 	"github.com/thistlerudder/thistlerudder/internal/net/dispatch"
 )
 
+// maxUploadDuration bounds the upload of a streamed body. It is longer than the slowest client may take.
+const maxUploadDuration = 15 * time.Minute
+
 // maxDeadlineLag is by how much the timeout declared to a server may exceed the time that remains until the attempt's
 // deadline.
 const maxDeadlineLag = 50 * time.Millisecond
 
-// errTimedOut is the cancellation cause of an exchange that reaches its deadline.
-var errTimedOut = errors.New("no answer in time")
+// Cancellation causes of an exchange that takes too long.
+var (
+	errTimedOut      = errors.New("no answer in time")
+	errUploadTooLong = errors.New("the streamed body was not sent in time")
+)
 
 // exchange is one request and its answer on one connection, made for an attempt. http.Transport calls the httptrace
 // hooks (gotConn, wroteHeaders, wroteRequest, gotFirstResponseByte) from its own goroutines, in this order unless the server
 // answers early.
 type exchange struct {
-	client   *Client
-	attempt  *dispatch.Attempt
-	deadline time.Time // when the node stops waiting for an answer
-	request  *http.Request
+	client  *Client
+	attempt *dispatch.Attempt
+	request *http.Request
 
-	ctx     context.Context // canceled, with a cause, when the exchange is aborted
-	cancel  context.CancelCauseFunc
-	timeout *time.Timer // aborts at the deadline
-	stall   *time.Timer // aborts when the answer stalls
+	ctx           context.Context // canceled, with a cause, when the exchange is aborted
+	cancel        context.CancelCauseFunc
+	answerTimeout *time.Timer // aborts at the deadline
+	uploadTimeout *time.Timer // aborts when a streamed body takes too long
+	stall         *time.Timer // aborts when the answer stalls
 
 	mu       sync.Mutex
-	answered bool // abort has no effect from now on
+	deadline time.Time // when the node stops waiting for an answer, or for a connection while a streamed body has not begun
+	stopped  bool      // the timers have no effect from now on
 
 	conn                *conn // nil until the transport provides one
 	outgoing            *outgoingRequest
@@ -47,7 +54,9 @@
 func (c *Client) newExchange(a *dispatch.Attempt, deadline time.Time) *exchange {
 	x := &exchange{client: c, attempt: a, deadline: deadline}
 	x.ctx, x.cancel = context.WithCancelCause(c.context)
-	x.timeout = time.AfterFunc(time.Until(deadline), func() { x.abort(errTimedOut) })
+	x.answerTimeout = time.AfterFunc(time.Until(deadline), func() { x.abort(errTimedOut) })
+	x.uploadTimeout = time.AfterFunc(time.Hour, func() { x.abort(errUploadTooLong) })
+	x.uploadTimeout.Stop()
 	x.stall = x.newStallTimer()
 	x.request = newRequest(httptrace.WithClientTrace(x.ctx, &httptrace.ClientTrace{
 		GotConn:              x.gotConn,
@@ -61,8 +70,7 @@
 // close releases the connection, stops the timers and cancels the request if it is still running.
 func (x *exchange) close() {
 	x.releaseConn()
-	x.stall.Stop()
-	x.timeout.Stop()
+	x.stopWaiting()
 	x.cancel(nil)
 }
 
@@ -74,7 +82,7 @@
 		return x.resultWithoutAnswer(err), dispatch.Answer{}, err
 	}
 	defer resp.Body.Close()
-	result, answer, err := x.client.readAnswer(resp, x.deadline)
+	result, answer, err := x.client.readAnswer(resp, x.answerDeadline())
 	if result == dispatch.Shed && x.initialBytesWritten == 0 && resp.Close {
 		result = dispatch.ConnectionLimit // a server that sheds for a full queue does not close a new connection
 	}
@@ -105,17 +113,17 @@
 	x.initialBytesWritten, x.initialBytesRead = x.conn.acquire(info.Reused, x.outgoing)
 	if info.Reused {
 		quietPeriod := x.client.dialer.quietPeriods.required(poolKey(a.Incarnation))
-		x.conn.awaitQuiet(x.ctx, x.outgoing, quietPeriod, earlier(x.deadline, a.SendBy))
-	}
-	if a.BodyStream == nil {
-		x.request.Header["X-Expires-In"] = []string{formatExpiresIn(x.declareTimeout())}
+		x.conn.awaitQuiet(x.ctx, x.outgoing, quietPeriod, earlier(x.answerDeadline(), a.SendBy))
 	}
+	x.request.Header["X-Expires-In"] = []string{formatExpiresIn(x.declareTimeout())}
 }
 
-// wroteHeaders stops the timeout of a request with a streamed body; wroteRequest restarts it after the last byte.
+// wroteHeaders is called when the head is written. From then on a streamed body has its own timeout; the wait for its
+// answer begins with its last byte.
 func (x *exchange) wroteHeaders() {
 	if x.attempt.BodyStream != nil {
-		x.timeout.Stop()
+		x.answerTimeout.Stop()
+		x.restart(x.uploadTimeout, maxUploadDuration)
 	}
 }
 
@@ -126,13 +134,41 @@
 	}
 	x.conn.setOnFlush(x.attempt.ReportWritten)
 	if x.attempt.BodyStream != nil {
+		x.uploadTimeout.Stop()
 		x.attempt.ReportBodySent()
-		x.timeout.Reset(x.attempt.Timeout)
+		x.setDeadline(time.Now().Add(x.attempt.Timeout))
+		x.restart(x.answerTimeout, x.attempt.Timeout)
 	}
 }
 
 // gotFirstResponseByte starts the stall timer.
-func (x *exchange) gotFirstResponseByte() { x.stall.Reset(x.client.stalls.threshold()) }
+func (x *exchange) gotFirstResponseByte() { x.restart(x.stall, x.client.stalls.threshold()) }
+
+// restart starts a timer anew, unless the timers have been stopped for good.
+func (x *exchange) restart(timer *time.Timer, timeout time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.stopped {
+		timer.Reset(timeout)
+	}
+}
+
+func (x *exchange) setDeadline(deadline time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.deadline = deadline
+}
+
+// answerDeadline returns when the node stops waiting for an answer. A server may answer before the end of a streamed
+// body, for which that time is not set yet: it then has as long as if the body had just ended.
+func (x *exchange) answerDeadline() time.Time {
+	if x.attempt.BodyStream != nil && x.attempt.BodyStream.Started() && !x.attempt.BodyStream.Complete() {
+		return time.Now().Add(x.attempt.Timeout)
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.deadline
+}
 
 // declareTimeout returns the timeout to declare to the server, and records it for the check before the first byte. The
 // timeout is bounded by the time that remains for the attempt, as the connection may have been established late, and by
@@ -140,7 +176,7 @@
 func (x *exchange) declareTimeout() time.Duration {
 	timeout := x.attempt.Timeout
 	clientDeadline := x.attempt.ClientDeadline()
-	if remaining := time.Until(x.deadline); timeout-remaining > maxDeadlineLag {
+	if remaining := time.Until(x.answerDeadline()); timeout-remaining > maxDeadlineLag {
 		timeout = max(0, remaining)
 	}
 	if !clientDeadline.IsZero() {
@@ -157,18 +193,19 @@
 func (x *exchange) abort(cause error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if !x.answered {
+	if !x.stopped {
 		x.cancel(cause)
 	}
 }
 
-// stopWaiting stops the timers, and makes abort ineffective.
+// stopWaiting stops the timers for good, and makes abort ineffective.
 func (x *exchange) stopWaiting() {
-	x.timeout.Stop()
-	x.stall.Stop()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.answered = true
+	x.stopped = true
+	x.answerTimeout.Stop()
+	x.uploadTimeout.Stop()
+	x.stall.Stop()
 }
 
 // releaseConn reports that the exchange no longer uses its connection.
--- a/internal/soaktest/checker.go
+++ b/internal/soaktest/checker.go
@@ -24,8 +24,6 @@
 	RequestID   string // empty if the violation concerns no single request
 	Node        int
 	Description string
-	// UnansweredUpload is set if the request has a streamed body and got no answer. Such violations fail a subtest of their own.
-	UnansweredUpload bool
 }
 
 // String returns the violation as one line.
@@ -205,7 +203,6 @@
 	// On an older connection a request without an attempt may have crossed the node's close of the idle connection.
 	case r.firstOnNewConnection, len(r.attempts) > 0:
 		c.addViolation("lost", "no answer")
-		c.violations[len(c.violations)-1].UnansweredUpload = r.misbehavior == "uploads in two pieces"
 	}
 }
 
@@ -254,8 +251,7 @@
 }
 
 // checkAttemptStarts checks that no attempt starts after the client has disconnected or has its answer, and that the deadline
-// declared to the server does not exceed the remaining time. It skips the deadline of uploads in two pieces: the node streams
-// their bodies, and the declared deadline then includes the time that the upload may take.
+// declared to the server does not exceed the remaining time.
 func (c *requestCheck) checkAttemptStarts() {
 	r := c.request
 	for _, a := range r.attempts {
@@ -270,7 +266,7 @@
 			c.addViolation("lost", "an attempt started %v after the final answer", a.firstByteAt.Sub(r.answeredAt))
 		}
 		remaining := r.sentAt.Add(r.class.deadline).Sub(a.firstByteAt)
-		if !r.sentAt.IsZero() && r.misbehavior != "uploads in two pieces" && a.declaredDeadline > max(0, remaining)+deadlineSlack+delay {
+		if !r.sentAt.IsZero() && a.declaredDeadline > max(0, remaining)+deadlineSlack+delay {
 			c.addViolation("deadline", "declared a deadline of %v, %v remained", a.declaredDeadline, remaining)
 		}
 	}
--- a/internal/soaktest/client.go
+++ b/internal/soaktest/client.go
@@ -94,6 +94,10 @@
 		c.sendAndLeave(misbehavior("leaves"), false)
 		return
 	}
+	if share := c.testbed.plan.UploadShare; share > 0 && c.rng.Float64() < share {
+		c.sendUpload(misbehavior("uploads in two pieces"), randomChoice(c.rng, uploadBytes, 300<<10, 1<<20))
+		return
+	}
 	roll := c.rng.Float64()
 	switch {
 	case roll < 0.04:
@@ -111,7 +115,7 @@
 	case roll < 0.125:
 		c.sendGarbage(misbehavior("floods"))
 	case roll < 0.135:
-		c.sendUpload(misbehavior("uploads in two pieces"))
+		c.sendUpload(misbehavior("uploads in two pieces"), uploadBytes)
 	case roll < 0.2:
 		time.Sleep(randomDuration(c.rng, 0, 1500*time.Millisecond)) // the connection is idle
 		c.sendOne("")
@@ -285,8 +289,8 @@
 }
 
 // sendUpload sends a request with a body that the node has to stream, and pauses in the middle.
-func (c *client) sendUpload(misbehavior string) {
-	r, data := c.newRequest(misbehavior, uploadBytes)
+func (c *client) sendUpload(misbehavior string, size int) {
+	r, data := c.newRequest(misbehavior, size)
 	if _, err := c.conn.Write(data[:len(data)/2]); err != nil {
 		c.markBroken(r)
 		return
--- a/internal/soaktest/server.go
+++ b/internal/soaktest/server.go
@@ -46,6 +46,7 @@
 	isOrigin     bool
 	recorder     *recorder
 	faultCounts  *counters
+	hangShare    float64 // share of requests that are not answered, in addition to those by a fault
 	mu           sync.Mutex
 	rng          *rand.Rand
 	faultChances map[behavior]float64 // current chance of each fault
@@ -122,6 +123,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	workTime := time.Duration(s.rng.Int64N(int64(12 * time.Millisecond)))
+	if s.hangShare > 0 && s.rng.Float64() < s.hangShare { // without a share, the draws below stay the same
+		return hang, workTime
+	}
 	roll := s.rng.Float64()
 	for _, fault := range serverFaults {
 		if roll -= s.faultChances[fault]; roll < 0 {
--- a/internal/soaktest/soak.go
+++ b/internal/soaktest/soak.go
@@ -28,6 +28,8 @@
 	DisabledSafeguard string        // safeguard that the nodes run without; empty: none
 	KeepLogs          bool          // keep the nodes' logs if the run fails or violates a rule
 	LeavingShare      float64       // share of requests, from 0 to 1, whose clients disconnect at once, in addition to those by chance
+	UploadShare       float64       // share of requests, from 0 to 1, with a streamed body, in addition to those by chance
+	OriginHangShare   float64       // share of attempts, from 0 to 1, that the origin doesn't answer, in addition to its faults
 
 	measuresUsage bool // the run measures the resource usage of a node and is not checked
 }
@@ -185,6 +187,9 @@
 			id, kind = "origin", "origin"
 		}
 		s := newServer(id, kind == "origin", tb.recorder, tb.faultCounts, tb.plan.Seed*100+uint64(i))
+		if s.isOrigin {
+			s.hangShare = tb.plan.OriginHangShare
+		}
 		if err := s.start(); err != nil {
 			return err
 		}
--- a/internal/soaktest/soak_test.go
+++ b/internal/soaktest/soak_test.go
@@ -53,33 +53,33 @@
 	}
 }
 
-// checkResult fails the test if the run violated a rule, or served less than half of its requests and so shows little. Streamed
-// bodies without an answer fail the subtest uploads, and all else the subtest rules, so that KNOWN-RED.txt can name the first alone.
-// The test itself must not print anything, or the list would not excuse its subtest.
+// checkResult fails the test if the run violated a rule, or served less than half of its requests and so shows little.
 func checkResult(t *testing.T, result Result, seed uint64) {
 	t.Helper()
-	var uploads, others []Violation
-	for _, v := range result.Violations {
-		if v.UnansweredUpload {
-			uploads = append(uploads, v)
-		} else {
-			others = append(others, v)
-		}
+	t.Log(result.Summary())
+	if len(result.Violations) > 0 {
+		t.Errorf("%d violations of the rules; repeat the run with seed %d", len(result.Violations), seed)
+	}
+	if counts := result.Outcomes; counts["served"] < result.Requests/2 {
+		t.Errorf("only %d of %d requests were served", counts["served"], result.Requests)
+	}
+}
+
+// No request violates a rule where a third of them have streamed bodies and the origin, which gets all writes, often hangs.
+func TestNodesKeepTheRulesUnderTroublesWithUploads(t *testing.T) {
+	if os.Getenv("THISTLERUDDER_TRIAL") == "" {
+		t.Skip("THISTLERUDDER_TRIAL is not set: dozens of processes, as .ci/run plays them by themselves")
+	}
+	const duration, seed = 10 * time.Second, 4
+	result, err := Run(context.Background(), Plan{Program: buildProgram(t), Duration: duration, Seed: seed, UploadShare: 1. / 3, OriginHangShare: 0.2,
+		KeepLogs: os.Getenv("THISTLERUDDER_SOAK_KEEP") != ""})
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkResult(t, result, seed)
+	if uploads := result.Faults["client: uploads in two pieces"]; uploads < 500 {
+		t.Errorf("only %d uploads", uploads)
 	}
-	t.Run("uploads", func(t *testing.T) {
-		if len(uploads) > 0 {
-			t.Errorf("%d streamed bodies got no answer; repeat the run with seed %d:\n%s", len(uploads), seed, result.Summary())
-		}
-	})
-	t.Run("rules", func(t *testing.T) {
-		t.Log(result.Summary())
-		if len(others) > 0 {
-			t.Errorf("%d violations of the rules; repeat the run with seed %d", len(others), seed)
-		}
-		if counts := result.Outcomes; counts["served"] < result.Requests/2 {
-			t.Errorf("only %d of %d requests were served", counts["served"], result.Requests)
-		}
-	})
 }
 
 // No request violates a rule while one in fifty system calls of the nodes fails, several at once, in a way that its manual page
