Give up a streamed body whose server takes none of it for an answer's time

Seen by callers: an upload to a server that had stopped reading got its answer after 5 s (5, 8 and 16 MB), with a deadline of 400 ms, though its client may have written the last byte into its own kernel long before (the 5 MB one had).

Cause: only the limit of a write ended such an upload, 5 s without room for one buffer (conn_write.go writeTimeout). For other requests the deadline does.

Change: the bytes of a streamed body may make no progress for the time that an answer may take, at least 0.25 s and at most 5 s as before, so that the answer comes within the 0.5 s after its deadline. Progress is looked at eight times in that time, as net.Conn.Write tells what was taken only when it returns; a server that takes the body slowly is not cut off while it takes any of it. It has not got the last byte, so the request is rejected: trying again is harmless.

Not covered: a server that takes a few bytes now and then while the whole rest of the body lies in the kernels; whether the client has sent its last byte is not known then.

--- a/internal/net/node/upload_test.go
+++ b/internal/net/node/upload_test.go
@@ -101,3 +101,36 @@
 		}
 	}
 }
+
+// A client whose upload a server doesn't read gets its answer by its deadline, also if its own kernel holds the rest of the body. The server has not
+// received the request whole, so that the client may try again.
+func TestUploadToServerThatReadsNothingGetsAnswer(t *testing.T) {
+	release := make(chan struct{})
+	w := newTestEnv(t, nil, "a")
+	w.handleRaw = func(string, http.ResponseWriter, *http.Request) { <-release }
+	t.Cleanup(func() { close(release) }) // runs before the cleanup of the servers, which waits for their handlers
+	s := w.nodeConfig(128)
+	startNode(t, s)
+	for i, size := range []int64{3 * megabyte, 5 * megabyte, 8 * megabyte, 16 * megabyte} {
+		u := startUpload(t, s.ListenAddress, "PUT /once/k", fmt.Sprint("t", i), size)
+		start := time.Now()
+		sent := make(chan time.Time, 1)
+		go func() {
+			if u.sendBytes(size) == nil {
+				sent <- time.Now()
+			}
+		}()
+		status, err := u.answer(start.Add(10 * time.Second))
+		elapsed := time.Since(start)
+		whole := false
+		select {
+		case sentAt := <-sent:
+			whole = true
+			elapsed = time.Since(sentAt)
+		default: // the body's last byte was not written, so its deadline has not begun
+		}
+		if status == 0 || elapsed > uploadTimeout+lostAfter+100*time.Millisecond {
+			t.Errorf("%d MB, body written whole %v: status %d after %v, %v", size/megabyte, whole, status, elapsed, err)
+		}
+	}
+}
--- a/internal/net/upstream/conn_write.go
+++ b/internal/net/upstream/conn_write.go
@@ -1,27 +1,45 @@
 package upstream
 
 import (
+	"errors"
+	"os"
 	"time"
 
 	"github.com/thistlerudder/thistlerudder/internal/kernel"
 	"github.com/thistlerudder/thistlerudder/internal/net/admission"
+	"github.com/thistlerudder/thistlerudder/internal/net/dispatch"
 )
 
 const (
 	// maxWriteChecks bounds how often the facts about a request are gathered. Gathering usually takes microseconds. A process
 	// in which it is slow this many times in a row gets too little processor time to act on the facts.
 	maxWriteChecks = 4
-	// writeTimeout bounds a write. A write blocks while the server's TCP receive window is full.
+	// writeTimeout bounds how long a write may make no progress. A write blocks while the server's TCP receive window is full.
 	writeTimeout = 5 * time.Second
+	// minUploadStall is the least time that a server has to take a further byte of a streamed body. With it, an upload that is
+	// given up is still answered within the 0.5 s after which a request counts as lost.
+	minUploadStall = 250 * time.Millisecond
+	// writeStallChecks is how often progress is checked within the longest time without any.
+	writeStallChecks = 8
 )
 
+// maxWriteStall returns how long the server may take none of an attempt's bytes; 0: writeTimeout. The client of a streamed
+// body may have sent its last byte already, so a server that has stopped reading gets no more time than for an answer.
+func maxWriteStall(a *dispatch.Attempt) time.Duration {
+	if a.BodyStream == nil {
+		return 0
+	}
+	return min(writeTimeout, max(minUploadStall, a.Timeout))
+}
+
 // Write implements io.Writer. If the current request must not be written, it writes nothing and returns a denialError.
 func (c *conn) Write(b []byte) (int, error) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // set first, so that the write directly follows the decision
+	maxStall := c.writeStallLimit()
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(maxStall / writeStallChecks)) // set first, so that the write directly follows the decision
 	if reason := c.startWrite(); reason != admission.Granted {
 		return 0, denialError{reason}
 	}
-	n, err := kernel.WriteAll(c.Conn.Write, b)
+	n, err := c.writeWhileTaken(b, maxStall)
 	c.bytesWritten.Add(int64(n))
 	c.endWrite(n < len(b), err)
 	if n < len(b) {
@@ -31,6 +49,32 @@
 	return n, err
 }
 
+// writeStallLimit returns how long the current request's bytes may make no progress.
+func (c *conn) writeStallLimit() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.request.maxWriteStall == 0 {
+		return writeTimeout
+	}
+	return c.request.maxWriteStall
+}
+
+// writeWhileTaken writes all of b, unless the server takes none of it for maxStall.
+func (c *conn) writeWhileTaken(b []byte, maxStall time.Duration) (written int, err error) {
+	for lastProgress := time.Now(); ; {
+		n, err := kernel.WriteAll(c.Conn.Write, b[written:])
+		written += n
+		now := time.Now()
+		if n > 0 {
+			lastProgress = now
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || now.Sub(lastProgress) >= maxStall {
+			return written, err
+		}
+		_ = c.Conn.SetWriteDeadline(now.Add(maxStall / writeStallChecks))
+	}
+}
+
 // startWrite returns Granted if the current request may be written, or else the reason for the denial. It decides once for
 // each request.
 func (c *conn) startWrite() admission.Reason {
--- a/internal/net/upstream/outgoing_request.go
+++ b/internal/net/upstream/outgoing_request.go
@@ -18,6 +18,7 @@
 	sendBy          time.Time               // latest time for the first byte; zero: no limit
 	clientDeadline  time.Time               // when the client stops waiting; zero: declaredTimeout is not checked
 	declaredTimeout time.Duration           // the timeout sent to the server in X-Expires-In
+	maxWriteStall   time.Duration           // longest time in which the server may take no byte; 0: writeTimeout
 }
 
 // denialError is returned by conn.Write for a request that must not be written.
