Don't hold a client's unfinished upload against its server

Seen by callers: after clients had left in the middle of long bodies, or sent them too slowly, requests of others were rejected: the cache was out of use (TestUnfinishedUploadsDoNotEjectServer: out_of_rotation=1, 503 for each of five requests that followed, and for the slow client itself instead of 408).

Cause: resultWithoutAnswer took every body that was not read to its end for write_failed, which means that the connection to the server broke, counts as a failed connect, ejects the server at once and closes its idle connections.

Change: the body's stream knows whether a read from its client failed. Such an attempt ends as upload_aborted, which has not run and teaches nothing of its server, like an attempt that is withheld. So does one that took longer than an upload may. An error of this machine ends as no_resources, an attempt whose time ran out before any of the body as not_connected, as for other requests; what is left, a connection that broke or a server that took nothing more, is write_failed as before.

--- a/internal/net/dispatch/attempt_result.go
+++ b/internal/net/dispatch/attempt_result.go
@@ -28,6 +28,7 @@
 	NotConnected                            // the deadline passed before the connection was established or had failed
 	Canceled                                // the node is shutting down, or reading failed locally; the error tells which
 	EndedBeforeWrite                        // the request ended, or its client left, before the first byte was written
+	UploadAborted                           // the client did not send its streamed body to the end, so the last byte was not written
 	attemptResultCount                      // number of results
 )
 
@@ -60,7 +61,7 @@
 		return routing.TimedOut
 	case NoResources, NotConnected:
 		return routing.NotSent
-	case EndedBeforeWrite:
+	case EndedBeforeWrite, UploadAborted:
 		return routing.EndedBeforeWrite
 	case Bypassed, Canceled:
 		return routing.Canceled
@@ -98,6 +99,7 @@
 	NotConnected:     "not_connected",
 	Canceled:         "canceled",
 	EndedBeforeWrite: "withheld",
+	UploadAborted:    "upload_aborted",
 }
 
 // String returns the result's name in logs.
--- a/internal/net/dispatch/body_stream.go
+++ b/internal/net/dispatch/body_stream.go
@@ -12,6 +12,7 @@
 type BodyStream struct {
 	started  atomic.Bool
 	complete atomic.Bool
+	aborted  atomic.Bool
 
 	mu     sync.Mutex // held during a Read, so that Close waits for it
 	source io.Reader  // nil: closed
@@ -25,12 +26,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.source == nil {
+		s.aborted.Store(!s.complete.Load())
 		return 0, io.ErrClosedPipe
 	}
 	s.started.Store(true)
 	n, err := s.source.Read(b)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		s.complete.Store(true)
+	case err != nil:
+		s.aborted.Store(true)
 	}
 	return n, err
 }
@@ -47,3 +52,7 @@
 
 // Complete reports whether the stream was read to its end.
 func (s *BodyStream) Complete() bool { return s.complete.Load() }
+
+// Aborted reports whether a Read failed before the stream's end: its client is gone, too slow, or was given up. No server
+// can have received the request whole.
+func (s *BodyStream) Aborted() bool { return s.aborted.Load() }
--- a/internal/net/node/upload_test.go
+++ b/internal/net/node/upload_test.go
@@ -134,3 +134,34 @@
 		}
 	}
 }
+
+// Clients that leave in the middle of an upload, or send it too slowly, say nothing about the server: it stays in use for others.
+func TestUnfinishedUploadsDoNotEjectServer(t *testing.T) {
+	w := newTestEnv(t, nil, "a")
+	s := w.nodeConfig(128)
+	startNode(t, s)
+	const size = 300 << 10
+	for _, target := range []string{"PUT /once/k", "GET /read/k"} { // the origin's, and the cache's
+		for i := range 6 {
+			u := startUpload(t, s.ListenAddress, target, fmt.Sprint(target, "gone", i), size)
+			_ = u.sendBytes(size / 2)
+			time.Sleep(20 * time.Millisecond)
+			u.conn.Close()
+		}
+		stalled := startUpload(t, s.ListenAddress, target, target+"stalled", size)
+		_ = stalled.sendBytes(size / 2)
+		if status, err := stalled.answer(time.Now().Add(4 * time.Second)); status != http.StatusRequestTimeout {
+			t.Errorf("%s, stalled upload: status %d, %v", target, status, err)
+		}
+		if n := metric(s.Admin, "out_of_rotation"); n != 0 {
+			t.Errorf("%s: out_of_rotation=%d", target, n)
+		}
+		for i := range 5 {
+			u := startUpload(t, s.ListenAddress, target, fmt.Sprint(target, "whole", i), size)
+			_ = u.sendBytes(size)
+			if status, err := u.answer(time.Now().Add(2 * time.Second)); status != http.StatusOK {
+				t.Errorf("%s, upload %d after unfinished ones: status %d, %v", target, i, status, err)
+			}
+		}
+	}
+}
--- a/internal/net/upstream/result.go
+++ b/internal/net/upstream/result.go
@@ -19,14 +19,13 @@
 		return x.resultWithoutConn(err)
 	}
 	reason := x.denial()
-	rest := x.attempt.BodyStream
 	switch {
 	case errors.Is(err, errLimitReached):
 		return dispatch.NoResources
 	case reason != admission.Granted && x.client.context.Err() == nil:
 		return resultOfDenial(reason)
-	case rest != nil && !rest.Complete():
-		return dispatch.WriteFailed // the last byte never arrived from the client
+	case x.attempt.BodyStream != nil && !x.attempt.BodyStream.Complete():
+		return x.resultOfIncompleteUpload()
 	case x.ctx.Err() != nil:
 		return x.resultOfCancel()
 	case x.unwritten() && x.conn.localFailure.Load():
@@ -42,6 +41,22 @@
 	}
 }
 
+// resultOfIncompleteUpload returns the result of an attempt whose streamed body was not read to its end. Its last byte was
+// not written, so it has not run.
+func (x *exchange) resultOfIncompleteUpload() dispatch.AttemptResult {
+	body := x.attempt.BodyStream
+	switch {
+	case body.Aborted(), errors.Is(context.Cause(x.ctx), errUploadTooLong):
+		return dispatch.UploadAborted
+	case x.conn.localFailure.Load():
+		return dispatch.NoResources
+	case !body.Started() && x.ctx.Err() != nil:
+		return dispatch.NotConnected
+	default:
+		return dispatch.WriteFailed
+	}
+}
+
 // resultWithoutConn returns the result of an attempt for which no connection was established.
 func (x *exchange) resultWithoutConn(err error) dispatch.AttemptResult {
 	var dialError *net.OpError
--- a/routing/types.go
+++ b/routing/types.go
@@ -27,7 +27,7 @@
 	NotFound                // the server has no value for the key; never ran
 	ConnectionLimit         // the server has reached its limit of connections; never ran
 	ConnectTimeout          // the address did not respond while connecting; never ran
-	EndedBeforeWrite        // the request ended before the first byte was written; never ran
+	EndedBeforeWrite        // the request ended before its first byte, or the last of a streamed body, was written; never ran
 )
 
 // UpdateKind is the kind of an update of the endpoint list.
