Deliver the answer to an upload that took longer than an answer may

Seen by callers: a request whose body took over 13 s to arrive (the longest deadline and 10 s) got no answer at all, only the end of its connection. At the 64 KB/s that clients may take, that is any body over some 830 KB. TestAnswerAfterLongUploadIsDelivered was red: "upload of 600ms: unexpected EOF" with net/http's limit set to 200 ms; the upload that took no time passed.

Cause: http.Server.WriteTimeout is set when a request's head is read, and nothing moved it while the body came, so the write of the answer failed.

Change: each read of a body (pacedBody.Read) gives the answer its time anew, beside the deadline of the read, which it sets already.

--- a/internal/net/frontend/body.go
+++ b/internal/net/frontend/body.go
@@ -94,11 +94,13 @@
 	if b.deadline.IsZero() { // the client is not charged for the time before the first read of a long body
 		b.deadline = b.firstDeadline()
 	}
+	now := time.Now()
 	deadline := b.deadline
-	if pause := time.Now().Add(maxBodyPause); pause.Before(deadline) {
+	if pause := now.Add(maxBodyPause); pause.Before(deadline) {
 		deadline = pause
 	}
-	_ = b.control.SetReadDeadline(deadline) // cannot fail: all connections here support deadlines
+	_ = b.control.SetReadDeadline(deadline)                            // cannot fail: all connections here support deadlines
+	_ = b.control.SetWriteDeadline(now.Add(b.httpServer.WriteTimeout)) // net/http's own counts from the head
 	n, err := b.reader.Read(buffer)
 	b.deadline = b.deadline.Add(time.Duration(n) * time.Second / minBodyBytesPerSecond)
 	if errors.Is(err, io.EOF) {
