Never hedge a request whose streamed body two attempts would share

Seen by reading, after the question what of a streamed body may be sent again; a client would see a server's answer to a part of its body.

Cause: Attempt.mayHedge looked at the method and the class alone. A read with a body over 64 KB in a class that may be hedged was reported as bypassed or stalled while its first attempt waited for a connection; admission denies a second attempt only once the body has been read from, so both attempts read from the one stream, each a part.

Evidence: TestStreamedBodyNotHedged was red ("a second attempt with the same body"). Change: a streamed body rules hedging out, as a write does.

--- a/internal/net/dispatch/attempt.go
+++ b/internal/net/dispatch/attempt.go
@@ -187,7 +187,7 @@
 // mayHedge reports whether another attempt may be in flight at the same time as this one. Called with the lock held.
 func (a *Attempt) mayHedge() bool {
 	d := a.pending.dispatcher
-	return !a.Write && d.settings.HedgingAllowed() && d.settings.IsSafe(a.Class) && !d.quotas.boundsConcurrency(a)
+	return !a.Write && a.BodyStream == nil && d.settings.HedgingAllowed() && d.settings.IsSafe(a.Class) && !d.quotas.boundsConcurrency(a)
 }
 
 // report tells the balancer, once, how the attempt ended. Called with the lock held.
--- a/internal/net/dispatch/streaming_test.go
+++ b/internal/net/dispatch/streaming_test.go
@@ -40,6 +40,19 @@
 	}
 }
 
+// A streamed body can be read once, so its request is never hedged: two attempts would each get a part of it.
+func TestStreamedBodyNotHedged(t *testing.T) {
+	transport := &fakeTransport{}
+	d := startDispatcher(t, transport)
+	submit(t, d, Request{Class: "read", Key: "k", BodyStream: NewBodyStream(strings.NewReader("rest")), Length: 4}, time.Second)
+	attempt := transport.take(0)
+	attempt.ReportStalled() // before any of the body was read
+	if transport.take(0) != nil {
+		t.Error("a second attempt with the same body")
+	}
+	attempt.Finish(Complete, Answer{Body: []byte("v")})
+}
+
 // A streamed answer is final from its first byte on, so no other answer may be delivered. The trace id stays in use
 // until the stream is closed.
 func TestStreamedAnswerIsOnlyAnswer(t *testing.T) {
