Answer uploads before the node ends

Seen by callers: a request whose body was still coming at SIGTERM, or had come late in the shutdown, got no answer: its connection was closed when the node ended.

Cause: Shutdown waits for the longest deadline and 0.6 s, which covers requests that were read by then, and closes what is left. A streamed body's time begins at its last byte. A request with a short body that its client sends slowly was open to the same fault.

Change: 0.1 s before the shutdown's own end each request that is still unanswered is given up (Server.drainEnd, PendingRequest.GiveUp): rejected where trying again is harmless, which an upload whose stream was closed before its end always is, else failed. What comes later is rejected without an attempt. The kill comes 0.1 s after the shutdown's end at the earliest.

The debug line of a rejection over the limit has a new text, as it now has two reasons.

--- a/internal/net/dispatch/body_stream.go
+++ b/internal/net/dispatch/body_stream.go
@@ -26,7 +26,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.source == nil {
-		s.aborted.Store(!s.complete.Load())
 		return 0, io.ErrClosedPipe
 	}
 	s.started.Store(true)
@@ -45,6 +44,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.source = nil
+	if !s.complete.Load() {
+		s.aborted.Store(true)
+	}
 }
 
 // Started reports whether a Read of the source has begun.
@@ -53,6 +55,6 @@
 // Complete reports whether the stream was read to its end.
 func (s *BodyStream) Complete() bool { return s.complete.Load() }
 
-// Aborted reports whether a Read failed before the stream's end: its client is gone, too slow, or was given up. No server
-// can have received the request whole.
+// Aborted reports whether a Read failed before the stream's end, as its client is gone or too slow, or the stream was
+// closed before its end. No server can have received the request whole then, nor will one.
 func (s *BodyStream) Aborted() bool { return s.aborted.Load() }
--- a/internal/net/dispatch/pending_request.go
+++ b/internal/net/dispatch/pending_request.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/thistlerudder/thistlerudder/internal/net/admission"
 	"github.com/thistlerudder/thistlerudder/routing"
 )
 
@@ -34,6 +35,24 @@
 	r.dispatcher.withLock("client gone", r, r.clientGone)
 }
 
+// GiveUp ends a request that this node can't wait for any longer. Its final answer is a rejection with retryAfter if a
+// retry by the client is harmless, else a failure. It does nothing to a request that has ended.
+func (r *PendingRequest) GiveUp(retryAfter time.Duration) {
+	d := r.dispatcher
+	d.withLock("given up", r, func(now routing.Time) {
+		if r.ended.Load() {
+			return
+		}
+		answer := Answer{Outcome: Failed}
+		neverRan := r.BodyStream != nil && r.BodyStream.Aborted()
+		if neverRan || r.history().MayReject() == admission.Granted {
+			answer = Answer{Outcome: Rejected, RetryAfter: retryAfter}
+		}
+		d.balancer.ClientGone(now, r.index)
+		d.finish(r, answer)
+	})
+}
+
 // clientGone ends a request whose client is gone. Called with the lock held.
 func (r *PendingRequest) clientGone(now routing.Time) {
 	if r.ended.Load() {
--- a/internal/net/frontend/body.go
+++ b/internal/net/frontend/body.go
@@ -101,6 +101,9 @@
 	}
 	_ = b.control.SetReadDeadline(deadline)                            // cannot fail: all connections here support deadlines
 	_ = b.control.SetWriteDeadline(now.Add(b.httpServer.WriteTimeout)) // net/http's own counts from the head
+	if b.drainEnded() {                                                // after giveUp has set its deadline, or before
+		_ = b.control.SetReadDeadline(pastDeadline)
+	}
 	n, err := b.reader.Read(buffer)
 	b.deadline = b.deadline.Add(time.Duration(n) * time.Second / minBodyBytesPerSecond)
 	if errors.Is(err, io.EOF) {
--- a/internal/net/frontend/handler.go
+++ b/internal/net/frontend/handler.go
@@ -100,8 +100,8 @@
 		h.bodyStream = request.BodyStream
 		h.w.Header().Set("Connection", "close") // the unread rest of the body would precede the next request on the connection
 	}
-	if overLimit {
-		h.rejectOverLimit()
+	if overLimit || h.drainEnded() {
+		h.rejectWithoutAttempt()
 		return
 	}
 	timeout, err := parseRequest(h.r, &request)
@@ -125,7 +125,8 @@
 	return http.StatusBadRequest
 }
 
-// await waits for the dispatcher's answer and writes it, or abandons the request if its client disconnects first.
+// await waits for the dispatcher's answer and writes it, or abandons the request if its client disconnects first, or gives
+// it up if the node is about to end.
 func (h *handler) await(pending *dispatch.PendingRequest) {
 	clientGone := h.r.Context().Done()
 	if faults.Disabled(faults.ClientGoneCheck) {
@@ -134,11 +135,28 @@
 	select {
 	case answer := <-pending.Answers():
 		h.writeAnswer(answer)
+	case <-h.drainEnd:
+		h.giveUp(pending)
 	case <-clientGone:
+		if h.bodyStream != nil && h.drainEnded() { // the end of the body's last read, not of the client
+			h.giveUp(pending)
+			return
+		}
 		h.abandon(pending)
 	}
 }
 
+// giveUp ends a request because the node is about to end, and writes its final answer.
+func (h *handler) giveUp(pending *dispatch.PendingRequest) {
+	h.log.Info("request given up at the end of the shutdown", zap.String("trace", h.traceID()))
+	if h.bodyStream != nil {
+		_ = h.control.SetReadDeadline(pastDeadline) // a read in progress would hold up Close
+		h.bodyStream.Close()
+	}
+	pending.GiveUp(h.retryAfter())
+	h.writeAnswer(<-pending.Answers())
+}
+
 // abandon cancels a request whose client has disconnected.
 func (h *handler) abandon(pending *dispatch.PendingRequest) {
 	h.log.Debug("client closed its connection", zap.String("trace", h.traceID()))
@@ -175,12 +193,16 @@
 	h.refuseInvalid(status, reason)
 }
 
-func (h *handler) rejectOverLimit() {
-	h.log.Debug("request rejected, concurrency limit reached", zap.String("trace", h.traceID()))
+// rejectWithoutAttempt rejects a request because the concurrency limit is reached or the node is about to end.
+func (h *handler) rejectWithoutAttempt() {
+	h.log.Debug("request rejected without an attempt", zap.String("trace", h.traceID()), zap.Bool("shutting down", h.draining.Load()))
 	h.outcome = dispatch.Rejected
-	writeAnswer(h.w, dispatch.Answer{Outcome: dispatch.Rejected, RetryAfter: min(overflowRetryAfter, h.limits.MaxRetryAfter)})
+	writeAnswer(h.w, dispatch.Answer{Outcome: dispatch.Rejected, RetryAfter: h.retryAfter()})
 }
 
+// retryAfter returns the Retry-After of a request that this node can't serve now.
+func (h *handler) retryAfter() time.Duration { return min(overflowRetryAfter, h.limits.MaxRetryAfter) }
+
 // writeAnswer writes the final answer.
 func (h *handler) writeAnswer(answer dispatch.Answer) {
 	h.answered = true
--- a/internal/net/frontend/server.go
+++ b/internal/net/frontend/server.go
@@ -53,11 +53,12 @@
 	maxInFlight atomic.Int64 // requests; further ones are rejected
 	inFlight    atomic.Int64
 	draining    atomic.Bool
+	drainEnd    chan struct{} // closed when the requests that are still in flight have to be answered at once
 }
 
 // New returns a server that submits requests to d.
 func New(d *dispatch.Dispatcher, limits Limits, log *zap.Logger) *Server {
-	s := &Server{log: log, dispatcher: d, limits: limits, conns: newConnTracker(limits.MaxConns)}
+	s := &Server{log: log, dispatcher: d, limits: limits, conns: newConnTracker(limits.MaxConns), drainEnd: make(chan struct{})}
 	s.maxInFlight.Store(int64(limits.MaxConns))
 	s.httpServer = &http.Server{
 		Handler:                      s,
@@ -103,11 +104,13 @@
 // Shutdown stops the server without losing a request. Clients go on connecting for a while, so Shutdown goes on accepting connections, closes each
 // one with its next answer, and only then closes the listener and waits for the remaining connections. hasSuccessor means that the process's
 // listening socket was passed to or is shared with a successor process, which accepts new connections from now on. Shutdown returns an error if
-// connections are still open after the longest deadline.
+// connections are still open after the longest deadline. By then each request has its answer: one whose client was still
+// sending its body, or was slow to send it, is given up shortly before.
 //
 // It does not use Shutdown or SetKeepAlivesEnabled of http.Server, which close idle connections even while a request on them is being read.
 func (s *Server) Shutdown(hasSuccessor bool) error {
 	s.draining.Store(true)
+	defer time.AfterFunc(s.maxDrainTime()-drainSlack, func() { close(s.drainEnd) }).Stop()
 	start := time.Now()
 	lastOpen := time.Duration(0) // when a connection was last open
 	end := s.maxDrainTime()
@@ -165,6 +168,16 @@
 	return max(open, accepted), lingering
 }
 
+// drainEnded reports whether a request must be answered at once, as the node is about to end.
+func (s *Server) drainEnded() bool {
+	select {
+	case <-s.drainEnd:
+		return true
+	default:
+		return false
+	}
+}
+
 // Draining reports whether Shutdown was called.
 func (s *Server) Draining() bool { return s.draining.Load() }
 
--- a/internal/net/node/upload_test.go
+++ b/internal/net/node/upload_test.go
@@ -9,6 +9,7 @@
 	"net/http/httputil"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -165,3 +166,54 @@
 		}
 	}
 }
+
+// An upload that is under way when the node shuts down gets its answer before the node ends: a rejection while its body is not whole, since no server
+// can have run it, and any answer once it is.
+func TestUploadDuringShutdownGetsAnswer(t *testing.T) {
+	release := make(chan struct{})
+	w := newTestEnv(t, nil, "a")
+	w.handleRaw = func(_ string, _ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-release
+	}
+	t.Cleanup(func() { close(release) }) // runs before the cleanup of the servers, which waits for their handlers
+	s := w.nodeConfig(128)
+	stop := startNode(t, s)
+	const size = 300 << 10
+	const longestDeadline = 900 * time.Millisecond // of the settings
+	var clients sync.WaitGroup
+	start := func(name string, lastByteAfter time.Duration) {
+		u := startUpload(t, s.ListenAddress, "PUT /once/k", name, size)
+		clients.Go(func() {
+			for sent, begin := int64(0), time.Now(); sent < size-1 && time.Since(begin) < longestDeadline+2*time.Second; sent += 4 << 10 {
+				if u.sendBytes(min(4<<10, size-1-sent)) != nil {
+					break
+				}
+				if time.Since(begin) < lastByteAfter {
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+			_ = u.sendBytes(1)
+		})
+		clients.Go(func() {
+			status, err := u.answer(time.Now().Add(5 * time.Second))
+			if status == 0 {
+				t.Errorf("%s: no answer: %v", name, err)
+			}
+			if name == "unfinished" && status != http.StatusServiceUnavailable {
+				t.Errorf("%s: status %d", name, status)
+			}
+		})
+	}
+	start("unfinished", time.Hour)
+	for _, after := range []time.Duration{100, 600, 1000, 1300, 1400, 1450} {
+		start(fmt.Sprint("whole after ", int(after), " ms"), after*time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	begin := time.Now()
+	stop()
+	if elapsed := time.Since(begin); elapsed > longestDeadline+700*time.Millisecond {
+		t.Errorf("the node ended %v after it was told to", elapsed)
+	}
+	clients.Wait()
+}
