Start no attempt for a client that has gone behind any number of bytes

Seen by operators: an attempt started for a client that had closed its connection behind megabytes of its body.

Cause: the node reads ahead to let a client's close come in, at most 4 MiB of a connection and 8 MiB of all. At either limit it read nothing more and took that for the quiet after which all has come.

Change: quiet counts only where the receive buffer is empty. The bound is what both kernels held when the check began: the bytes in the receive buffer (SIOCINQ) and the end of a client's send buffer; a client of which more comes has written since, so is connected. The memory for that is reserved before anything is read (a semaphore of golang.org/x/sync, a quarter of the heap, at least enough for two clients); a check that gets none in 12 ms does not know, and the attempt is withheld as client_unknown. Three looks 20 ms apart follow, then the request is rejected, which is harmless. Where the rest of the body is more than both kernels hold, the third look lets it pass: no server can get such a request whole without its client. Any unread byte of a body makes the node look, not only 4 KiB. What is read ahead is kept in pooled chunks, no longer in one slice that grows by copying. Request.ClientGone, a bool, is Request.CheckClient, a reason.

Tried and dropped: rejecting at the limit without a reservation. A wait of 40 ms for the memory outlasted what a check may take, so that such attempts were withheld as facts_stale.

In the tests, limits on bytes read ahead now count the memory in use, per connection and over all; the check that all is released takes all of it.

--- a/internal/kernel/faults_on.go
+++ b/internal/kernel/faults_on.go
@@ -16,6 +16,7 @@
 var DocumentedErrors = map[Call][]syscall.Errno{
 	Read:     {syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS, syscall.EIO},
 	Peek:     {syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS, syscall.EIO},
+	Count:    {syscall.ENOTTY},
 	Write:    {syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS, syscall.EIO, syscall.EPERM},
 	Poll:     {syscall.EINTR, syscall.EAGAIN, syscall.ENOMEM},
 	Lock:     {syscall.EINTR, syscall.EAGAIN, syscall.EACCES, syscall.ENOLCK},
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -21,6 +21,7 @@
 const (
 	Read     Call = "read"  // of a socket, non-blocking
 	Peek     Call = "peek"  // recv with MSG_PEEK, non-blocking
+	Count    Call = "count" // ioctl with SIOCINQ
 	Write    Call = "write" // of a socket
 	Poll     Call = "poll"
 	Lock     Call = "lock"      // fcntl lock commands on an open file description
@@ -85,6 +86,11 @@
 	return max(n, 0), err
 }
 
+// UnreadBytes returns the number of bytes in a socket's receive buffer.
+func UnreadBytes(fd uintptr) (int, error) {
+	return retry(Count, func() (int, error) { return unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+}
+
 // PollNow returns the subset of events that are ready on a descriptor, without blocking.
 func PollNow(fd uintptr, events int16) (ready int16, err error) {
 	descriptors := []unix.PollFd{{Fd: int32(fd), Events: events}}
--- a/internal/net/admission/reason.go
+++ b/internal/net/admission/reason.go
@@ -23,6 +23,7 @@
 	MayHaveRun                     // an earlier attempt may have run, and nothing makes a retry harmless
 	DedupWindowOver                // an earlier attempt may have run, and the servers may no longer store its idempotency key
 	BodySent                       // part of the body was sent to another server and can't be read again
+	ClientUnknown                  // whether the client has closed its connection could not be determined
 	NumReasons                     // number of reasons
 )
 
@@ -43,6 +44,7 @@
 	MayHaveRun:       "may_have_run",
 	DedupWindowOver:  "window_over",
 	BodySent:         "body_sent",
+	ClientUnknown:    "client_unknown",
 }
 
 // String returns the reason's name in metrics and logs.
--- a/internal/net/admission/send.go
+++ b/internal/net/admission/send.go
@@ -24,7 +24,7 @@
 	ConnectionEnding  bool          // this node has closed the connection, or is about to
 	UnsolicitedBytes  bool          // the server sent bytes that answer no request, or closed the connection
 	ConnectionUnknown bool          // the state of the connection could not be read
-	ClientState       Reason        // Granted, RequestOver or ClientGone
+	ClientState       Reason        // Granted, RequestOver, ClientGone or ClientUnknown
 	GatherTime        time.Duration // time spent gathering the facts
 	Now               time.Time     // read after all other facts
 	SendBy            time.Time     // deadline for writing the first byte; zero: none
--- a/internal/net/dispatch/attempt.go
+++ b/internal/net/dispatch/attempt.go
@@ -67,17 +67,19 @@
 	}
 }
 
-// ClientState reports whether the client still waits for an answer: admission.Granted, RequestOver or ClientGone. It is
-// called just before the first byte is written, and takes no lock. It checks the client's connection itself, as
-// net/http detects a closed one late, and not at all while unread bytes precede the end of the stream.
+// ClientState reports whether the client still waits for an answer: admission.Granted, RequestOver, ClientGone or
+// ClientUnknown. It is called just before the first byte is written, and takes no lock of the Dispatcher. It checks the
+// client's connection itself, as net/http detects a closed one late, and not at all while unread bytes precede the end of
+// the stream.
 func (a *Attempt) ClientState() admission.Reason {
-	if a.ClientGone != nil && !faults.Disabled(faults.ClientGoneCheck) && a.ClientGone() {
-		return admission.ClientGone
+	client := admission.Granted
+	if a.CheckClient != nil && !faults.Disabled(faults.ClientGoneCheck) {
+		client = a.CheckClient()
 	}
-	if a.pending != nil && a.pending.ended.Load() { // checked last, as the request may end during the system call above
+	if client != admission.ClientGone && a.pending != nil && a.pending.ended.Load() { // checked last, as the request may end during the check above
 		return admission.RequestOver
 	}
-	return admission.Granted
+	return client
 }
 
 // AttemptDeadline returns when the node stops waiting for an answer. The timeout counts from the balancer's decision.
--- a/internal/net/dispatch/endpoint_latency_test.go
+++ b/internal/net/dispatch/endpoint_latency_test.go
@@ -52,9 +52,9 @@
 		t.Error("an attempt may begin after the final answer")
 	}
 	var ended *PendingRequest
-	ended, attempt := send(Request{Class: "read", Key: "k", ClientGone: func() bool {
+	ended, attempt := send(Request{Class: "read", Key: "k", CheckClient: func() admission.Reason {
 		ended.Cancel() // the request ends during the system call that checks its client
-		return false
+		return admission.Granted
 	}})
 	if attempt.ClientState() == admission.Granted {
 		t.Error("an attempt may begin though its request ended during the check")
--- a/internal/net/dispatch/request.go
+++ b/internal/net/dispatch/request.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "github.com/thistlerudder/thistlerudder/internal/net/admission"
+
 // Request is a client's request: the fields that routing needs, and the parts that are forwarded unchanged. It must not
 // change after Submit.
 type Request struct {
@@ -12,5 +14,7 @@
 	Body                    []byte      // the whole body, or the part before BodyStream
 	BodyStream              *BodyStream // rest of a streamed body; nil: none
 	Length                  int64       // of a streamed body, in bytes; -1: unknown
-	ClientGone              func() bool // reports whether the client has closed its connection; nil: unknown
+
+	// CheckClient checks the client's connection and returns admission.Granted, ClientGone or ClientUnknown; nil: Granted.
+	CheckClient func() admission.Reason
 }
--- a/internal/net/frontend/body.go
+++ b/internal/net/frontend/body.go
@@ -105,6 +105,7 @@
 		_ = b.control.SetReadDeadline(pastDeadline)
 	}
 	n, err := b.reader.Read(buffer)
+	b.bodyRead.Add(int64(n))
 	b.deadline = b.deadline.Add(time.Duration(n) * time.Second / minBodyBytesPerSecond)
 	if errors.Is(err, io.EOF) {
 		b.complete()
@@ -120,6 +121,9 @@
 	return deadline
 }
 
+// restOfBody returns how many bytes of the body are unread; 0: none, or their number is unknown.
+func (h *handler) restOfBody() int64 { return max(0, h.r.ContentLength-h.bodyRead.Load()) }
+
 // complete is called at the end of the body. After that, a read only serves to detect that the client has disconnected.
 func (b *pacedBody) complete() {
 	_ = b.control.SetReadDeadline(time.Now().Add(b.httpServer.WriteTimeout))
--- a/internal/net/frontend/client_conn.go
+++ b/internal/net/frontend/client_conn.go
@@ -16,6 +16,7 @@
 
 	"github.com/thistlerudder/thistlerudder/internal/clock"
 	"github.com/thistlerudder/thistlerudder/internal/kernel"
+	"github.com/thistlerudder/thistlerudder/internal/net/admission"
 )
 
 const (
@@ -130,15 +131,26 @@
 	return kernel.WriteAll(c.TCPConn.Write, b)
 }
 
-// clientGone reports whether the client has closed its connection. It also detects a close behind unread bytes, which net/http does not. A client that
-// has only closed its sending side counts as gone too.
-func (c *clientConn) clientGone() bool {
+// clientState returns ClientGone if the client has closed its connection, ClientUnknown if that can't be determined now, and otherwise Granted. It also
+// detects a close behind unread bytes, which net/http does not. A client that has only closed its sending side counts as gone too. restOfBody is how many
+// bytes of its request's body are unread; 0: none, or their number is unknown.
+func (c *clientConn) clientState(restOfBody int64) admission.Reason {
 	const endEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
 	gone, _ := pollNow(c.raw, endEvents) // if poll fails, the client counts as connected; net/http's own check remains
-	if !gone && c.readAheadForEnd() {
-		gone, _ = pollNow(c.raw, endEvents)
+	certain := true
+	if !gone {
+		var started bool
+		if started, certain = c.readAheadForEnd(restOfBody); started {
+			gone, _ = pollNow(c.raw, endEvents)
+		}
+	}
+	switch {
+	case gone:
+		return admission.ClientGone
+	case !certain:
+		return admission.ClientUnknown
 	}
-	return gone
+	return admission.Granted
 }
 
 // Close closes the connection in such a way that the client can read everything that was written. The kernel resets a socket that is closed with unread
--- a/internal/net/frontend/closing_test.go
+++ b/internal/net/frontend/closing_test.go
@@ -149,7 +149,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener := newLimitedListener(tcp, 8, func(time.Duration) {}, zap.NewNop())
+	listener := newLimitedListener(tcp, 8, 0, func(time.Duration) {}, zap.NewNop())
 	t.Cleanup(func() { listener.Close() })
 	for _, closeRequested := range []bool{false, true} {
 		clientSide := dial(t, tcp.Addr().String())
--- a/internal/net/frontend/handler.go
+++ b/internal/net/frontend/handler.go
@@ -6,11 +6,13 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/thistlerudder/thistlerudder/internal/faults"
+	"github.com/thistlerudder/thistlerudder/internal/net/admission"
 	"github.com/thistlerudder/thistlerudder/internal/net/dispatch"
 )
 
@@ -27,6 +29,7 @@
 	unambiguous bool        // the head gives the body's length in one way
 
 	bodyStream *dispatch.BodyStream // the rest of a long body; nil if the whole body was buffered
+	bodyRead   atomic.Int64         // bytes
 	class      string
 	outcome    dispatch.Outcome // as the client sees it
 	counted    bool             // the dispatcher counts the request as open
@@ -109,7 +112,7 @@
 		h.refuseInvalid(http.StatusBadRequest, err)
 		return
 	}
-	request.ClientGone = h.conn.clientGone
+	request.CheckClient = func() admission.Reason { return h.conn.clientState(h.restOfBody()) }
 	pending, err := h.dispatcher.Submit(request, bodyReadAt, timeout)
 	if err != nil {
 		h.refuseInvalid(submitStatus(err), err)
--- a/internal/net/frontend/listener.go
+++ b/internal/net/frontend/listener.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/sys/unix"
 
 	"github.com/thistlerudder/thistlerudder/internal/clock"
@@ -32,10 +33,10 @@
 type limitedListener struct {
 	net.Listener
 	maxConns   atomic.Int64
-	conns      atomic.Int64 // only Accept increments it
-	readAhead  atomic.Int64 // bytes read ahead, over all connections
-	lastAccept atomic.Int64 // clock.Moment
-	lastFull   atomic.Int64 // clock.Moment at which Accept last waited for the limit
+	conns      atomic.Int64        // only Accept increments it
+	readAhead  *semaphore.Weighted // bytes of memory for reading ahead, over all connections
+	lastAccept atomic.Int64        // clock.Moment
+	lastFull   atomic.Int64        // clock.Moment at which Accept last waited for the limit
 	closed     chan struct{}
 	close      func() error
 	onFull     func(acceptWait time.Duration) // called at intervals while Accept waits for the limit
@@ -44,9 +45,11 @@
 	lingering *list.List // of *clientConn, longest lingering first
 }
 
-func newLimitedListener(l net.Listener, maxConns int, onFull func(acceptWait time.Duration), log *zap.Logger) *limitedListener {
+// newLimitedListener wraps a listener. readAheadMemory is in bytes and has a minimum, minReadAheadMemory.
+func newLimitedListener(l net.Listener, maxConns int, readAheadMemory int64, onFull func(acceptWait time.Duration), log *zap.Logger) *limitedListener {
 	l = acceptor.New(l, log)
-	limited := &limitedListener{Listener: l, onFull: onFull, closed: make(chan struct{}), lingering: list.New()}
+	limited := &limitedListener{Listener: l, onFull: onFull, closed: make(chan struct{}), lingering: list.New(),
+		readAhead: semaphore.NewWeighted(max(minReadAheadMemory, readAheadMemory))}
 	limited.maxConns.Store(int64(maxConns))
 	limited.close = sync.OnceValue(func() error {
 		close(limited.closed)
@@ -80,7 +83,7 @@
 		listener:   l,
 		release:    release,
 		acceptedAt: time.Now(),
-		readAhead:  readAhead{total: &l.readAhead},
+		readAhead:  readAhead{memory: l.readAhead},
 	}, nil
 }
 
--- a/internal/net/frontend/poll_test.go
+++ b/internal/net/frontend/poll_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/thistlerudder/thistlerudder/internal/kernel"
+	"github.com/thistlerudder/thistlerudder/internal/net/admission"
 )
 
 // An interrupted poll must be retried. If poll keeps failing, the client must count as connected, and the accept queue as not empty.
@@ -16,10 +17,10 @@
 	t.Run("interrupted", func(t *testing.T) {
 		listener, conn, clientSide := connPair(t)
 		clientSide.Close()
-		waitFor(t, conn.clientGone)
+		waitFor(t, func() bool { return conn.clientState(0) == admission.ClientGone })
 		kernel.InjectErrorTimes(kernel.Poll, syscall.EINTR, 3)
-		if !conn.clientGone() {
-			t.Error("clientGone = false for a disconnected client")
+		if conn.clientState(0) != admission.ClientGone {
+			t.Error("a disconnected client counts as connected")
 		}
 		listener.lastAccept.Store(0)
 		listener.conns.Store(0)
@@ -34,8 +35,8 @@
 		listener, conn, _ := connPair(t)
 		listener.lastAccept.Store(0)
 		kernel.InjectErrorTimes(kernel.Poll, syscall.ENOMEM, 1<<30)
-		if conn.clientGone() {
-			t.Error("clientGone = true for a connected client")
+		if conn.clientState(0) == admission.ClientGone {
+			t.Error("a connected client counts as gone")
 		}
 		if !listener.hasQueued() {
 			t.Error("hasQueued = false although poll fails")
--- a/internal/net/frontend/read_ahead_test.go
+++ b/internal/net/frontend/read_ahead_test.go
@@ -12,17 +12,27 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/thistlerudder/thistlerudder/internal/net/admission"
 )
 
 // connPair returns a listener, a connection that it has accepted, and the client's side of that connection.
 func connPair(t *testing.T) (*limitedListener, *clientConn, *net.TCPConn) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	limited := newLimitedListener(l, 8, func(time.Duration) {}, zap.NewNop())
+	limited := newLimitedListener(l, 8, 0, func(time.Duration) {}, zap.NewNop())
 	t.Cleanup(func() { limited.Close() })
-	clientSide, err := net.Dial("tcp", l.Addr().String())
+	serverSide, clientSide := connectTo(t, limited)
+	return limited, serverSide, clientSide
+}
+
+// connectTo returns the two sides of a new connection to a listener.
+func connectTo(t *testing.T, limited *limitedListener) (*clientConn, *net.TCPConn) {
+	t.Helper()
+	clientSide, err := net.Dial("tcp", limited.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -31,7 +41,45 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { serverSide.Close(); clientSide.Close() })
-	return limited, serverSide.(*clientConn), clientSide.(*net.TCPConn)
+	return serverSide.(*clientConn), clientSide.(*net.TCPConn)
+}
+
+// fillKernels writes as much as the kernels of both sides hold at once, and returns how much that is. receiveBuffer is the size of the server's, in bytes;
+// 0: as it is.
+func fillKernels(t *testing.T, serverSide *clientConn, clientSide *net.TCPConn, receiveBuffer int) (written int) {
+	t.Helper()
+	if receiveBuffer > 0 {
+		if err := serverSide.SetReadBuffer(receiveBuffer); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for block := make([]byte, 64<<10); ; {
+		_ = clientSide.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+		n, err := clientSide.Write(block)
+		if written += n; err != nil {
+			return written
+		}
+	}
+}
+
+// bytesAhead returns how many unread bytes of a connection are read ahead, and how much memory they take, in bytes.
+func bytesAhead(c *clientConn) (unread, memory int) {
+	c.readAhead.mu.Lock()
+	defer c.readAhead.mu.Unlock()
+	for _, part := range c.readAhead.unread {
+		unread += part.end - part.start
+		memory += len(*part.buffer)
+	}
+	return unread, memory
+}
+
+// allReleased reports whether no memory for reading ahead is in use.
+func allReleased(l *limitedListener) bool {
+	if !l.readAhead.TryAcquire(minReadAheadMemory) {
+		return false
+	}
+	l.readAhead.Release(minReadAheadMemory)
+	return true
 }
 
 // rawReader reads a connection's bytes without parsing their framing.
@@ -64,10 +112,10 @@
 				case <-readDone:
 					return
 				default:
-					serverSide.clientGone()
+					serverSide.clientState(0)
 				}
-				if buffered := listener.readAhead.Load(); buffered > maxReadAheadTotal+64<<10 || buffered < 0 {
-					t.Errorf("%d bytes read ahead", buffered)
+				if unread, memory := bytesAhead(serverSide); memory > minReadAheadMemory || unread < 0 {
+					t.Errorf("%d bytes read ahead in %d bytes of memory", unread, memory)
 				}
 			}
 		})
@@ -78,8 +126,8 @@
 		}
 		close(readDone)
 		checks.Wait()
-		if !serverSide.clientGone() || listener.readAhead.Load() != 0 {
-			t.Errorf("clientGone %v, %d bytes read ahead", serverSide.clientGone(), listener.readAhead.Load())
+		if serverSide.clientState(0) != admission.ClientGone || !allReleased(listener) {
+			t.Errorf("client state %v, memory released %v", serverSide.clientState(0), allReleased(listener))
 		}
 	}
 }
@@ -99,11 +147,15 @@
 		if closes {
 			clientSide.Close()
 		}
-		if serverSide.clientGone() != closes {
-			t.Errorf("clientGone = %v, want %v", !closes, closes)
+		want := admission.Granted
+		if closes {
+			want = admission.ClientGone
+		}
+		if state := serverSide.clientState(0); state != want {
+			t.Errorf("client state %v, want %v", state, want)
 		}
-		if buffered := listener.readAhead.Load(); buffered == 0 || buffered > maxReadAheadPerConn+64<<10 {
-			t.Errorf("%d bytes read ahead", buffered)
+		if unread, memory := bytesAhead(serverSide); unread == 0 || memory > 3<<20+64<<10 {
+			t.Errorf("%d bytes read ahead in %d bytes of memory", unread, memory)
 		}
 		_ = serverSide.SetReadDeadline(time.Now().Add(-time.Second))
 		if _, err := serverSide.readWait(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -118,9 +170,74 @@
 			t.Errorf("Read after the deadline, no bytes available: %d, %v", n, err)
 		}
 		serverSide.Close()
-		if buffered := listener.readAhead.Load(); buffered != 0 {
-			t.Errorf("%d bytes read ahead are counted after the close", buffered)
+		if !allReleased(listener) {
+			t.Error("memory is in use after the close")
 		}
 		<-writeDone
 	}
 }
+
+// A client that has gone never counts as connected, however many bytes the kernels hold before its close, and however many such clients there are. Where
+// the memory for reading ahead does not suffice, its state is unknown until other connections have passed on what was read ahead.
+func TestClientCloseBehindAnyNumberOfBytes(t *testing.T) {
+	for _, receiveBuffer := range []int{0, 512 << 10, 1 << 20, 4 << 20} {
+		listener, conn, client := connPair(t)
+		conns := []*clientConn{conn}
+		for len(conns) < 4 {
+			t.Logf("receive buffer %d: %d bytes in the kernels", receiveBuffer, fillKernels(t, conn, client, receiveBuffer))
+			client.Close()
+			conn, client = connectTo(t, listener)
+			conns = append(conns, conn)
+		}
+		fillKernels(t, conn, client, receiveBuffer)
+		client.Close()
+		for i, conn := range conns {
+			for range 3 {
+				if state := conn.clientState(0); state == admission.Granted {
+					t.Errorf("receive buffer %d: client %d has gone and counts as connected", receiveBuffer, i)
+				}
+			}
+		}
+		used := 0
+		for _, conn := range conns {
+			_, memory := bytesAhead(conn)
+			used += memory
+		}
+		if used > minReadAheadMemory {
+			t.Errorf("receive buffer %d: %d bytes read ahead", receiveBuffer, used)
+		}
+		last := conns[len(conns)-1]
+		for _, conn := range conns[:len(conns)-1] {
+			conn.Close()
+		}
+		if state := last.clientState(0); state != admission.ClientGone {
+			t.Errorf("receive buffer %d: %v after the close of the other connections", receiveBuffer, state)
+		}
+	}
+}
+
+// A client that goes on sending a long body counts as connected, without reading more ahead for each check.
+func TestClientThatKeepsSendingIsConnected(t *testing.T) {
+	_, serverSide, clientSide := connPair(t)
+	go func() {
+		for block := make([]byte, 64<<10); ; {
+			if _, err := clientSide.Write(block); err != nil {
+				return
+			}
+		}
+	}()
+	time.Sleep(20 * time.Millisecond)
+	start := time.Now()
+	if state := serverSide.clientState(0); state != admission.Granted {
+		t.Fatalf("client state %v", state)
+	}
+	used, _ := bytesAhead(serverSide)
+	for range 10 {
+		if state := serverSide.clientState(0); state != admission.Granted {
+			t.Errorf("client state %v", state)
+		}
+	}
+	if now, _ := bytesAhead(serverSide); now != used && time.Since(start) < connectedFor {
+		t.Errorf("%d bytes read ahead, then %d", used, now)
+	}
+}
--- a/internal/net/frontend/server.go
+++ b/internal/net/frontend/server.go
@@ -23,6 +23,7 @@
 	MaxRetryAfter   time.Duration // the longest Retry-After that clients respect; 0: none is sent
 	MaxBufferedBody int64         // longest body in bytes that is buffered
 	MaxStreamedBody int64         // longest body in bytes that is accepted; one over MaxBufferedBody is forwarded while it is received
+	ReadAheadMemory int64         // bytes that may be read ahead of all requests in order to see whether their clients are connected
 }
 
 // Timeouts and limits of net/http's server.
@@ -83,7 +84,7 @@
 // Serve serves clients until Shutdown has finished or the listener fails.
 func (s *Server) Serve(l net.Listener) error {
 	onFull := func(acceptWait time.Duration) { s.conns.closeIdle(1, acceptWait) }
-	limited := newLimitedListener(l, s.limits.MaxConns+s.limits.OverflowConns, onFull, s.log)
+	limited := newLimitedListener(l, s.limits.MaxConns+s.limits.OverflowConns, s.limits.ReadAheadMemory, onFull, s.log)
 	s.listener.Store(limited)
 	err := s.httpServer.Serve(limited)
 	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() {
--- a/internal/net/node/client_gone_attempt_test.go
+++ b/internal/net/node/client_gone_attempt_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/thistlerudder/thistlerudder/internal/config"
+	"github.com/thistlerudder/thistlerudder/internal/net/admission"
 	"github.com/thistlerudder/thistlerudder/internal/net/dispatch"
 	"github.com/thistlerudder/thistlerudder/internal/net/frontend"
 	"github.com/thistlerudder/thistlerudder/internal/net/upstream"
@@ -260,7 +261,7 @@
 
 func (s *goneTest) hold(a *dispatch.Attempt) {
 	in := *a.Request
-	clientGone, checks := in.ClientGone, 0
+	checkClient, checks := in.CheckClient, 0
 	switch s.place {
 	case placeDial, placeHalfBody, placeLargeBody:
 		s.signalReached()
@@ -268,16 +269,16 @@
 		s.signalReached()
 		<-s.released
 	case placeBeforeWrite:
-		in.ClientGone = func() bool {
-			isGone := clientGone()
+		in.CheckClient = func() admission.Reason {
+			state := checkClient()
 			if checks++; checks == 1 {
 				s.signalReached()
 				<-s.released // as if the process had no core
 			}
-			return isGone
+			return state
 		}
 	case placeBetweenDials:
-		in.ClientGone = func() bool {
+		in.CheckClient = func() admission.Reason {
 			switch checks++; {
 			case checks == 1: // half a status line arrives during the check, so that the request is not written
 				c := <-s.firstConn
@@ -287,7 +288,7 @@
 				s.signalReached()
 				<-s.released
 			}
-			return clientGone()
+			return checkClient()
 		}
 	}
 	a.Request = &in
--- a/internal/net/node/limits.go
+++ b/internal/net/node/limits.go
@@ -51,7 +51,9 @@
 )
 
 const (
-	heapShare = 0.7 // the heap's share of the memory limit; the rest is for stacks and the kernel
+	heapShare        = 0.7 // the heap's share of the memory limit; the rest is for stacks and the kernel
+	readAheadDivisor = 4   // a quarter of the heap may hold bytes read ahead of requests
+
 	gcPercent = 300 // fewer collections than the default, since the memory limit bounds the heap
 )
 
--- a/internal/net/node/node.go
+++ b/internal/net/node/node.go
@@ -142,6 +142,7 @@
 			MaxRetryAfter:   s.MaxRetryAfter,
 			MaxBufferedBody: maxBufferedBodyBytes,
 			MaxStreamedBody: maxStreamedBodyBytes,
+			ReadAheadMemory: l.memoryBytes / readAheadDivisor,
 		},
 		log.Named("frontend"),
 	)
--- a/internal/net/node/upload_test.go
+++ b/internal/net/node/upload_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -217,3 +218,38 @@
 	}
 	clients.Wait()
 }
+
+// Long uploads that begin at the same time are served, although the memory for reading ahead does not suffice for all of them at once. A client sends a
+// rejected one again.
+func TestLongUploadsAtOnceAreServed(t *testing.T) {
+	const size, maxTries, pause = 3 * megabyte, 20, 50 * time.Millisecond
+	for _, memoryMB := range []int{48, 192} {
+		w := newTestEnv(t, nil, "a")
+		s := w.nodeConfig(256)
+		s.MemoryMB = memoryMB
+		startNode(t, s)
+		for round, clients := range []int{1, 2, 4, 8, 16} {
+			var running sync.WaitGroup
+			var tries atomic.Int64
+			for i := range clients {
+				running.Go(func() {
+					status := http.StatusServiceUnavailable
+					for try := 0; status == http.StatusServiceUnavailable && try < maxTries; try++ {
+						time.Sleep(time.Duration(min(try, 1)) * pause)
+						tries.Add(1)
+						u := startUpload(t, s.ListenAddress, "PUT /once/k", fmt.Sprint("t", round, "-", i, "-", try), size)
+						go func() { _ = u.sendBytes(size) }()
+						status, _ = u.answer(time.Now().Add(10 * time.Second))
+						u.conn.Close()
+					}
+					if status != http.StatusOK {
+						t.Errorf("%d MB, %d at once: status %d", memoryMB, clients, status)
+					}
+				})
+			}
+			running.Wait()
+			t.Logf("%d MB, %d at once: %d tries, withheld as unknown so far %d", memoryMB, clients, tries.Load(),
+				max(0, metric(s.Admin, "attempts.withheld.client_unknown")))
+		}
+	}
+}
--- a/internal/net/upstream/answers_test.go
+++ b/internal/net/upstream/answers_test.go
@@ -228,13 +228,13 @@
 							sendPartialAnswer()
 						case "before the write":
 							sent := false
-							attempt.ClientGone = func() bool {
+							attempt.CheckClient = func() admission.Reason {
 								if !sent {
 									sent = true
 									sendPartialAnswer()
 									time.Sleep(admission.MaxFactAge + 5*time.Millisecond)
 								}
-								return false
+								return admission.Granted
 							}
 						}
 					}
@@ -264,9 +264,9 @@
 	for timeLeft, want := range map[time.Duration]dispatch.AttemptResult{10 * time.Millisecond: dispatch.NotConnected, 5 * time.Second: dispatch.Complete} {
 		attempt := newAttempt(address, "PUT", "v")
 		attempt.SendBy = time.Now().Add(timeLeft)
-		attempt.ClientGone = func() bool {
+		attempt.CheckClient = func() admission.Reason {
 			time.Sleep(15 * time.Millisecond)
-			return false
+			return admission.Granted
 		}
 		if result, _ := newTestClient(t).send(attempt); result != want {
 			t.Errorf("%v left: %v, want %v", timeLeft, result, want)
--- a/internal/net/upstream/attempt.go
+++ b/internal/net/upstream/attempt.go
@@ -9,8 +9,15 @@
 	"github.com/thistlerudder/thistlerudder/internal/net/dispatch"
 )
 
-// maxConnTries bounds the connections that are tried for one attempt. If so many in a row break, the cause is not chance.
-const maxConnTries = 3
+const (
+	// maxConnTries bounds the connections that are tried for one attempt. If so many in a row break, the cause is not chance.
+	maxConnTries = 3
+	// clientCheckPause is the pause before a client whose state is unknown is checked again. Meanwhile other requests pass on
+	// the bytes of theirs that take up the memory for such checks.
+	clientCheckPause = 20 * time.Millisecond
+	// clientCheckDivisor limits the pause to a quarter of the time that remains.
+	clientCheckDivisor = 4
+)
 
 // send sends an attempt and returns its result. If a connection breaks before the request was written, the request has
 // not run, and the failure says little about the server: send tries another connection.
@@ -25,6 +32,9 @@
 		reason := x.denial()
 		a.CountDenied(reason)
 		if try < maxConnTries && retryable(result, reason) && c.mayStillSend(a, deadline) {
+			if reason == admission.ClientUnknown {
+				time.Sleep(min(clientCheckPause, time.Until(deadline)/clientCheckDivisor))
+			}
 			continue
 		}
 		// An answer proves that the request was written. The onFlush callback is not called if the transport's buffer was
@@ -43,7 +53,7 @@
 // the connection or is temporary.
 func retryable(result dispatch.AttemptResult, reason admission.Reason) bool {
 	switch reason {
-	case admission.NotQuiet, admission.ConnectionEnding, admission.DeadlineStale:
+	case admission.NotQuiet, admission.ConnectionEnding, admission.DeadlineStale, admission.ClientUnknown:
 		return true
 	}
 	return result == dispatch.WriteFailed
