End the shutdown where another process put the socket into blocking mode

Operators share it too: a supervisor written in Go that passes the socket by os/exec puts it into blocking mode with each start of the next process. The old one would then be killed with requests unanswered.

Cause: an Accept that another process beats to its connection waits in the kernel, and closing the listener waits for that Accept, while Shutdown's loop and http.Server.Close wait for the close.

Change: the close puts the socket back into non-blocking mode, and connects to it until the Accept that waits has returned, for 0.5 s at most. A request that comes meanwhile is accepted and answered as before.

--- a/internal/net/frontend/listener.go
+++ b/internal/net/frontend/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -24,10 +25,17 @@
 	// queueQuietTime is the minimum time without a new connection before the kernel's accept queue counts as empty.
 	queueQuietTime = 20 * time.Millisecond
 
+	// An Accept that waits in the kernel is woken by up to maxWakeConns connections, one in each wakeInterval.
+	wakeInterval = 10 * time.Millisecond
+	maxWakeConns = 50
+
 	// recentlyFullWindow is how long after reaching the limit the listener still expects more new connections than it can accept.
 	recentlyFullWindow = 100 * time.Millisecond
 )
 
+// errSocketBusy is returned if an Accept still waits on a closed listener.
+var errSocketBusy = errors.New("another process keeps the listening socket in blocking mode")
+
 // limitedListener accepts at most maxConns concurrent connections; further ones wait in the kernel's accept queue. Unlike netutil.LimitListener, it
 // closes idle connections in favor of new ones, and its connections detect a client's close behind unread bytes.
 type limitedListener struct {
@@ -53,7 +61,7 @@
 	limited.maxConns.Store(int64(maxConns))
 	limited.close = sync.OnceValue(func() error {
 		close(limited.closed)
-		return l.Close()
+		return closeSharedSocket(l)
 	})
 	return limited
 }
@@ -177,5 +185,35 @@
 	}
 }
 
+// closeSharedSocket closes a listener. A process that shares its socket may have put it into blocking mode: an Accept may then wait in the kernel, and the
+// close for it. closeSharedSocket wakes such an Accept with a connection of its own. It gives up if other processes take these connections.
+func closeSharedSocket(l net.Listener) error {
+	setNonblocking(l) // no later Accept waits in the kernel
+	closed := make(chan error, 1)
+	go func() { closed <- l.Close() }()
+	for range maxWakeConns {
+		select {
+		case err := <-closed:
+			return err
+		case <-time.After(wakeInterval):
+			if conn, err := net.DialTimeout(l.Addr().Network(), l.Addr().String(), wakeInterval); err == nil {
+				_ = conn.Close()
+			}
+		}
+	}
+	return errSocketBusy
+}
+
+// setNonblocking puts a listener's socket into non-blocking mode, for all processes that share it.
+func setNonblocking(l net.Listener) {
+	socket, ok := l.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := socket.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.SetNonblock(int(fd), true) })
+	}
+}
+
 // Close closes the socket and makes an Accept that waits for the limit return net.ErrClosed.
 func (l *limitedListener) Close() error { return l.close() }
