--- a/cmd/thistlerudder/soaktest_on.go
+++ b/cmd/thistlerudder/soaktest_on.go
@@ -26,6 +26,7 @@
 	programPath := soakCmd.Flags().String("program", "", "path of the program to run as nodes; this program if empty")
 	uploadShare := soakCmd.Flags().Float64("uploads", 0, "share of requests, from 0 to 1, with a streamed body, in addition to those by chance")
 	originHangShare := soakCmd.Flags().Float64("origin-hangs", 0, "share of attempts, from 0 to 1, that the origin does not answer, in addition to its faults")
+	crowd := soakCmd.Flags().Int("crowd", 0, "idle clients of each node, which have 256 descriptors")
 	keepLogs := soakCmd.Flags().Bool("keep", false, "keep the nodes' logs of runs that violate a rule")
 	soakCmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		from, to, err := parseSeedRange(*seeds)
@@ -35,6 +36,9 @@
 		if *nodes < 2 || *nodes > 100 {
 			return fmt.Errorf("nodes: expected 2 to 100, not %d", *nodes)
 		}
+		if *crowd < 0 || *crowd > 300 {
+			return fmt.Errorf("crowd: expected 0 to 300, not %d", *crowd)
+		}
 		if *uploadShare < 0 || *uploadShare > 1 || *originHangShare < 0 || *originHangShare > 1 {
 			return fmt.Errorf("uploads, origin-hangs: expected 0 to 1, not %g and %g", *uploadShare, *originHangShare)
 		}
@@ -53,7 +57,7 @@
 		failed := 0
 		for seed := from; seed <= to; seed++ {
 			result, err := soaktest.Run(ctx, soaktest.Plan{Program: program, Nodes: *nodes, Duration: *duration, Seed: seed, DisabledSafeguard: *disabledSafeguard, KeepLogs: *keepLogs,
-				UploadShare: *uploadShare, OriginHangShare: *originHangShare})
+				UploadShare: *uploadShare, OriginHangShare: *originHangShare, CrowdPerNode: *crowd})
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", seed, err)
 			}
--- a/internal/soaktest/client.go
+++ b/internal/soaktest/client.go
@@ -157,6 +157,9 @@
 		buf.WriteString(strings.Repeat("b", bodySize))
 	}
 	c.testbed.recorder.addRequest(r)
+	if c.node.terminating.Load() {
+		c.testbed.faultCounts.add("client: sends after SIGTERM", 1)
+	}
 	return r, buf.Bytes()
 }
 
--- a/internal/soaktest/fault_injection.go
+++ b/internal/soaktest/fault_injection.go
@@ -14,7 +14,8 @@
 	maxFaultDuration  = 2500 * time.Millisecond
 	maxStall          = 150 * time.Millisecond // the longest stall of a process that the operators name
 	drainDuration     = 1200 * time.Millisecond
-	maxServersAway    = 3 // how many servers drain or are away at the same time
+	maxServersAway    = 3                     // how many servers drain or are away at the same time
+	reloadPause       = 10 * time.Millisecond // between configurations in quick succession
 )
 
 // injectFaults starts faults for the duration of the run and returns when the last has ended. Faults last longer than
@@ -63,7 +64,8 @@
 	}
 	switch roll := rng.Float64(); {
 	case roll < 0.10:
-		return onNode("SIGTERM and restart", nd.restart)
+		plan := drawShutdown(rng)
+		return onNode("SIGTERM and restart", func() error { return nd.restart(plan) })
 	case roll < 0.14:
 		return onNode("killed", nd.kill)
 	case roll < 0.30:
@@ -71,9 +73,10 @@
 		return onNode("stalled", func() error { return nd.stall(stall) })
 	case roll < 0.40:
 		reloads := 1 + rng.IntN(4)
-		return onNode("reloaded", func() error { return nd.reload(reloads) })
+		return onNode("reloaded", func() error { return nd.reload(reloads, reloadPause) })
 	case roll < 0.46 && nd.socket != nil:
-		return onNode("handed over", nd.handOver)
+		plan := drawShutdown(rng)
+		return onNode("handed over", func() error { return nd.handOver(plan) })
 	case roll < 0.60:
 		return func() error { return tb.replaceServer(rng, awaySlots) }
 	case roll < 0.66:
--- a/internal/soaktest/node.go
+++ b/internal/soaktest/node.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -16,11 +17,17 @@
 )
 
 const (
-	readyTimeout       = 10 * time.Second // from the start of a process until it serves
-	readyPollInterval  = 5 * time.Millisecond
-	stackDumpWait      = 300 * time.Millisecond // after SIGQUIT, for the process to log its stacks
-	shutdownSlack      = 700 * time.Millisecond // a process is killed if it is still running this long plus the longest deadline after SIGTERM
-	acceptAfterSIGTERM = 300 * time.Millisecond // clients go on to connect this long after SIGTERM
+	readyTimeout      = 10 * time.Second // from the start of a process until it serves
+	readyPollInterval = 5 * time.Millisecond
+	stackDumpWait     = 300 * time.Millisecond // after SIGQUIT, for the process to log its stacks
+	shutdownSlack     = 700 * time.Millisecond // a process is killed if it is still running this long plus the longest deadline after SIGTERM
+
+	// Clients go on to connect for a time between these after SIGTERM.
+	minAcceptAfterSIGTERM = 200 * time.Millisecond
+	maxAcceptAfterSIGTERM = 400 * time.Millisecond
+
+	maxReloadsBeforeSIGTERM = 3
+	maxSignalAfterSIGTERM   = 600 * time.Millisecond // latest time after SIGTERM of a further signal
 
 	clientPort     = 7070
 	firstAdminPort = 9600
@@ -37,6 +44,7 @@
 	address      string
 	socket       *os.File    // listening socket for clients that is passed to each process; nil: the process opens its own
 	accepting    atomic.Bool // clients may connect
+	terminating  atomic.Bool // a process has got SIGTERM and has not ended
 	faultMu      sync.Mutex  // held while a fault of the node is in progress
 	processCount int         // processes started so far
 
@@ -185,10 +193,44 @@
 	return nil
 }
 
-// terminate sends SIGTERM to a process and waits for its end. It is a violation if the process does not end in time, which then gets
-// a SIGQUIT and a SIGKILL, or if it ends with an exit code other than 0.
-func (n *node) terminate(p *process) {
+// shutdownPlan is what happens to a process around its SIGTERM. The zero value is SIGTERM alone.
+type shutdownPlan struct {
+	reloadsBefore int            // configurations, each with a SIGHUP, just before SIGTERM
+	signalAfter   syscall.Signal // a further signal; 0: none
+	signalDelay   time.Duration  // from SIGTERM to that signal
+	acceptTime    time.Duration  // for which clients go on to connect
+}
+
+// drawShutdown draws what happens around a SIGTERM: often signals come in series.
+func drawShutdown(rng *rand.Rand) shutdownPlan {
+	plan := shutdownPlan{
+		signalAfter: randomChoice(rng, 0, syscall.SIGTERM, syscall.SIGHUP),
+		signalDelay: randomDuration(rng, 0, maxSignalAfterSIGTERM),
+		acceptTime:  randomDuration(rng, minAcceptAfterSIGTERM, maxAcceptAfterSIGTERM),
+	}
+	if rng.IntN(2) == 0 {
+		plan.reloadsBefore = 1 + rng.IntN(maxReloadsBeforeSIGTERM)
+	}
+	return plan
+}
+
+// terminate sends SIGTERM to a process and waits for its end. Clients go on using their connections to it. It is a violation if the
+// process does not end before the earliest time of the SIGKILL that it then gets, after a SIGQUIT, or if it ends with an exit code
+// other than 0. Requests that the SIGKILL leaves unanswered are lost.
+func (n *node) terminate(p *process, plan shutdownPlan) {
+	if plan.reloadsBefore > 0 {
+		n.testbed.faultCounts.add("node: SIGHUP just before SIGTERM", 1)
+		if err := n.reload(plan.reloadsBefore, 0); err != nil {
+			n.testbed.addProcessViolation(fmt.Sprintf("node %d: %v", n.index, err))
+		}
+	}
 	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	n.terminating.Store(true)
+	defer n.terminating.Store(false)
+	if plan.signalAfter != 0 {
+		n.testbed.faultCounts.add(fmt.Sprintf("node: %v after SIGTERM", plan.signalAfter), 1)
+		defer time.AfterFunc(plan.signalDelay, func() { _ = p.cmd.Process.Signal(plan.signalAfter) }).Stop()
+	}
 	select {
 	case <-p.ended:
 	case <-time.After(n.testbed.settings.maxDeadline() + shutdownSlack):
@@ -221,12 +263,17 @@
 }
 
 // restart ends the process with SIGTERM and starts the next one.
-func (n *node) restart() error {
-	time.AfterFunc(acceptAfterSIGTERM, func() { n.accepting.Store(false) })
-	n.terminate(n.process)
+func (n *node) restart(plan shutdownPlan) error {
+	start := time.Now()
+	time.AfterFunc(plan.acceptTime, func() { n.accepting.Store(false) })
+	n.terminate(n.process, plan)
 	n.accepting.Store(false)
 	time.Sleep(time.Millisecond) // if the timer is just firing, let it store false before start stores true
-	return n.start()
+	err := n.start()
+	n.testbed.recorder.update(func() {
+		n.testbed.recorder.interruptions = append(n.testbed.recorder.interruptions, interruption{n.index, start, time.Now(), "restarted"})
+	})
+	return err
 }
 
 // kill ends the process with SIGKILL and starts the next one.
@@ -254,8 +301,8 @@
 }
 
 // reload writes configurations in quick succession, each with another address of the discovery service, and sends a SIGHUP after
-// each.
-func (n *node) reload(times int) error {
+// each. It pauses after each SIGHUP.
+func (n *node) reload(times int, pause time.Duration) error {
 	for range times {
 		ds, err := n.writeConfig(n.process.adminAddress, n.process.view)
 		if err != nil {
@@ -265,19 +312,19 @@
 		n.process.discoveryServers = append(n.process.discoveryServers, ds)
 		n.mu.Unlock()
 		_ = n.process.cmd.Process.Signal(syscall.SIGHUP)
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(pause)
 	}
 	return nil
 }
 
 // handOver starts the next process while the current one serves, then ends the current one with SIGTERM.
-func (n *node) handOver() error {
+func (n *node) handOver(plan shutdownPlan) error {
 	start, previous := time.Now(), n.process
 	next, err := n.startProcess()
 	if err != nil {
 		return err
 	}
-	n.terminate(previous)
+	n.terminate(previous, plan)
 	n.mu.Lock()
 	n.process = next
 	n.mu.Unlock()
@@ -293,7 +340,7 @@
 	defer n.faultMu.Unlock()
 	n.accepting.Store(false)
 	if n.process != nil {
-		n.terminate(n.process)
+		n.terminate(n.process, shutdownPlan{})
 	}
 	if n.socket != nil {
 		_ = n.socket.Close()
--- a/internal/soaktest/recorder.go
+++ b/internal/soaktest/recorder.go
@@ -60,11 +60,12 @@
 	lateSecondAnswers map[string]time.Duration // by answer body: delay from the first to the second answer, if above maxSecondAnswerDelay
 }
 
-// interruption is a period in which a process of a node was stopped by SIGSTOP, was being killed, or was handing over to the next one.
+// interruption is a period in which a process of a node was stopped by SIGSTOP, was being killed or restarted, or was handing over to the
+// next one.
 type interruption struct {
 	nodeIndex          int
 	startedAt, endedAt time.Time
-	kind               string // "stalled", "handed over" or "killed"
+	kind               string // "stalled", "handed over", "restarted" or "killed"
 }
 
 // drainNotice records that one process of a node was notified that a server drains or is gone.
--- a/internal/soaktest/soak.go
+++ b/internal/soaktest/soak.go
@@ -30,6 +30,7 @@
 	LeavingShare      float64       // share of requests, from 0 to 1, whose clients disconnect at once, in addition to those by chance
 	UploadShare       float64       // share of requests, from 0 to 1, with a streamed body, in addition to those by chance
 	OriginHangShare   float64       // share of attempts, from 0 to 1, that the origin doesn't answer, in addition to its faults
+	CrowdPerNode      int           // idle clients of each node
 
 	measuresUsage bool // the run measures the resource usage of a node and is not checked
 }
@@ -172,6 +173,7 @@
 		c := &client{testbed: tb, rng: rand.New(rand.NewPCG(tb.plan.Seed, uint64(100+i)))}
 		running.Go(func() { c.run(done) })
 	}
+	tb.startCrowd(&running, done)
 	err := tb.injectFaults(ctx, rng)
 	close(done)
 	running.Wait()
