Take new connections for a while where a passed socket has no other process

Cause: a node whose listening socket was passed to it took for granted that its successor was there, and closed its listener at once. Where the platform ends the only process, the connections wait in the socket's queue for the next one.

Evidence: TestShutdownOnPassedSocketWithoutSuccessorServesNewConnections was red ("status 0 after 10s").

--- a/internal/net/node/node.go
+++ b/internal/net/node/node.go
@@ -115,7 +115,7 @@
 		<-ctx.Done()
 		return nil
 	}
-	return n.serveClients(ctx, others, leaveCluster)
+	return n.serveClients(ctx, membership, leaveCluster)
 }
 
 func newNode(s *config.Node, r resources, l limits, log *zap.Logger) *node {
@@ -200,12 +200,12 @@
 }
 
 // serveClients serves clients until ctx ends, and then shuts down gracefully.
-func (n *node) serveClients(ctx context.Context, others int, leaveCluster func()) error {
+func (n *node) serveClients(ctx context.Context, membership *handover.Membership, leaveCluster func()) error {
 	served := make(chan error, 1)
 	go func() { served <- n.frontend.Serve(n.clientListener) }()
 	n.log.Info("serving", zap.String("listen", n.config.ListenAddress), zap.Int("client descriptors", n.limits.clientConns),
 		zap.Int("server descriptors", n.limits.serverConns), zap.Int("memory MB", n.config.MemoryMB),
-		zap.Int("other processes", others))
+		zap.Int("other processes", membership.Others()))
 	select {
 	case err := <-served:
 		return fmt.Errorf("serve: %w", err)
@@ -213,7 +213,7 @@
 	}
 	go leaveCluster() // in parallel to the drain: a successor waits for the cluster's address, and draining must not wait for the cluster
 	n.log.Info("shutting down, draining client connections")
-	hasSuccessor := n.config.PassedSocket != 0 // a passed socket is passed on to or shared with a successor
+	hasSuccessor := n.config.PassedSocket != 0 && membership.Others() > 0 // the platform may also end the only process on a passed socket
 	if err := n.frontend.Shutdown(hasSuccessor); err != nil {
 		n.log.Warn("shutdown ended with requests unanswered", zap.Error(err), zap.Int("in flight", n.dispatcher.InFlight()))
 	}
--- a/internal/net/node/node_test.go
+++ b/internal/net/node/node_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -112,3 +113,37 @@
 		}
 	}
 }
+
+// A node on a passed socket that ends without a successor goes on taking connections for a while, as one with a socket of its own does. Otherwise they would
+// wait in the socket's queue for the next process.
+func TestShutdownOnPassedSocketWithoutSuccessorServesNewConnections(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir()) // where the processes of a node find each other
+	w := newTestEnv(t, nil, "a", "b")
+	s := w.nodeConfig(128)
+	listener, err := net.Listen("tcp", s.ListenAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	file, err := listener.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	if s.PassedSocket, err = syscall.Dup(int(file.Fd())); err != nil { // closed by the node
+		t.Fatal(err)
+	}
+	stop := startNode(t, s)
+	ended := make(chan struct{})
+	go func() { stop(); close(ended) }()
+	for i := range 4 {
+		time.Sleep(80 * time.Millisecond)
+		start := time.Now()
+		status, body := sendRequest(s.ListenAddress, fmt.Sprint("GET /read/k", i), fmt.Sprint("X-Trace-Id: t", i), "X-Expires-In: 800m")
+		if status == 0 || time.Since(start) > time.Second {
+			t.Errorf("%v after the shutdown began: status %d after %v, %q", 80*time.Millisecond*time.Duration(i+1), status, time.Since(start), body)
+			break
+		}
+	}
+	<-ended
+}
