Keep the connections of clients that send requests in a crowd of idle ones

Cause: above the limit each answer said Connection: close, whoever filled it; connections between requests were closed before those that never sent anything; and the time after which a silent newcomer may be closed shrank by the wait of the next connection alone.

Change: connections that never sent anything do not count for Connection: close and are closed first; those between requests only while more than the limit have carried requests; a silent newcomer may be closed after 0.1 s where new connections have had to wait for a while (acceptWait.all). Stalled requests keep their times: shortened too, TestSlowClientsServedDuringConnectionFlood was red. The shutdown closes all idle connections as before (closeAllIdle), and so do the tests that closed a connection between requests by closeIdle.

--- a/internal/net/frontend/closing_test.go
+++ b/internal/net/frontend/closing_test.go
@@ -149,7 +149,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener := newLimitedListener(tcp, 8, 0, func(time.Duration) {}, zap.NewNop())
+	listener := newLimitedListener(tcp, 8, 0, func(acceptWait) {}, zap.NewNop())
 	t.Cleanup(func() { listener.Close() })
 	for _, closeRequested := range []bool{false, true} {
 		clientSide := dial(t, tcp.Addr().String())
@@ -227,7 +227,7 @@
 						element.Value.(*idleConn).idleSince = time.Now().Add(-time.Hour)
 					}
 					srv.conns.mu.Unlock()
-					go srv.conns.closeIdle(1, 0)
+					go srv.conns.closeAllIdle(0)
 				}
 				time.Sleep(delay)
 				_, writeErr := fmt.Fprint(conn, text)
@@ -295,7 +295,7 @@
 	fmt.Fprint(conn, text, text[:30])
 	conn.receive(t)
 	for end := time.Now().Add(4 * usedConnTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		srv.conns.closeIdle(1, 0)
+		srv.conns.closeAllIdle(0)
 	}
 	fmt.Fprint(conn, text[30:])
 	if r, body := conn.receive(t); r.StatusCode != 200 || body != "v" {
--- a/internal/net/frontend/conn_tracker.go
+++ b/internal/net/frontend/conn_tracker.go
@@ -19,8 +19,9 @@
 	// stalledRequestTimeout applies while a request is being received. Clients take up to 2 s to write a request, and send bytes throughout that time.
 	stalledRequestTimeout = 1 * time.Second
 
-	// While new connections wait to be accepted, the two timeouts above are shorter: each is reduced by acceptWaitFactor times the wait of a new
-	// connection, but not below minQuietTime. The full stalledRequestTimeout still applies to a request that makes progress (see minProgressTime).
+	// While new connections wait to be accepted, the two timeouts above are shorter: stalledRequestTimeout is reduced by acceptWaitFactor times the wait of
+	// the next new connection, and newConnTimeout by as many times the time for which new connections have had to wait, but neither below minQuietTime. The
+	// full stalledRequestTimeout still applies to a request that makes progress (see minProgressTime).
 	minQuietTime     = 100 * time.Millisecond
 	acceptWaitFactor = 5
 
@@ -32,10 +33,17 @@
 	usedConnTimeout = 50 * time.Millisecond
 )
 
+// acceptWait tells how long new connections have had to wait to be accepted.
+type acceptWait struct {
+	next time.Duration // the wait of the next one
+	all  time.Duration // since one last did not have to wait
+}
+
 // connTracker counts the client connections and tracks which of them carry no request. Clients keep connections open without using them, and some
-// never send anything. Once the limit is reached, an idle connection is closed for each new one. Connections between requests are closed first, then
-// those that never sent anything, then those that stalled within a request. Within each of these groups, the one that has been quiet longest is closed
-// first. A request may arrive while its connection is being closed; the client then sends it again.
+// never send anything. Once the limit is reached, an idle connection is closed for each new one. Connections that never sent anything are closed first,
+// then those that stalled within a request. Those between requests, whose clients would have to connect again behind all new ones, are closed only while
+// more connections than the limit have carried requests. Within each of these groups, the one that has been quiet longest is closed first. A request may
+// arrive while its connection is being closed; the client then sends it again.
 type connTracker struct {
 	maxOpen int
 
@@ -43,6 +51,7 @@
 	open       int
 	idle       *list.List // of *idleConn, longest idle first
 	idleByConn map[net.Conn]*list.Element
+	unused     int // idle connections that have not carried a request yet
 }
 
 // idleConn is a connection that carries no request according to net/http, which counts a request only once its whole head has been read.
@@ -70,7 +79,7 @@
 	case http.StateNew:
 		t.open++
 		if t.open > t.maxOpen {
-			t.closeIdleLocked(1, 0)
+			t.closeIdleLocked(1, acceptWait{})
 		}
 		t.addIdle(&idleConn{conn: conn, unused: true, idleSince: time.Now()})
 	case http.StateIdle:
@@ -83,47 +92,74 @@
 
 func (t *connTracker) addIdle(idle *idleConn) {
 	t.idleByConn[idle.conn] = t.idle.PushBack(idle)
+	if idle.unused {
+		t.unused++
+	}
 }
 
 func (t *connTracker) removeIdle(conn net.Conn) {
-	if element := t.idleByConn[conn]; element != nil {
-		t.idle.Remove(element)
-		delete(t.idleByConn, conn)
+	element := t.idleByConn[conn]
+	if element == nil {
+		return
+	}
+	t.idle.Remove(element)
+	delete(t.idleByConn, conn)
+	if element.Value.(*idleConn).unused {
+		t.unused--
 	}
 }
 
-// closeIdle closes up to n idle connections, of those whose timeout has passed. acceptWait is how long a new connection has waited to be accepted.
-func (t *connTracker) closeIdle(n int, acceptWait time.Duration) {
+// closeIdle closes up to n idle connections in favor of new ones, of those whose timeout has passed.
+func (t *connTracker) closeIdle(n int, wait acceptWait) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closeIdleLocked(n, wait)
+}
+
+// closeAllIdle closes all idle connections whose timeout has passed, at the shutdown, which has lasted for elapsed.
+func (t *connTracker) closeAllIdle(elapsed time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.closeIdleLocked(n, acceptWait)
+	wait := acceptWait{elapsed, elapsed}
+	for element := t.nextToClose(wait, true); element != nil; element = t.nextToClose(wait, true) {
+		t.closeWhenIdle(element)
+	}
 }
 
-// closeIdleLocked is closeIdle with the lock held. It does not call Close on a connection: net/http reports it as idle until the head of the next request is read, and a request that has
-// been read must be answered. Instead it sets a read deadline in the past, which wakes the server's blocked read. The server then closes the connection
-// if no bytes have arrived, and serves the request if some have.
-func (t *connTracker) closeIdleLocked(n int, acceptWait time.Duration) {
+// closeIdleLocked is closeIdle with the lock held.
+func (t *connTracker) closeIdleLocked(n int, wait acceptWait) {
 	for ; n > 0; n-- {
-		element := t.nextToClose(time.Now(), acceptWait)
+		element := t.nextToClose(wait, t.usedOverLimit())
 		if element == nil {
 			return
 		}
-		conn := element.Value.(*idleConn).conn
-		t.removeIdle(conn)
-		if client, isClient := conn.(*clientConn); isClient {
-			client.closeRequested.Store(true)
-		}
-		_ = conn.SetReadDeadline(pastDeadline)
+		t.closeWhenIdle(element)
+	}
+}
+
+// closeWhenIdle does not call Close on a connection: net/http reports it as idle until the head of the next request is read, and a request that has been
+// read must be answered. Instead it sets a read deadline in the past, which wakes the server's blocked read. The server then closes the connection if no
+// bytes have arrived, and serves the request if some have.
+func (t *connTracker) closeWhenIdle(element *list.Element) {
+	conn := element.Value.(*idleConn).conn
+	t.removeIdle(conn)
+	if client, isClient := conn.(*clientConn); isClient {
+		client.closeRequested.Store(true)
 	}
+	_ = conn.SetReadDeadline(pastDeadline)
 }
 
-// nextToClose returns the connection to close next, or nil if none may be closed.
-func (t *connTracker) nextToClose(now time.Time, acceptWait time.Duration) *list.Element {
+// nextToClose returns the connection to close next, or nil if none may be closed. Connections between requests may be closed only if mayCloseUsed is set.
+func (t *connTracker) nextToClose(wait acceptWait, mayCloseUsed bool) *list.Element {
+	now := time.Now()
 	var best *list.Element
 	bestRank := notClosable
 	longestQuiet := time.Duration(0)
 	for element := t.idle.Front(); element != nil; element = element.Next() {
-		rank, quiet := element.Value.(*idleConn).rankForClosing(now, acceptWait)
+		rank, quiet := element.Value.(*idleConn).rankForClosing(now, wait)
+		if rank == betweenRequests && !mayCloseUsed {
+			continue
+		}
 		if rank > bestRank || rank == bestRank && rank != notClosable && quiet > longestQuiet {
 			best = element
 			bestRank = rank
@@ -144,10 +180,10 @@
 )
 
 // rankForClosing returns a connection's rank, and for how long the connection has sent nothing.
-func (c *idleConn) rankForClosing(now time.Time, acceptWait time.Duration) (rank closeRank, quiet time.Duration) {
+func (c *idleConn) rankForClosing(now time.Time, wait acceptWait) (rank closeRank, quiet time.Duration) {
 	quiet = now.Sub(c.idleSince)
 	requestStarted := c.requestStarted
-	stallTimeout := max(minQuietTime, stalledRequestTimeout-acceptWaitFactor*acceptWait)
+	stallTimeout := max(minQuietTime, stalledRequestTimeout-acceptWaitFactor*wait.next)
 	if client, isClient := c.conn.(*clientConn); isClient {
 		// net/http does not report a request before it has read its whole head.
 		if lastRead := clock.Moment(client.lastRead.Load()).Time(); lastRead.After(c.idleSince) {
@@ -161,7 +197,7 @@
 	switch {
 	case requestStarted && quiet >= stallTimeout:
 		return stalledRequest, quiet
-	case !requestStarted && c.unused && quiet >= max(minQuietTime, newConnTimeout-acceptWaitFactor*acceptWait):
+	case !requestStarted && c.unused && quiet >= max(minQuietTime, newConnTimeout-acceptWaitFactor*wait.all):
 		return neverUsed, quiet
 	case !requestStarted && !c.unused && quiet >= usedConnTimeout:
 		return betweenRequests, quiet
@@ -174,16 +210,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.maxOpen = maxOpen
-	t.closeIdleLocked(t.open-maxOpen, 0)
+	t.closeIdleLocked(t.open-maxOpen, acceptWait{})
 }
 
-// overLimit reports whether more connections are open than the limit.
+// overLimit reports whether more connections that carry requests, or have carried some, are open than the limit. The others are closed first, so they
+// are no reason for a client to connect again.
 func (t *connTracker) overLimit() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.open > t.maxOpen
+	return t.usedOverLimit()
 }
 
+// usedOverLimit is overLimit with the lock held.
+func (t *connTracker) usedOverLimit() bool { return t.open-t.unused > t.maxOpen }
+
 func (t *connTracker) count() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/net/frontend/conn_tracker_test.go
+++ b/internal/net/frontend/conn_tracker_test.go
@@ -158,7 +158,7 @@
 					idle.conn.(*clientConn).lastRead.Store(0)
 				}
 				srv.conns.mu.Unlock()
-				srv.conns.closeIdle(1, 0)
+				srv.conns.closeAllIdle(0)
 			}
 		}
 		connState(conn, state)
@@ -176,3 +176,64 @@
 		t.Errorf("%d %q", r.StatusCode, body)
 	}
 }
+
+// Idle clients that fill the connections, and come back when they are shut, neither end the connections of clients that send requests nor hold up a client
+// that connects.
+func TestClientsKeepConnectionsInCrowd(t *testing.T) {
+	const maxConns, crowd, regulars = 24, 60, 6
+	srv, attempts, address := startServer(t, maxConns, true)
+	answerAll(t, attempts, []byte("v"))
+	stop := make(chan struct{})
+	var crowdClients, clients sync.WaitGroup
+	for range crowd {
+		crowdClients.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				conn, err := net.DialTimeout("tcp", address, time.Second)
+				if err != nil {
+					time.Sleep(10 * time.Millisecond)
+					continue
+				}
+				_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+				_, _ = conn.Read(make([]byte, 1))
+				conn.Close()
+			}
+		})
+	}
+	for srv.OpenConns() < maxConns {
+		time.Sleep(time.Millisecond)
+	}
+	var closed, slowest atomic.Int64
+	const requests = 20
+	for i := range regulars {
+		clients.Go(func() {
+			conn := dial(t, address)
+			for n := range requests {
+				start := time.Now()
+				conn.send("GET /read/k", fmt.Sprint("X-Trace-Id: ", i, "-", n), timeoutHeader)
+				r, body := conn.receive(t)
+				if r.StatusCode != 200 || body != "v" {
+					t.Errorf("client %d, request %d: %d %q", i, n, r.StatusCode, body)
+				}
+				slowest.Store(max(slowest.Load(), int64(time.Since(start))))
+				if r.Close {
+					closed.Add(1)
+					conn = dial(t, address)
+				}
+				time.Sleep(2 * usedConnTimeout)
+			}
+		})
+	}
+	clients.Wait()
+	close(stop)
+	t.Logf("%d of %d connections were closed, slowest request %v", closed.Load(), regulars*requests, time.Duration(slowest.Load()))
+	if closed.Load() > 0 {
+		t.Errorf("%d connections of clients that send requests were closed", closed.Load())
+	}
+	srv.httpServer.Close()
+	crowdClients.Wait()
+}
--- a/internal/net/frontend/listener.go
+++ b/internal/net/frontend/listener.go
@@ -47,14 +47,15 @@
 	lastFull   atomic.Int64        // clock.Moment at which Accept last waited for the limit
 	closed     chan struct{}
 	close      func() error
-	onFull     func(acceptWait time.Duration) // called at intervals while Accept waits for the limit
+	onFull     func(acceptWait) // called at intervals while Accept waits for the limit
+	fullSince  time.Time        // since when each Accept has had to wait; zero: the last one has not. Used only by Accept
 
 	mu        sync.Mutex
 	lingering *list.List // of *clientConn, longest lingering first
 }
 
 // newLimitedListener wraps a listener. readAheadMemory is in bytes and has a minimum, minReadAheadMemory.
-func newLimitedListener(l net.Listener, maxConns int, readAheadMemory int64, onFull func(acceptWait time.Duration), log *zap.Logger) *limitedListener {
+func newLimitedListener(l net.Listener, maxConns int, readAheadMemory int64, onFull func(acceptWait), log *zap.Logger) *limitedListener {
 	l = acceptor.New(l, log)
 	limited := &limitedListener{Listener: l, onFull: onFull, closed: make(chan struct{}), lingering: list.New(),
 		readAhead: semaphore.NewWeighted(max(minReadAheadMemory, readAheadMemory))}
@@ -97,14 +98,21 @@
 
 // waitForLimit waits until there are fewer connections than the limit, or returns net.ErrClosed.
 func (l *limitedListener) waitForLimit() error {
+	if l.conns.Load() < l.maxConns.Load() {
+		l.fullSince = time.Time{}
+		return nil
+	}
 	start := time.Now()
+	if l.fullSince.IsZero() {
+		l.fullSince = start
+	}
 	var lastCall time.Time
 	for l.conns.Load() >= l.maxConns.Load() {
 		l.lastFull.Store(int64(clock.Now()))
 		if time.Since(lastCall) >= fullInterval {
 			lastCall = time.Now()
 			l.endLingering(lastCall)
-			l.onFull(lastCall.Sub(start))
+			l.onFull(acceptWait{next: lastCall.Sub(start), all: lastCall.Sub(l.fullSince)})
 		}
 		select {
 		case <-l.closed:
--- a/internal/net/frontend/read_ahead_test.go
+++ b/internal/net/frontend/read_ahead_test.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	limited := newLimitedListener(l, 8, 0, func(time.Duration) {}, zap.NewNop())
+	limited := newLimitedListener(l, 8, 0, func(acceptWait) {}, zap.NewNop())
 	t.Cleanup(func() { limited.Close() })
 	serverSide, clientSide := connectTo(t, limited)
 	return limited, serverSide, clientSide
--- a/internal/net/frontend/server.go
+++ b/internal/net/frontend/server.go
@@ -83,7 +83,7 @@
 
 // Serve serves clients until Shutdown has finished or the listener fails.
 func (s *Server) Serve(l net.Listener) error {
-	onFull := func(acceptWait time.Duration) { s.conns.closeIdle(1, acceptWait) }
+	onFull := func(wait acceptWait) { s.conns.closeIdle(1, wait) }
 	limited := newLimitedListener(l, s.limits.MaxConns+s.limits.OverflowConns, s.limits.ReadAheadMemory, onFull, s.log)
 	s.listener.Store(limited)
 	err := s.httpServer.Serve(limited)
@@ -122,7 +122,7 @@
 			_ = listener.Close()
 		}
 		if !hasSuccessor || elapsed >= drainIdleTime {
-			s.conns.closeIdle(s.conns.count(), elapsed)
+			s.conns.closeAllIdle(elapsed)
 		}
 		open, lingering := s.openConns(listener)
 		if open > 0 {
--- a/internal/soaktest/soak_test.go
+++ b/internal/soaktest/soak_test.go
@@ -82,6 +82,20 @@
 	}
 }
 
+// No request violates a rule where idle clients, more than a node has connections, come back each time that it closes them.
+func TestNodesKeepTheRulesUnderTroublesInCrowd(t *testing.T) {
+	if os.Getenv("THISTLERUDDER_TRIAL") == "" {
+		t.Skip("THISTLERUDDER_TRIAL is not set: dozens of processes, as .ci/run plays them by themselves")
+	}
+	const duration, seed = 10 * time.Second, 200
+	result, err := Run(context.Background(), Plan{Program: buildProgram(t), Nodes: 6, Duration: duration, Seed: seed, CrowdPerNode: 180,
+		KeepLogs: os.Getenv("THISTLERUDDER_SOAK_KEEP") != ""})
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkResult(t, result, seed)
+}
+
 // No request violates a rule while one in fifty system calls of the nodes fails, several at once, in a way that its manual page
 // documents.
 func TestNodesKeepTheRulesWhileCallsFail(t *testing.T) {
