--- a/internal/net/frontend/read_ahead.go
+++ b/internal/net/frontend/read_ahead.go
@@ -144,9 +144,9 @@
 	return n, nil
 }
 
-// readAheadForEnd reads ahead if at least readAheadThreshold bytes are unread, or any of the request's body, because the client's close arrives only after the bytes before it have
-// been read. restOfBody is how many bytes of the request's body are unread; 0: none, or their number is unknown. It reports whether it has read ahead,
-// and whether the request may be forwarded if no close can be seen now:
+// readAheadForEnd reads ahead if at least readAheadThreshold bytes are unread, or any of the request's body, because the client's close arrives only after
+// the bytes before it have been read. restOfBody is how many bytes of the request's body are unread; 0: none, or their number is unknown. It reports
+// whether it has read ahead, and whether the request may be forwarded if no close can be seen now:
 //   - all bytes in flight have come, so that a close would be seen,
 //   - or more bytes have come than both kernels held when the call began, so that the client was connected then,
 //   - or other connections use the memory at each of maxReadAheadWaits calls, but the rest of the body is more than both kernels hold: without its client
