Let new clients in where idle ones that have sent a request hold every connection

Cause: closed connections between requests only while more of them than the limit had carried requests. Where the limit has no overflow part, that is never so.

Change: connections that have carried requests are protected up to half of the limit; beyond that those between requests make way, after those that never sent anything.

--- a/internal/net/frontend/conn_tracker.go
+++ b/internal/net/frontend/conn_tracker.go
@@ -29,6 +29,9 @@
 	// a slow client from one that wrote half a request at once and then stopped.
 	minProgressTime = 100 * time.Millisecond
 
+	// protectedDivisor: half of the limit is for connections that have carried requests; with fewer, those between requests are not closed.
+	protectedDivisor = 2
+
 	// usedConnTimeout applies to a connection between requests: a busy client sends its next request immediately.
 	usedConnTimeout = 50 * time.Millisecond
 )
@@ -41,9 +44,9 @@
 
 // connTracker counts the client connections and tracks which of them carry no request. Clients keep connections open without using them, and some
 // never send anything. Once the limit is reached, an idle connection is closed for each new one. Connections that never sent anything are closed first,
-// then those that stalled within a request. Those between requests, whose clients would have to connect again behind all new ones, are closed only while
-// more connections than the limit have carried requests. Within each of these groups, the one that has been quiet longest is closed first. A request may
-// arrive while its connection is being closed; the client then sends it again.
+// then those between requests, then those that stalled within a request. Clients between requests would have to connect again behind all new ones, so
+// theirs are closed only while connections that have carried requests take more than their part of the limit (protectedDivisor). Within each of these
+// groups, the one that has been quiet longest is closed first. A request may arrive while its connection is being closed; the client then sends it again.
 type connTracker struct {
 	maxOpen int
 
@@ -129,7 +132,7 @@
 // closeIdleLocked is closeIdle with the lock held.
 func (t *connTracker) closeIdleLocked(n int, wait acceptWait) {
 	for ; n > 0; n-- {
-		element := t.nextToClose(wait, t.usedOverLimit())
+		element := t.nextToClose(wait, t.used() > t.maxOpen/protectedDivisor)
 		if element == nil {
 			return
 		}
@@ -175,8 +178,8 @@
 const (
 	notClosable closeRank = iota
 	stalledRequest
-	neverUsed
 	betweenRequests
+	neverUsed
 )
 
 // rankForClosing returns a connection's rank, and for how long the connection has sent nothing.
@@ -218,11 +221,11 @@
 func (t *connTracker) overLimit() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.usedOverLimit()
+	return t.used() > t.maxOpen
 }
 
-// usedOverLimit is overLimit with the lock held.
-func (t *connTracker) usedOverLimit() bool { return t.open-t.unused > t.maxOpen }
+// used returns how many connections carry a request or have carried one. Called with the lock held.
+func (t *connTracker) used() int { return t.open - t.unused }
 
 func (t *connTracker) count() int {
 	t.mu.Lock()
