Don't change a served list or a running server without their locks in two tests

TestNoAttemptForGoneClientAfterProcessResumes: newGatedNode put an address into the endpoint list without the lock under which the list is served. Its node is a process of its own, so nothing orders the write and the read but the lock, which the test's goroutine takes later, at times too late. It takes it for the write now. No check changes.

--- a/internal/net/frontend/body_test.go
+++ b/internal/net/frontend/body_test.go
@@ -56,9 +56,10 @@
 
 // A long body may take longer to arrive than net/http allows for writing an answer, counted from the head. The answer is delivered all the same.
 func TestAnswerAfterLongUploadIsDelivered(t *testing.T) {
-	server, attempts, address := startServer(t, 8, true)
+	server, attempts, listener := newTestServer(t, 8, true)
 	server.limits.MaxStreamedBody = 1 << 20
 	server.httpServer.WriteTimeout = 200 * time.Millisecond
+	go func() { _ = server.Serve(listener) }()
 	go func() {
 		for attempt := range attempts {
 			_, _ = io.Copy(io.Discard, attempt.BodyStream)
@@ -70,7 +71,7 @@
 	const pieces = 8
 	piece := bytes.Repeat([]byte("x"), 100)
 	for _, duration := range []time.Duration{0, 3 * server.httpServer.WriteTimeout} {
-		conn, err := net.Dial("tcp", address)
+		conn, err := net.Dial("tcp", listener.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/net/node/client_gone_waiting_test.go
+++ b/internal/net/node/client_gone_waiting_test.go
@@ -89,7 +89,9 @@
 	}
 	if originQueueFull {
 		address, unblock := fullQueueListener(t)
+		g.testEnv.mu.Lock() // a node in another process may ask for the list before this goroutine takes the lock again
 		g.entries[1].Address = address
+		g.testEnv.mu.Unlock()
 		go func() {
 			<-g.release
 			s := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { g.handleRaw("z", rw, r) })}
