--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
-echo "the cases start shell scripts only"
+go build -o review/bin/ ./review/standins
--- /dev/null
+++ b/review/common.sh
@@ -0,0 +1,54 @@
+# Shared by all cases: the record, a temporary folder, free ports and the end of all processes. Sourced by run.sh, which sets "here", its folder.
+
+root=$(cd "$here/../.." && pwd)
+record=$here/record.txt
+work=$(mktemp -d)
+pids=()
+: >"$record"
+cd "$root" || exit 2
+
+# milliseconds prints the Unix time in milliseconds.
+milliseconds() { echo $(($(date +%s%N) / 1000000)); }
+
+# note writes a line with its time to the record.
+note() { echo "$(milliseconds) $*" >>"$record"; }
+
+# cannot_run ends the case with status 2: it says nothing about the rule.
+cannot_run() {
+	note "cannot run: $*"
+	echo "cannot run: $*"
+	exit 2
+}
+
+# clean_up ends all processes that the case started. Jobs write their process ids to $work/job-pids.
+clean_up() {
+	local pid
+	for pid in "${pids[@]}" $(cat "$work/job-pids" 2>/dev/null); do
+		kill -KILL "$pid" 2>/dev/null
+	done
+	wait 2>/dev/null
+	rm -rf "$work"
+}
+trap clean_up EXIT
+
+# free_port prints a port at which nothing listens on 127.0.0.1.
+free_port() {
+	local port
+	while :; do
+		port=$((20000 + RANDOM % 10000))
+		if ! (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null && ! grep -qs "^$port\$" "$work/ports"; then
+			echo "$port" >>"$work/ports"
+			echo "$port"
+			return
+		fi
+	done
+}
+
+# await_line waits up to $1 seconds until the record has a line that matches $2.
+await_line() {
+	local end=$(($(date +%s) + $1))
+	while ! grep -q "$2" "$record"; do
+		[ "$(date +%s)" -lt "$end" ] || return 1
+		sleep 0.05
+	done
+}
--- /dev/null
+++ b/review/standins/main.go
@@ -0,0 +1,96 @@
+// Standins plays the platform and the clients of the review's cases: discovery, cache servers and an origin that speak as the protocol page says, and clients
+// that send what a case needs and record what they see.
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+// recorder appends lines to the case's record, which several processes write.
+type recorder struct {
+	mu   sync.Mutex
+	file *os.File
+}
+
+func openRecord(path string) (*recorder, error) {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return &recorder{file: file}, nil
+}
+
+// note writes one line with its time in milliseconds.
+func (r *recorder) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.file, "%d %s\n", time.Now().UnixMilli(), fmt.Sprintf(format, args...))
+}
+
+// Statuses of the commands that judge.
+const (
+	statusHeld      = 0
+	statusBroken    = 1
+	statusCannotRun = 2
+)
+
+var errUsage = errors.New("usage: standins servers|await-up|submit [flags]")
+
+func main() {
+	status, err := run(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		status = statusCannotRun
+	}
+	os.Exit(status)
+}
+
+func run(args []string) (status int, err error) {
+	if len(args) == 0 {
+		return statusCannotRun, errUsage
+	}
+	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
+	record := flags.String("record", os.DevNull, "file that lines are appended to")
+	node := flags.String("node", "", "address of the node")
+	discoveryAddress := flags.String("discovery", "", "address to serve discovery at")
+	servers := flags.String("servers", "", "addresses of the cache servers, and last of the origin")
+	endless := flags.Int("endless", 0, "each so many-th answer to a write is spoilt and never ends; 0: none")
+	count := flags.Int("count", 0, "requests to send")
+	if err := flags.Parse(args[1:]); err != nil {
+		return statusCannotRun, err
+	}
+	rec, err := openRecord(*record)
+	if err != nil {
+		return statusCannotRun, err
+	}
+	switch args[0] {
+	case "servers":
+		return statusCannotRun, serve(*discoveryAddress, *servers, *endless, rec)
+	case "await-up":
+		return statusHeld, awaitUp(*node)
+	case "submit":
+		return submitAll(*node, *count, rec), nil
+	}
+	return statusCannotRun, errUsage
+}
+
+// awaitUp waits until the node answers GET /up with 200.
+func awaitUp(node string) error {
+	for range 100 {
+		resp, err := http.Get("http://" + node + "/up")
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return errors.New("GET /up was not answered with 200 within 10 s")
+}
