--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -40,7 +40,7 @@
 	statusCannotRun = 2
 )
 
-var errUsage = errors.New("usage: standins servers|await-up|submit [flags]")
+var errUsage = errors.New("usage: standins servers|servers-twice|await-up|submit|read [flags]")
 
 func main() {
 	status, err := run(os.Args[1:])
@@ -57,10 +57,11 @@
 	}
 	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	record := flags.String("record", os.DevNull, "file that lines are appended to")
-	node := flags.String("node", "", "address of the node")
+	node := flags.String("node", "", "address of the node; with read, addresses of all nodes")
 	discoveryAddress := flags.String("discovery", "", "address to serve discovery at")
 	servers := flags.String("servers", "", "addresses of the cache servers, and last of the origin")
 	endless := flags.Int("endless", 0, "each so many-th answer to a write is spoilt and never ends; 0: none")
+	every := flags.Int("every", 0, "each so many-th answer comes twice; 0: none")
 	count := flags.Int("count", 0, "requests to send")
 	if err := flags.Parse(args[1:]); err != nil {
 		return statusCannotRun, err
@@ -72,6 +73,10 @@
 	switch args[0] {
 	case "servers":
 		return statusCannotRun, serve(*discoveryAddress, *servers, *endless, rec)
+	case "servers-twice":
+		return statusCannotRun, serveTwice(*discoveryAddress, *servers, *every, rec)
+	case "read":
+		return read(*node, *count, rec), nil
 	case "await-up":
 		return statusHeld, awaitUp(*node)
 	case "submit":
