--- a/review/common.sh
+++ b/review/common.sh
@@ -3,7 +3,6 @@
 root=$(cd "$here/../.." && pwd)
 record=$here/record.txt
 work=$(mktemp -d)
-pids=()
 : >"$record"
 cd "$root" || exit 2
 
@@ -20,13 +19,25 @@
 	exit 2
 }
 
-# clean_up ends all processes that the case started. Jobs write their process ids to $work/job-pids.
-clean_up() {
+# end_all ends the processes that this script started and that still run.
+end_all() {
 	local pid
-	for pid in "${pids[@]}" $(cat "$work/job-pids" 2>/dev/null); do
+	for pid in $(jobs -pr); do
 		kill -KILL "$pid" 2>/dev/null
 	done
 	wait 2>/dev/null
+}
+
+# clean_up ends all processes that the case started. Workers of jobs outlive their parents in case 2, so they write their process ids to $work/job-pids; one is
+# killed only if it is still this case's worker.
+clean_up() {
+	local pid
+	end_all
+	for pid in $(cat "$work/job-pids" 2>/dev/null); do
+		if grep -qsF "$here/worker.sh" "/proc/$pid/cmdline"; then
+			kill -KILL "$pid" 2>/dev/null
+		fi
+	done
 	rm -rf "$work"
 }
 trap clean_up EXIT
--- a/review/fleet.sh
+++ b/review/fleet.sh
@@ -24,7 +24,6 @@
 			              "namespaces": [{"name": "read", "repeat": "safe", "target-time-ms": 200, "time-limit-ms": 750}]}}
 		JSON
 		TMPDIR=$work/tmp$i BALANCER_CONFIG=$work/n$i.json /bin/sh -c "$run" >"$work/n$i.log" 2>&1 &
-		pids+=($!)
 	done
 	for _ in $(seq 40); do
 		if found=$(bin/thistlerudder fleet found --config "$work/n1.json" 2>&1); then
--- a/review/node.sh
+++ b/review/node.sh
@@ -13,7 +13,6 @@
 		servers="$servers${servers:+,}127.0.0.1:$(free_port)" # the last one is the origin
 	done
 	review/bin/standins "$@" --discovery "$discovery" --servers "$servers" --record "$record" >"$work/servers.log" 2>&1 &
-	pids+=($!)
 	node_addresses=""
 	for i in $(seq "$nodes"); do
 		address=127.0.0.1:$(free_port)
@@ -36,7 +35,6 @@
 			                   "parallel-tries": true, "probes": true, "retry-after": true}}}
 		JSON
 		TMPDIR=$work/tmp$i BALANCER_CONFIG=$work/node$i.json /bin/sh -c "$run" >"$work/node$i.log" 2>&1 &
-		pids+=($!)
 		review/bin/standins await-up --node "$address" || cannot_run "node n$i is not up: $(tail -3 "$work/node$i.log")"
 		note "node n$i is up at $address"
 	done
