Review case 1: record every lookup sent, run and answered

Needed: the record of a case has to hold what was sent, answered and run; case 1 recorded the second copies, the late parts and the wrong answers only.

Done: the stand-ins write a line for each lookup sent, run and answered, in batches; the check is the same.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"errors"
 	"flag"
 	"fmt"
@@ -14,10 +15,14 @@
 
 // recorder appends lines to the case's record, which several processes write.
 type recorder struct {
-	mu   sync.Mutex
-	file *os.File
+	mu      sync.Mutex
+	file    *os.File
+	pending bytes.Buffer // lines of noteSoon
 }
 
+// flushInterval is how long a line of noteSoon may wait. A script that reads the record waits longer.
+const flushInterval = 50 * time.Millisecond
+
 func openRecord(path string) (*recorder, error) {
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -33,6 +38,23 @@
 	fmt.Fprintf(r.file, "%d %s\n", time.Now().UnixMilli(), fmt.Sprintf(format, args...))
 }
 
+// noteSoon writes one line like note, at the latest after flushInterval, so that thousands of lines a second don't delay what they tell of.
+func (r *recorder) noteSoon(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.pending.Len() == 0 {
+		time.AfterFunc(flushInterval, r.flush)
+	}
+	fmt.Fprintf(&r.pending, "%d %s\n", time.Now().UnixMilli(), fmt.Sprintf(format, args...))
+}
+
+// flush writes the lines of noteSoon to the file.
+func (r *recorder) flush() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = r.pending.WriteTo(r.file)
+}
+
 // Statuses of the commands that judge.
 const (
 	statusHeld      = 0
@@ -70,6 +92,7 @@
 	if err != nil {
 		return statusCannotRun, err
 	}
+	defer rec.flush()
 	switch args[0] {
 	case "servers":
 		return statusCannotRun, serve(*discoveryAddress, *servers, *endless, rec)
--- a/review/standins/twice.go
+++ b/review/standins/twice.go
@@ -59,6 +59,7 @@
 		}
 		time.Sleep(workTime)
 		id := req.Header.Get("X-Trace-Id")
+		s.record.noteSoon("%s runs %s %s id=%s", s.id, req.Method, req.URL.Path, id)
 		body := answerFor(id, req.URL.Path)
 		response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 		answeredAt := time.Now()
@@ -202,6 +203,7 @@
 		}
 		request.Header.Set("X-Trace-Id", id)
 		request.Header.Set("X-Expires-In", "750m")
+		rec.noteSoon("client sends id=%s: GET %s to %s", id, path, node)
 		resp, err := transport.RoundTrip(request)
 		if err != nil {
 			rec.note("client: %s: %v", id, err)
@@ -209,6 +211,7 @@
 		}
 		body, err := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
+		rec.noteSoon("client of id=%s: status %d, %d bytes (%v)", id, resp.StatusCode, len(body), err)
 		if err != nil || resp.StatusCode != http.StatusOK {
 			continue
 		}
