Review case 2: leave no process behind

Needed: a script has to end all processes that it started; a sleep of case 2's worker lived up to 0.2 s longer than the script.

Done: the clean-up asks the workers to end and waits for them, 2 s at most, before it kills any. The check is the same.

--- a/review/common.sh
+++ b/review/common.sh
@@ -28,16 +28,30 @@
 	wait 2>/dev/null
 }
 
-# clean_up ends all processes that the case started. Workers of jobs outlive their parents in case 2, so they write their process ids to $work/job-pids; one is
-# killed only if it is still this case's worker.
-clean_up() {
+# workers_left prints the process ids of this case's workers that still run. Workers of jobs outlive their parents in case 2, so they write their ids to
+# $work/job-pids; an id counts only while it is still this case's worker.
+workers_left() {
 	local pid
-	end_all
 	for pid in $(cat "$work/job-pids" 2>/dev/null); do
 		if grep -qsF "$here/worker.sh" "/proc/$pid/cmdline"; then
-			kill -KILL "$pid" 2>/dev/null
+			echo "$pid"
 		fi
 	done
+}
+
+# clean_up ends all processes that the case started. A worker ends by itself once $work/stop is there, so that no child of its own is left; it is killed if it
+# has not done so within 2 s.
+clean_up() {
+	local pid
+	: >"$work/stop"
+	end_all
+	for _ in $(seq 40); do
+		[ -n "$(workers_left)" ] || break
+		sleep 0.05
+	done
+	for pid in $(workers_left); do
+		kill -KILL "$pid" 2>/dev/null
+	done
 	rm -rf "$work"
 }
 trap clean_up EXIT
