End answers of unknown length that never end before their requests are lost

Cause: exchange.streamAnswer stopped the attempt's timers for good at the hand-over, half of the time in, "because the answer started in time". That holds for answers over 64 KiB, whose time is that of their first bytes. Of an answer of unknown length it isn't known which it is until 64 KiB have come, and the frontend clears its deadlines at the same hand-over: nobody had the time.

Evidence: a table of forms (framing, pace, method; the node learns pauses of 0.15 s first). On the untouched code 18 of 28 rows have no end 0.75 s after the limit, chunked and ended by a close alike, reads and writes alike; a length told at the same pace, and silence, end in time. So it is neither the framing nor the stall timer nor the client's side.

Change: one timeout (upstream/answer_timeout.go) has the exchange up to the answer's last byte and only moves its deadline: the attempt's; from the hand-over 0.3 s after the request's time (the half second less 0.15 s for a process held up and 50 ms for the way), or a concurrency quota's end; over 64 KiB 15 minutes. The client's connection is then ended without a last chunk. A client that is slow to read doesn't make its answer late. The module is told once, when the answer ends or passes 64 KiB, no longer Complete at the hand-over; the id and the concurrency are held until then. New ends unfinished and client_left, figures answers.interrupted.END, one log line. "in flight" of a shutdown's warning no longer counts answers that are on their way.

Handing nothing over before 64 KiB holds the rest back for over 2 s where limits are 3 s.

--- a/cmd/thistlerudder/soaktest_on.go
+++ b/cmd/thistlerudder/soaktest_on.go
@@ -25,6 +25,7 @@
 	disabledSafeguard := soakCmd.Flags().String("without", "", "a safeguard to disable; the runs should then fail")
 	programPath := soakCmd.Flags().String("program", "", "path of the program to run as nodes; this program if empty")
 	uploadShare := soakCmd.Flags().Float64("uploads", 0, "share of requests, from 0 to 1, with a streamed body, in addition to those by chance")
+	endlessShare := soakCmd.Flags().Float64("endless", 0, "share of answers, from 0 to 1, that never end, in addition to those by a fault")
 	originHangShare := soakCmd.Flags().Float64("origin-hangs", 0, "share of attempts, from 0 to 1, that the origin does not answer, in addition to its faults")
 	crowd := soakCmd.Flags().Int("crowd", 0, "idle clients of each node, which have 256 descriptors")
 	keepLogs := soakCmd.Flags().Bool("keep", false, "keep the nodes' logs of runs that violate a rule")
@@ -42,6 +43,9 @@
 		if *uploadShare < 0 || *uploadShare > 1 || *originHangShare < 0 || *originHangShare > 1 {
 			return fmt.Errorf("uploads, origin-hangs: expected 0 to 1, not %g and %g", *uploadShare, *originHangShare)
 		}
+		if *endlessShare < 0 || *endlessShare > 1 {
+			return fmt.Errorf("endless: expected 0 to 1, not %g", *endlessShare)
+		}
 		if *disabledSafeguard != "" && !slices.Contains(faults.SoakSafeguards, *disabledSafeguard) {
 			return fmt.Errorf("without: expected one of %v, not %q", faults.SoakSafeguards, *disabledSafeguard)
 		}
@@ -57,7 +61,7 @@
 		failed := 0
 		for seed := from; seed <= to; seed++ {
 			result, err := soaktest.Run(ctx, soaktest.Plan{Program: program, Nodes: *nodes, Duration: *duration, Seed: seed, DisabledSafeguard: *disabledSafeguard, KeepLogs: *keepLogs,
-				UploadShare: *uploadShare, OriginHangShare: *originHangShare, CrowdPerNode: *crowd})
+				UploadShare: *uploadShare, OriginHangShare: *originHangShare, EndlessShare: *endlessShare, CrowdPerNode: *crowd})
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", seed, err)
 			}
--- a/internal/faults/names.go
+++ b/internal/faults/names.go
@@ -33,10 +33,11 @@
 	DeclaredTimeout = "told-deadline"   // the timeout declared to a server is half a second too long
 	FinalAnswer     = "answer-owed"     // about one response in a hundred is withheld
 	OneAttempt      = "one-attempt"     // an attempt that is reported as timed out stays open
+	AnswerEnd       = "answer-end"      // a delivered answer that is not known to be long has no deadline
 )
 
 // SoakSafeguards lists the safeguards that the soak tests show to be needed.
-var SoakSafeguards = []string{QuietPeriod, ClientGoneCheck, DrainState, ResetIsError, MayHaveRun, DeclaredTimeout, FinalAnswer, OneAttempt}
+var SoakSafeguards = []string{QuietPeriod, ClientGoneCheck, DrainState, ResetIsError, MayHaveRun, DeclaredTimeout, FinalAnswer, OneAttempt, AnswerEnd}
 
 // The points at which the test rig can stop a process.
 const (
--- a/internal/net/admin/metrics.go
+++ b/internal/net/admin/metrics.go
@@ -18,6 +18,7 @@
 	fmt.Fprintf(&page, "registry_entries=%d\n", s.metrics.ListedServers.Load())
 	fmt.Fprintf(&page, "out_of_rotation=%d\n", s.metrics.ServersOutOfUse.Load())
 	s.writeReasons(&page)
+	s.writeInterrupted(&page)
 	s.writeCluster(&page)
 	return page.String()
 }
@@ -45,6 +46,14 @@
 	}
 }
 
+// writeInterrupted writes how many answers broke off after their client had begun to receive them, by the result of their attempt.
+func (s *Server) writeInterrupted(page *strings.Builder) {
+	interrupted := s.metrics.Interrupted()
+	for _, result := range slices.Sorted(maps.Keys(interrupted)) {
+		fmt.Fprintf(page, "answers.interrupted.%s=%d\n", result, interrupted[result])
+	}
+}
+
 // writeCluster writes the metrics of the node's cluster, sorted by name.
 func (s *Server) writeCluster(page *strings.Builder) {
 	cluster := s.node.ClusterMetrics()
--- a/internal/net/dispatch/attempt.go
+++ b/internal/net/dispatch/attempt.go
@@ -26,10 +26,12 @@
 	startedAt      time.Time   // when the balancer decided; after ReportBodySent: when the streamed body was written
 	deadline       time.Time   // when the node stops waiting for an answer, or with a BodyStream for a connection; never changes
 	bypassTimer    *time.Timer // runs checkBypassed; nil: the attempt is not checked
-	reported       bool        // the result was reported to the balancer
+	answerEnd      time.Time   // when a delivered answer must have ended; never changes
+	reported       bool        // a result was reported to the balancer
+	delivered      bool        // Deliver has delivered its answer
+	settled        bool        // its result counts; a Bypassed attempt is reported without being settled
 	finished       bool        // Finish was called
 	bodySent       bool        // the balancer knows that the last byte of the streamed body was written
-	streaming      bool        // its answer was delivered, and its BodyStream is still being read
 	writtenCounted atomic.Bool // included in the metric of written attempts
 }
 
@@ -46,6 +48,7 @@
 		endpointIndex: endpointIndex,
 		number:        r.attempts,
 		startedAt:     d.decisionTime, // not time.Now(), as the process may have stalled since the decision
+		answerEnd:     answerEnd(r, d.settings.MaxDeadline),
 	}
 	if grace := d.settings.DrainGrace; grace > 0 {
 		a.sendBefore(a.startedAt.Add(sendWindow(grace)))
@@ -100,10 +103,46 @@
 	return a.pending.clientDeadline
 }
 
-// Finish reports how the attempt ended. Further calls do nothing. The first complete answer to a request is delivered
-// to its client; delivered reports whether it is this one. The BodyStream of a delivered answer is read after Finish,
-// until ReportAnswerClosed, although the result has been reported to the balancer by then.
-func (a *Attempt) Finish(result AttemptResult, answer Answer) (delivered bool) {
+// AnswerEnd returns when a delivered answer that is not long must have ended, unless the request has a streamed body;
+// zero: unknown.
+func (a *Attempt) AnswerEnd() time.Time { return a.answerEnd }
+
+// Deliver gives the client an answer of which a part was received; the rest is read from answer.BodyStream. It reports
+// whether the answer is the request's first. The attempt stays in flight until Finish, which reports how the answer
+// ended. long tells that the answer is known to be long, see ReportLong.
+func (a *Attempt) Deliver(answer Answer, long bool) (delivered bool) {
+	r := a.pending
+	d := r.dispatcher
+	d.withLock("answer delivered", r, func(now routing.Time) {
+		if a.finished || r.ended.Load() {
+			return
+		}
+		delivered = true
+		a.delivered = true
+		if long {
+			a.settle(now, Complete, answer)
+			return
+		}
+		d.finish(r, answer)
+		d.balancer.ClientGone(now, r.index) // ends the request for the balancer, which still waits for the attempt's result
+	})
+	return delivered
+}
+
+// ReportLong reports that a delivered answer is long. The time of a long answer is that of its first bytes, so the
+// attempt counts as Complete from now on, however its answer ends.
+func (a *Attempt) ReportLong() {
+	a.pending.dispatcher.withLock("long answer", a.pending, func(now routing.Time) {
+		if !a.finished {
+			a.settle(now, Complete, Answer{})
+		}
+	})
+}
+
+// Finish reports how the attempt ended. Further calls do nothing. A complete answer is delivered to the client, unless
+// another one or this attempt's own was delivered before. The request's trace id stays in use until Finish was called
+// for all of its attempts.
+func (a *Attempt) Finish(result AttemptResult, answer Answer) {
 	r := a.pending
 	d := r.dispatcher
 	d.withLock("attempt finished", r, func(now routing.Time) {
@@ -111,19 +150,22 @@
 			return
 		}
 		a.finished = true
-		delivered = result == Complete && !r.ended.Load()
-		a.streaming = delivered && answer.BodyStream != nil
-		if !a.streaming {
-			r.inFlight--
-			defer d.releaseIfDone(r)
+		r.inFlight--
+		defer d.releaseIfDone(r)
+		if a.delivered && result != Complete {
+			d.metrics.CountInterrupted(result.String())
 		}
 		a.settle(now, result, answer)
 	})
-	return delivered
 }
 
-// settle delivers a complete answer to the client and reports the result to the balancer. Called with the lock held.
+// settle delivers a complete answer to the client and reports the result to the balancer, once. Called with the lock
+// held.
 func (a *Attempt) settle(now routing.Time, result AttemptResult, answer Answer) {
+	if a.settled {
+		return
+	}
+	a.settled = true
 	r := a.pending
 	d := r.dispatcher
 	answeredAfterReport := result == Complete && a.reported && !r.ended.Load()
@@ -142,19 +184,6 @@
 	d.endpoints.releaseIfUnused(a.endpointIndex)
 }
 
-// ReportAnswerClosed reports that the BodyStream of an answer is closed, or that there was none. The request's trace id
-// stays in use until ReportAnswerClosed is called.
-func (a *Attempt) ReportAnswerClosed() {
-	r := a.pending
-	r.dispatcher.withLock("answer streamed", r, func(routing.Time) {
-		if a.streaming {
-			a.streaming = false
-			r.inFlight--
-			r.dispatcher.releaseIfDone(r)
-		}
-	})
-}
-
 // ReportBodySent reports that the last byte of a streamed body was written.
 func (a *Attempt) ReportBodySent() {
 	a.pending.dispatcher.withLock("body sent", a.pending, func(routing.Time) { a.reportBodySent() })
@@ -189,7 +218,7 @@
 // mayHedge reports whether another attempt may be in flight at the same time as this one. Called with the lock held.
 func (a *Attempt) mayHedge() bool {
 	d := a.pending.dispatcher
-	return !a.Write && a.BodyStream == nil && d.settings.HedgingAllowed() && d.settings.IsSafe(a.Class) && !d.quotas.boundsConcurrency(a)
+	return !a.delivered && !a.Write && a.BodyStream == nil && d.settings.HedgingAllowed() && d.settings.IsSafe(a.Class) && !d.quotas.boundsConcurrency(a)
 }
 
 // report tells the balancer, once, how the attempt ended. Called with the lock held.
--- a/internal/net/dispatch/attempt_result.go
+++ b/internal/net/dispatch/attempt_result.go
@@ -27,6 +27,8 @@
 	NoResources                             // no descriptor, dial or goroutine was free: nothing was sent
 	NotConnected                            // the deadline passed before the connection was established or had failed
 	Canceled                                // the node is shutting down, or reading failed locally; the error tells which
+	Unfinished                              // its answer was delivered, and neither ended nor became long in time
+	ClientLeft                              // its answer was delivered, and its client left or stopped reading before the end
 	EndedBeforeWrite                        // the request ended, or its client left, before the first byte was written
 	UploadAborted                           // the client did not send its streamed body to the end, so the last byte was not written
 	attemptResultCount                      // number of results
@@ -57,13 +59,13 @@
 		return routing.ConnectFailed
 	case ConnectTimeout:
 		return routing.ConnectTimeout
-	case TimedOut:
+	case TimedOut, Unfinished:
 		return routing.TimedOut
 	case NoResources, NotConnected:
 		return routing.NotSent
 	case EndedBeforeWrite, UploadAborted:
 		return routing.EndedBeforeWrite
-	case Bypassed, Canceled:
+	case Bypassed, Canceled, ClientLeft:
 		return routing.Canceled
 	default:
 		return routing.Canceled
@@ -98,6 +100,8 @@
 	NoResources:      "no_resources",
 	NotConnected:     "not_connected",
 	Canceled:         "canceled",
+	Unfinished:       "unfinished",
+	ClientLeft:       "client_left",
 	EndedBeforeWrite: "withheld",
 	UploadAborted:    "upload_aborted",
 }
--- a/internal/net/dispatch/dispatcher.go
+++ b/internal/net/dispatch/dispatcher.go
@@ -7,15 +7,16 @@
 // A request and its attempts end separately:
 //
 //	PendingRequest  pending -> ended (final answer or client gone) -> released (index and trace id are free)
-//	Attempt         in flight -> reported (the balancer knows its result) -> finished -> streamed answer closed
+//	Attempt         in flight -> reported (the balancer knows its result) -> finished
 //
-//	Attempt.Finish              ends an attempt, once; the transport calls it
-//	Attempt.settle              the second half of Finish: delivers a complete answer to the client, then calls report
-//	Attempt.report              tells the balancer the result, once; a Bypassed attempt is reported before Finish
-//	Attempt.ReportAnswerClosed  marks a streamed answer as closed; the transport calls it after Finish
-//	Dispatcher.finish           delivers a request's final answer and ends the request
-//	Dispatcher.end              marks a request as ended, with or without an answer
-//	Dispatcher.releaseIfDone    releases a request that has ended and has no attempt in flight
+//	Attempt.Finish            ends an attempt, once; the transport calls it
+//	Attempt.Deliver           gives the client an answer that is still being received, before Finish
+//	Attempt.ReportLong        settles an attempt whose delivered answer is long, before Finish
+//	Attempt.settle            delivers a complete answer to the client, then calls report
+//	Attempt.report            tells the balancer the result, once; a Bypassed attempt is reported before it is settled
+//	Dispatcher.finish         delivers a request's final answer and ends the request
+//	Dispatcher.end            marks a request as ended, with or without an answer
+//	Dispatcher.releaseIfDone  releases a request that has ended and has no attempt in flight
 package dispatch
 
 import (
@@ -36,8 +37,8 @@
 // Transport carries attempts to the upstream servers. Its methods are called with the Dispatcher's lock held and must
 // not block.
 type Transport interface {
-	// Send starts an attempt. The transport calls Attempt.Finish and then Attempt.ReportAnswerClosed for it, from
-	// another goroutine.
+	// Send starts an attempt. The transport calls Attempt.Finish for it, from another goroutine, once its answer has been
+	// received or has failed. An answer that is streamed is given to Attempt.Deliver before.
 	Send(*Attempt)
 	// CloseIdleConnections closes the idle connections to an endpoint except for keep of them. The incarnation identifies the
 	// endpoint, as in Attempt.
--- a/internal/net/dispatch/endpoint_latency.go
+++ b/internal/net/dispatch/endpoint_latency.go
@@ -49,7 +49,7 @@
 func (a *Attempt) checkBypassed() {
 	d := a.pending.dispatcher
 	d.withLock("bypass check", a.pending, func(routing.Time) {
-		if !a.reported && d.endpoints.entries[a.endpointIndex].bypassed(a) {
+		if !a.reported && !a.delivered && d.endpoints.entries[a.endpointIndex].bypassed(a) {
 			a.report(Bypassed)
 		}
 	})
--- a/internal/net/dispatch/pending_request.go
+++ b/internal/net/dispatch/pending_request.go
@@ -20,7 +20,7 @@
 	ended              atomic.Bool // no attempt may begin; set with the lock held, read without it
 	index              int         // identifies the request to the balancer
 	attempts           int         // started so far
-	inFlight           int         // attempts that have not finished, or whose streamed answer is not closed
+	inFlight           int         // attempts that have not finished
 	released           bool        // its trace id is free, and so is its index unless it panicked
 	panicked           bool        // a panic occurred in one of its events
 	mayHaveRun         bool        // a reported attempt may have had an effect on its server
--- a/internal/net/dispatch/quotas.go
+++ b/internal/net/dispatch/quotas.go
@@ -42,12 +42,13 @@
 	return usage
 }
 
-// applyTimeLimits limits SendBy and Timeout of an attempt so that it does not outlast its quota.
+// applyTimeLimits limits SendBy, Timeout and AnswerEnd of an attempt so that it does not outlast its quota.
 func (q *quotas) applyTimeLimits(a *Attempt) {
 	a.sendBefore(a.startedAt.Add(quotaSendWindow))
 	remaining := q.concurrencyUntil[concurrencyLimit(a)].Sub(a.startedAt)
 	if remaining > 0 { // otherwise there is no concurrency quota, or the share reserved for its end permits the attempt
 		a.Timeout = min(a.Timeout, remaining)
+		a.answerEnd = earlier(a.answerEnd, a.startedAt.Add(remaining))
 	}
 }
 
--- a/internal/net/dispatch/stats.go
+++ b/internal/net/dispatch/stats.go
@@ -57,6 +57,19 @@
 	return stats
 }
 
+// Unanswered returns the number of requests that have neither a final answer nor lost their client. A request whose answer
+// is still streamed is not counted.
+func (d *Dispatcher) Unanswered() (n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range d.requests.slots {
+		if r != nil && !r.ended.Load() {
+			n++
+		}
+	}
+	return n
+}
+
 // InFlight returns the number of requests that are pending, or have attempts in flight or a streamed answer that is not
 // closed.
 func (d *Dispatcher) InFlight() int {
--- a/internal/net/frontend/body_test.go
+++ b/internal/net/frontend/body_test.go
@@ -65,7 +65,6 @@
 			_, _ = io.Copy(io.Discard, attempt.BodyStream)
 			attempt.ReportBodySent()
 			attempt.Finish(dispatch.Complete, dispatch.Answer{Body: []byte("kept")})
-			attempt.ReportAnswerClosed()
 		}
 	}()
 	const pieces = 8
--- a/internal/net/metrics/metrics.go
+++ b/internal/net/metrics/metrics.go
@@ -1,9 +1,11 @@
-// Package metrics holds a node's counters since the start of its process, and its gauges. They are atomics, which the code that handles
+// Package metrics holds a node's counters since the start of its process, and its gauges. Most are atomics, which the code that handles
 // requests updates directly. They are read without a lock, so that a node under full load can still be observed.
 package metrics
 
 import (
+	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 
 	"github.com/thistlerudder/thistlerudder/internal/net/admission"
@@ -26,11 +28,15 @@
 
 	classes  []string // sorted
 	outcomes map[string]*Outcomes
+
+	interruptedMu sync.Mutex
+	interrupted   map[string]int64 // answers that broke off at the client, by the result of their attempt
 }
 
 // New returns Metrics for the given classes. Requests of any other class are not counted, so clients can't add classes.
 func New(classes []string) *Metrics {
-	m := &Metrics{classes: slices.Sorted(slices.Values(classes)), outcomes: map[string]*Outcomes{}}
+	m := &Metrics{classes: slices.Sorted(slices.Values(classes)), outcomes: map[string]*Outcomes{},
+		interrupted: map[string]int64{}}
 	for _, class := range m.classes {
 		m.outcomes[class] = &Outcomes{}
 	}
@@ -42,3 +48,18 @@
 
 // Classes returns the sorted names of the classes. The caller must not change them.
 func (m *Metrics) Classes() []string { return m.classes }
+
+// CountInterrupted counts an answer that the client had begun to receive and that did not come to its end, by the name of the result of its
+// attempt.
+func (m *Metrics) CountInterrupted(result string) {
+	m.interruptedMu.Lock()
+	defer m.interruptedMu.Unlock()
+	m.interrupted[result]++
+}
+
+// Interrupted returns the counts of CountInterrupted. Results that have not occurred are left out.
+func (m *Metrics) Interrupted() map[string]int64 {
+	m.interruptedMu.Lock()
+	defer m.interruptedMu.Unlock()
+	return maps.Clone(m.interrupted)
+}
--- a/internal/net/node/limits.go
+++ b/internal/net/node/limits.go
@@ -5,6 +5,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -17,6 +18,9 @@
 	maxStreamedBodyBytes = 32 << 20
 )
 
+// maxStreamDuration bounds an answer over maxBufferedBodyBytes, which has no deadline: 32 MB at 37 KB/s take as long.
+const maxStreamDuration = 15 * time.Minute
+
 // The reserve of descriptors that no connection may take. See process.reserved for their use.
 const (
 	reserveDivisor          = 16 // the reserve is a sixteenth of the descriptors,
--- a/internal/net/node/node.go
+++ b/internal/net/node/node.go
@@ -129,6 +129,8 @@
 			IdleTimeout:     s.IdleTimeout,
 			MaxBufferedBody: maxBufferedBodyBytes,
 			MaxStreamedBody: maxStreamedBodyBytes,
+
+			MaxStreamDuration: maxStreamDuration,
 		},
 		log.Named("upstream"),
 	)
@@ -215,7 +217,8 @@
 	n.log.Info("shutting down, draining client connections")
 	hasSuccessor := n.config.PassedSocket != 0 && membership.Others() > 0 // the platform may also end the only process on a passed socket
 	if err := n.frontend.Shutdown(hasSuccessor); err != nil {
-		n.log.Warn("shutdown ended with requests unanswered", zap.Error(err), zap.Int("in flight", n.dispatcher.InFlight()))
+		n.log.Warn("shutdown ended with requests unanswered", zap.Error(err), zap.Int("in flight", n.dispatcher.Unanswered()),
+			zap.Int("answers cut off", n.dispatcher.InFlight()))
 	}
 	n.log.Info("shutdown complete")
 	return nil
--- a/internal/net/upstream/answer.go
+++ b/internal/net/upstream/answer.go
@@ -14,6 +14,9 @@
 	bufferTimeDivisor = 2       // an answer of unknown length is streamed if it is incomplete after half of the remaining time
 )
 
+// unknownLength is the Content-Length of an answer that declares none.
+const unknownLength = -1
+
 // Errors of an answer that can't be delivered.
 var (
 	errTooLong  = errors.New("answer body exceeds the size limit")
--- a/internal/net/upstream/answer_stream.go
+++ b/internal/net/upstream/answer_stream.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/thistlerudder/thistlerudder/internal/clock"
 	"github.com/thistlerudder/thistlerudder/internal/net/dispatch"
 )
@@ -18,53 +16,62 @@
 // maxStreamSilence is how long a server may send nothing before a streamed answer is aborted.
 const maxStreamSilence = 5 * time.Second
 
-// errStreamClosed is the cancellation cause of an exchange whose answerStream was closed by its reader.
-var errStreamClosed = errors.New("the client has left")
+// Cancellation causes of an exchange whose answer is streamed.
+var (
+	errStreamClosed  = errors.New("the client has left")
+	errUnfinished    = errors.New("the answer began in time and did not end")
+	errStreamTooLong = errors.New("the answer was streamed for too long")
+)
 
-// streamAnswer delivers a long answer and waits until its reader closes it. The timers are stopped, because the answer
-// started in time; how long the rest takes is up to the server and the client.
-func (x *exchange) streamAnswer(resp *http.Response, answer dispatch.Answer) (dispatch.AttemptResult, dispatch.Answer, error) {
-	x.stopWaiting()
-	if x.ctx.Err() != nil {
-		return x.resultOfCancel(), dispatch.Answer{}, context.Cause(x.ctx)
-	}
+// streamAnswer delivers an answer of which a part was received, waits until its reader closes it, and returns how it
+// ended. The exchange's timeout stays in force: until the answer is known to be long it has to end by streamDeadline, and
+// after that within MaxStreamDuration.
+func (x *exchange) streamAnswer(resp *http.Response, answer dispatch.Answer) (dispatch.AttemptResult, error) {
+	long := x.isLong(int64(len(answer.Body)), answer.Length)
 	stream := &answerStream{
-		source:    resp.Body,
-		remaining: x.client.limits.MaxStreamedBody - int64(len(answer.Body)),
-		cancel:    x.cancel,
-		onError:   x.logStreamError,
-		closed:    make(chan struct{}),
+		exchange: x,
+		source:   resp.Body,
+		received: int64(len(answer.Body)),
+		long:     long,
+		closed:   make(chan struct{}),
 	}
 	stream.silence = time.AfterFunc(time.Hour, stream.checkSilence)
 	stream.silence.Stop()
+	if !x.startStreaming(stream, long) {
+		return x.resultOfCancel(), context.Cause(x.ctx)
+	}
 	answer.BodyStream = stream
-	if !x.attempt.Finish(dispatch.Complete, answer) {
-		return dispatch.Complete, dispatch.Answer{}, nil // another attempt has given the final answer
+	pauses := x.conn.longestAnswerPause()
+	if !x.attempt.Deliver(answer, long) {
+		return dispatch.Canceled, nil // another attempt has given the final answer
 	}
 	<-stream.closed
-	return dispatch.Complete, dispatch.Answer{}, nil
+	result, err := stream.result()
+	if result == dispatch.Complete {
+		x.client.stalls.observe(pauses)
+	}
+	return result, err
 }
 
-// logStreamError logs that a streamed answer failed before its end.
-func (x *exchange) logStreamError(err error) {
-	if errors.Is(context.Cause(x.ctx), errStreamClosed) {
-		return // the client left, which is no error of the server
-	}
-	x.client.log.Info("a long answer broke off", zap.String("server", x.attempt.Address),
-		zap.String("trace", x.attempt.TraceID), zap.Error(err))
+// isLong reports whether an answer is long, so that its time is that of its first bytes. length is its declared length,
+// or -1 if it is unknown.
+func (x *exchange) isLong(received, length int64) bool {
+	return max(received, length) > x.client.limits.MaxBufferedBody
 }
 
-// answerStream is the part of a long answer that is forwarded to the client while it is received. If the server sends
+// answerStream is the part of an answer that is forwarded to the client while it is received. If the server sends
 // nothing for maxStreamSilence during a Read, the exchange is canceled. A slow client delays only its own answer, because
 // nothing is read from the server meanwhile. Read must not be called concurrently; Close may be called at any time.
 type answerStream struct {
+	exchange  *exchange
 	source    io.Reader
-	remaining int64 // bytes allowed before the answer is too long
-	cancel    context.CancelCauseFunc
-	onError   func(error) // called when Read fails, except with io.EOF
+	received  int64 // bytes of the body, including those before the stream
+	long      bool  // the answer is known to be long
 	silence   *time.Timer
 	readStart atomic.Int64 // clock.Moment at which the current Read started; 0: no Read is in progress
 
+	mu        sync.Mutex
+	end       error // returned by the Read that ended the stream; nil: none did
 	closeOnce sync.Once
 	closed    chan struct{}
 }
@@ -76,28 +83,69 @@
 	n, err := s.source.Read(b)
 	s.readStart.Store(0)
 	s.silence.Stop()
-	s.remaining -= int64(n)
-	if s.remaining < 0 {
+	s.received += int64(n)
+	if s.received > s.exchange.client.limits.MaxStreamedBody {
 		err = errTooLong
 	}
-	if err != nil && !errors.Is(err, io.EOF) {
-		s.onError(err)
+	if !s.long && s.exchange.isLong(s.received, unknownLength) {
+		s.long = true
+		s.exchange.reportLong()
+	}
+	if err != nil {
+		s.setEnd(err)
 	}
 	return n, err
 }
 
+// waiting reports whether a Read waits for the server. Otherwise the client is slow to take what was read.
+func (s *answerStream) waiting() bool { return s.readStart.Load() != 0 }
+
 // checkSilence cancels the exchange if the current Read has lasted maxStreamSilence.
 func (s *answerStream) checkSilence() {
 	start := s.readStart.Load()
 	if start != 0 && clock.Moment(start).Since() >= maxStreamSilence {
-		s.cancel(errStalled)
+		s.exchange.cancel(errStalled)
+	}
+}
+
+func (s *answerStream) setEnd(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.end == nil {
+		s.end = err
+	}
+}
+
+// result returns how the closed stream ended, and the error that ended it. A stream that was closed before its end has
+// lost its client.
+func (s *answerStream) result() (dispatch.AttemptResult, error) {
+	s.mu.Lock()
+	end := s.end
+	s.mu.Unlock()
+	x := s.exchange
+	cause := context.Cause(x.ctx)
+	switch {
+	case errors.Is(end, io.EOF):
+		return dispatch.Complete, nil
+	case errors.Is(end, errTooLong):
+		return dispatch.Malformed, end
+	case cause != nil && !errors.Is(cause, errStreamClosed):
+		return x.resultOfCancel(), cause
+	case end == nil || errors.Is(end, context.Canceled) || errors.Is(end, errStreamClosed):
+		return dispatch.ClientLeft, errStreamClosed
+	case x.conn.localFailure.Load():
+		return dispatch.Canceled, end
+	case isConnectionError(end):
+		return dispatch.Truncated, end
+	default:
+		return dispatch.Malformed, end
 	}
 }
 
 // Close implements io.Closer. It closes the connection to the server unless the answer is complete.
 func (s *answerStream) Close() error {
 	s.closeOnce.Do(func() {
-		s.cancel(errStreamClosed)
+		s.exchange.cancel(errStreamClosed)
 		close(s.closed)
 	})
 	return nil
--- a/internal/net/upstream/attempt.go
+++ b/internal/net/upstream/attempt.go
@@ -43,7 +43,7 @@
 			a.ReportWritten()
 		}
 		if err != nil {
-			c.logFailure(a, result, start, err)
+			c.logFailure(x, result, start, err)
 		}
 		return result, answer
 	}
@@ -74,9 +74,20 @@
 	return a.BodyStream == nil || !a.BodyStream.Started()
 }
 
-func (c *Client) logFailure(a *dispatch.Attempt, result dispatch.AttemptResult, start time.Time, err error) {
-	c.log.Info("attempt failed", zap.Stringer("end", result), zap.String("server", a.Address),
-		zap.String("trace", a.TraceID), zap.Duration("after", time.Since(start)), zap.Error(err))
+// logFailure logs that an attempt failed, or that an answer broke off of which the client has a part already.
+func (c *Client) logFailure(x *exchange, result dispatch.AttemptResult, start time.Time, err error) {
+	a := x.attempt
+	fields := []zap.Field{zap.Stringer("end", result), zap.String("server", a.Address), zap.String("trace", a.TraceID),
+		zap.Duration("after", time.Since(start)), zap.Error(err)}
+	stream := x.timeout.stream // the exchange is closed, so nothing changes it
+	switch {
+	case stream == nil:
+		c.log.Info("attempt failed", fields...)
+	case result == dispatch.ClientLeft:
+		c.log.Debug("client left a streamed answer", fields...)
+	default:
+		c.log.Info("streamed answer broke off", append(fields, zap.Int64("bytes", stream.received))...)
+	}
 }
 
 // roundTrip sends an attempt's request on one connection. The exchange that it returns is already closed.
--- a/internal/net/upstream/client.go
+++ b/internal/net/upstream/client.go
@@ -23,6 +23,8 @@
 	IdleTimeout     time.Duration // after which servers close an idle connection
 	MaxBufferedBody int64         // largest body, in bytes, that is read to its end before the answer is delivered
 	MaxStreamedBody int64         // largest body, in bytes, that is streamed to the client
+
+	MaxStreamDuration time.Duration // of an answer over MaxBufferedBody, from when it is known to be
 }
 
 const (
@@ -100,7 +102,6 @@
 				answer = dispatch.Answer{}
 			}
 			a.Finish(result, answer)
-			a.ReportAnswerClosed()
 		}()
 		if faults.Disabled(faults.OneAttempt) {
 			time.AfterFunc(a.Timeout/earlyFinishDivisor, func() { a.Finish(dispatch.TimedOut, dispatch.Answer{}) })
--- a/internal/net/upstream/exchange.go
+++ b/internal/net/upstream/exchange.go
@@ -20,11 +20,8 @@
 // deadline.
 const maxDeadlineLag = 50 * time.Millisecond
 
-// Cancellation causes of an exchange that takes too long.
-var (
-	errTimedOut      = errors.New("no answer in time")
-	errUploadTooLong = errors.New("the streamed body was not sent in time")
-)
+// errUploadTooLong is the cancellation cause of an exchange whose streamed request body takes too long.
+var errUploadTooLong = errors.New("the streamed body was not sent in time")
 
 // exchange is one request and its answer on one connection, made for an attempt. http.Transport calls the httptrace
 // hooks (gotConn, wroteHeaders, wroteRequest, gotFirstResponseByte) from its own goroutines, in this order unless the server
@@ -36,13 +33,11 @@
 
 	ctx           context.Context // canceled, with a cause, when the exchange is aborted
 	cancel        context.CancelCauseFunc
-	answerTimeout *time.Timer // aborts at the deadline
 	uploadTimeout *time.Timer // aborts when a streamed body takes too long
 	stall         *time.Timer // aborts when the answer stalls
 
-	mu       sync.Mutex
-	deadline time.Time // when the node stops waiting for an answer, or for a connection while a streamed body has not begun
-	stopped  bool      // the timers have no effect from now on
+	mu      sync.Mutex // guards timeout
+	timeout answerTimeout
 
 	conn                *conn // nil until the transport provides one
 	outgoing            *outgoingRequest
@@ -52,9 +47,10 @@
 
 // newExchange returns an exchange and starts its timeout. The caller must close it.
 func (c *Client) newExchange(a *dispatch.Attempt, deadline time.Time) *exchange {
-	x := &exchange{client: c, attempt: a, deadline: deadline}
+	x := &exchange{client: c, attempt: a}
 	x.ctx, x.cancel = context.WithCancelCause(c.context)
-	x.answerTimeout = time.AfterFunc(time.Until(deadline), func() { x.abort(errTimedOut) })
+	x.timeout = answerTimeout{deadline: deadline, cause: errTimedOut}
+	x.startAnswerTimeout()
 	x.uploadTimeout = time.AfterFunc(time.Hour, func() { x.abort(errUploadTooLong) })
 	x.uploadTimeout.Stop()
 	x.stall = x.newStallTimer()
@@ -97,10 +93,11 @@
 	case err != nil || result != dispatch.Complete:
 		return result, answer, err
 	}
-	x.client.stalls.observe(x.conn.longestAnswerPause())
 	if answer.Length != 0 {
-		return x.streamAnswer(resp, answer)
+		result, err = x.streamAnswer(resp, answer)
+		return result, dispatch.Answer{}, err
 	}
+	x.client.stalls.observe(x.conn.longestAnswerPause())
 	return result, answer, nil
 }
 
@@ -122,7 +119,7 @@
 // answer begins with its last byte.
 func (x *exchange) wroteHeaders() {
 	if x.attempt.BodyStream != nil {
-		x.answerTimeout.Stop()
+		x.pauseAnswerTimeout()
 		x.restart(x.uploadTimeout, maxUploadDuration)
 	}
 }
@@ -136,8 +133,7 @@
 	if x.attempt.BodyStream != nil {
 		x.uploadTimeout.Stop()
 		x.attempt.ReportBodySent()
-		x.setDeadline(time.Now().Add(x.attempt.Timeout))
-		x.restart(x.answerTimeout, x.attempt.Timeout)
+		x.resumeAnswerTimeout()
 	}
 }
 
@@ -148,17 +144,11 @@
 func (x *exchange) restart(timer *time.Timer, timeout time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if !x.stopped {
+	if !x.timeout.stopped {
 		timer.Reset(timeout)
 	}
 }
 
-func (x *exchange) setDeadline(deadline time.Time) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.deadline = deadline
-}
-
 // answerDeadline returns when the node stops waiting for an answer. A server may answer before the end of a streamed
 // body, for which that time is not set yet: it then has as long as if the body had just ended.
 func (x *exchange) answerDeadline() time.Time {
@@ -167,7 +157,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.deadline
+	return x.timeout.deadline
 }
 
 // declareTimeout returns the timeout to declare to the server, and records it for the check before the first byte. The
@@ -193,7 +183,7 @@
 func (x *exchange) abort(cause error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if !x.stopped {
+	if !x.timeout.stopped {
 		x.cancel(cause)
 	}
 }
@@ -202,8 +192,8 @@
 func (x *exchange) stopWaiting() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.stopped = true
-	x.answerTimeout.Stop()
+	x.timeout.stopped = true
+	x.timeout.timer.Stop()
 	x.uploadTimeout.Stop()
 	x.stall.Stop()
 }
--- a/internal/net/upstream/result.go
+++ b/internal/net/upstream/result.go
@@ -82,8 +82,10 @@
 	switch {
 	case x.client.context.Err() != nil:
 		return dispatch.Canceled
-	case errors.Is(context.Cause(x.ctx), errStalled):
+	case errors.Is(context.Cause(x.ctx), errStalled), errors.Is(context.Cause(x.ctx), errStreamTooLong):
 		return dispatch.Malformed
+	case errors.Is(context.Cause(x.ctx), errUnfinished):
+		return dispatch.Unfinished
 	default:
 		return dispatch.TimedOut
 	}
--- a/internal/net/upstream/stall.go
+++ b/internal/net/upstream/stall.go
@@ -54,7 +54,7 @@
 		abortThreshold := abortThresholdFactor * threshold
 		switch {
 		case silence >= abortThreshold:
-			x.abort(errStalled)
+			x.abortStalled()
 		case silence < threshold:
 			timer.Reset(threshold - silence)
 		default:
@@ -68,3 +68,12 @@
 	timer.Stop()
 	return timer
 }
+
+// abortStalled cancels an exchange whose answer has stalled, unless a part of the answer was delivered.
+func (x *exchange) abortStalled() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.timeout.stopped && x.timeout.stream == nil {
+		x.cancel(errStalled)
+	}
+}
--- a/internal/soaktest/checker.go
+++ b/internal/soaktest/checker.go
@@ -198,7 +198,8 @@
 		if elapsed := r.answeredAt.Sub(r.sentAt); elapsed > r.class.deadline+lateAnswerSlack+delay {
 			c.addViolation("lost", "answered after %v of %v", elapsed, r.class.deadline)
 		}
-	case r.status < 0: // the answer started, and the client could see that it is incomplete
+	case r.status < 0:
+		c.checkIncompleteAnswer(delay)
 	case c.nodeKilled():
 	// On an older connection a request without an attempt may have crossed the node's close of the idle connection.
 	case r.firstOnNewConnection, len(r.attempts) > 0:
@@ -206,6 +207,20 @@
 	}
 }
 
+// checkIncompleteAnswer checks that an answer that started and is incomplete ended in time, so that the client could see it. An
+// answer is in time by its first bytes once it is long.
+func (c *requestCheck) checkIncompleteAnswer(delay time.Duration) {
+	r := c.request
+	elapsed := r.connectionBrokenAt.Sub(r.sentAt)
+	switch {
+	case r.incompleteBytes > longAnswerBytes:
+	case r.noEndSeen:
+		c.addViolation("lost", "%d bytes of an answer and no end after %v of %v", r.incompleteBytes, elapsed, r.class.deadline)
+	case elapsed > r.class.deadline+lateAnswerSlack+delay:
+		c.addViolation("lost", "an incomplete answer of %d bytes ended after %v of %v", r.incompleteBytes, elapsed, r.class.deadline)
+	}
+}
+
 // mayHaveRun reports whether, at time t, the server had not proved that the attempt did not run. An attempt of which the server
 // never received the last byte did not run.
 func mayHaveRun(a *attempt, t time.Time) bool {
--- a/internal/soaktest/client.go
+++ b/internal/soaktest/client.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -190,7 +192,10 @@
 	}
 	body, err := io.ReadAll(answer.Body)
 	if err != nil {
-		c.testbed.recorder.update(func() { r.status, r.connectionBrokenAt = -answer.StatusCode, time.Now() })
+		c.testbed.recorder.update(func() {
+			r.status, r.connectionBrokenAt = -answer.StatusCode, time.Now()
+			r.incompleteBytes, r.noEndSeen = len(body), errors.Is(err, os.ErrDeadlineExceeded)
+		})
 		c.closeConn()
 		return
 	}
--- a/internal/soaktest/fault_injection.go
+++ b/internal/soaktest/fault_injection.go
@@ -16,6 +16,7 @@
 	drainDuration     = 1200 * time.Millisecond
 	maxServersAway    = 3                     // how many servers drain or are away at the same time
 	reloadPause       = 10 * time.Millisecond // between configurations in quick succession
+	endlessFaultShare = 0.2                   // share of servers' faults that are endless answers
 )
 
 // injectFaults starts faults for the duration of the run and returns when the last has ended. Faults last longer than
@@ -101,8 +102,13 @@
 	}
 	tb.mu.Unlock()
 	fault := randomChoice(rng, append(serverFaults, answeredTwice, answeredTwice)...) // three times as likely as any other, as nodes meet it least
-	s.setFaultChance(fault, 0.1+0.6*rng.Float64())
-	time.Sleep(randomDuration(rng, minFaultDuration, maxFaultDuration))
+	chance := 0.1 + 0.6*rng.Float64()
+	duration := randomDuration(rng, minFaultDuration, maxFaultDuration)
+	if rng.Float64() < endlessFaultShare { // drawn last, so that the draws above stay the same
+		fault = endless
+	}
+	s.setFaultChance(fault, chance)
+	time.Sleep(duration)
 	s.setFaultChance(fault, 0)
 	return nil
 }
--- a/internal/soaktest/recorder.go
+++ b/internal/soaktest/recorder.go
@@ -39,6 +39,8 @@
 	answeredAt           time.Time // when the last byte of the answer arrived; zero: never
 	status               int       // status code of the answer, negative if its body is incomplete; 0: no answer
 	answerBody           string
+	incompleteBytes      int       // bytes of the body of an incomplete answer
+	noEndSeen            bool      // an answer began, and its client gave up waiting for its end
 	connectionBrokenAt   time.Time // when the connection ended, or the client gave up, without a complete answer; zero: never
 	answerCount          int       // complete answers received, including unexpected further ones
 	misbehavior          string    // how the client departed from normal use of the connection; empty: not at all
--- a/internal/soaktest/server.go
+++ b/internal/soaktest/server.go
@@ -47,6 +47,7 @@
 	recorder     *recorder
 	faultCounts  *counters
 	hangShare    float64 // share of requests that are not answered, in addition to those by a fault
+	endlessShare float64 // share of requests with an endless answer, likewise
 	mu           sync.Mutex
 	rng          *rand.Rand
 	faultChances map[behavior]float64 // current chance of each fault
@@ -126,6 +127,9 @@
 	if s.hangShare > 0 && s.rng.Float64() < s.hangShare { // without a share, the draws below stay the same
 		return hang, workTime
 	}
+	if share := s.endlessShare + s.faultChances[endless]; share > 0 && s.rng.Float64() < share { // likewise
+		return endless, workTime
+	}
 	roll := s.rng.Float64()
 	for _, fault := range serverFaults {
 		if roll -= s.faultChances[fault]; roll < 0 {
@@ -145,6 +149,13 @@
 	return shortest + time.Duration(s.rng.Int64N(int64(longest-shortest)+1))
 }
 
+// drawEndlessAnswer draws the form of an endless answer with the server's own generator.
+func (s *server) drawEndlessAnswer() endlessAnswer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return drawEndlessAnswer(s.rng)
+}
+
 // serveConn answers the requests of one connection.
 func (s *server) serveConn(c *net.TCPConn) {
 	connectionID := connectionCount.Add(1)
@@ -214,6 +225,10 @@
 	case hang:
 		<-peeked
 		return false
+	case endless:
+		doWork()
+		s.drawEndlessAnswer().send(c, peeked)
+		return false
 	case dropShortDeadline:
 		if a.declaredDeadline > 20*time.Millisecond {
 			break // answered as usual
--- a/internal/soaktest/soak.go
+++ b/internal/soaktest/soak.go
@@ -30,6 +30,7 @@
 	LeavingShare      float64       // share of requests, from 0 to 1, whose clients disconnect at once, in addition to those by chance
 	UploadShare       float64       // share of requests, from 0 to 1, with a streamed body, in addition to those by chance
 	OriginHangShare   float64       // share of attempts, from 0 to 1, that the origin doesn't answer, in addition to its faults
+	EndlessShare      float64       // share of answers, from 0 to 1, that never end, in addition to those by a fault
 	CrowdPerNode      int           // idle clients of each node
 
 	measuresUsage bool // the run measures the resource usage of a node and is not checked
@@ -60,7 +61,7 @@
 	defaultCaches        = 8
 	clientsPerNode       = 2
 	maxLogLines          = 40
-	noRequestOutstanding = `"in flight":0` // log lines with this field are ignored: no request was in flight, the connections still open carried none
+	noRequestOutstanding = `"in flight":0` // log lines with this field are ignored: each request had its answer, or a part of a long one
 	maxViolationsShown   = 3               // violations per rule, and requests whose log lines are shown
 )
 
@@ -189,6 +190,7 @@
 			id, kind = "origin", "origin"
 		}
 		s := newServer(id, kind == "origin", tb.recorder, tb.faultCounts, tb.plan.Seed*100+uint64(i))
+		s.endlessShare = tb.plan.EndlessShare
 		if s.isOrigin {
 			s.hangShare = tb.plan.OriginHangShare
 		}
--- a/internal/soaktest/soak_test.go
+++ b/internal/soaktest/soak_test.go
@@ -82,6 +82,23 @@
 	}
 }
 
+// No request is left without a final answer, or an end that its client can tell, where an eighth of the answers never end, in any framing and at any pace.
+func TestNodesKeepTheRulesUnderTroublesWithEndlessAnswers(t *testing.T) {
+	if os.Getenv("THISTLERUDDER_TRIAL") == "" {
+		t.Skip("THISTLERUDDER_TRIAL is not set: dozens of processes, as .ci/run plays them by themselves")
+	}
+	const duration, seed = 10 * time.Second, 5
+	result, err := Run(context.Background(), Plan{Program: buildProgram(t), Duration: duration, Seed: seed, EndlessShare: 1. / 8,
+		KeepLogs: os.Getenv("THISTLERUDDER_SOAK_KEEP") != ""})
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkResult(t, result, seed)
+	if answers := result.Faults["server: "+string(endless)]; answers < 300 {
+		t.Errorf("only %d endless answers", answers)
+	}
+}
+
 // No request violates a rule where idle clients, more than a node has connections, come back each time that it closes them.
 func TestNodesKeepTheRulesUnderTroublesInCrowd(t *testing.T) {
 	if os.Getenv("THISTLERUDDER_TRIAL") == "" {
@@ -119,13 +136,16 @@
 	program := buildProgram(t)
 	for safeguard, rule := range map[string]string{faults.QuietPeriod: "answer", faults.DrainState: "drain", faults.ResetIsError: "answer",
 		faults.MayHaveRun: "duplicate", faults.DeclaredTimeout: "deadline", faults.FinalAnswer: "lost", faults.OneAttempt: "parallel",
-		faults.ClientGoneCheck: "lost"} {
+		faults.ClientGoneCheck: "lost", faults.AnswerEnd: "lost"} {
 		t.Run(safeguard, func(t *testing.T) {
 			plan := Plan{Program: program, Duration: duration, Seed: seed, DisabledSafeguard: safeguard}
 			if safeguard == faults.ClientGoneCheck {
 				// Few clients disconnect by chance: about one request in a run has a retry over 100 ms after its client has gone.
 				plan.LeavingShare = 0.5
 			}
+			if safeguard == faults.AnswerEnd {
+				plan.EndlessShare = 1. / 8
+			}
 			result, err := Run(context.Background(), plan)
 			if err != nil {
 				t.Fatal(err)
