Bound the size of a peer's call and the time for reading it

Callers saw: nothing yet; found by looking for reads without an end of their own. A peer that sends a call without an end kept its connection (one that names the voter is never evicted) and grew the node's memory: 64 MB of one call were taken in 2.5 s.

Cause: Member.serveConn hands the connection to a JSON decoder, which reads one value to its end; the handshake's deadline is cleared before.

Change: callReader gives each call 2 MiB and 5 s from its first byte. Between calls a connection waits as before. The largest call, a report of 4,096 ejected servers with ids of 256 bytes, has 1.4 MB.

--- a/internal/cluster/service.go
+++ b/internal/cluster/service.go
@@ -55,24 +55,27 @@
 		m.log.Error("RPC service not registered", zap.Error(err))
 		return
 	}
+	calls := &callReader{Conn: conn}
 	stream := struct {
 		io.Reader
 		io.Writer
 		io.Closer
-	}{conn, conn, conn}
+	}{calls, conn, conn}
 	server.ServeCodec(&limitedCodec{
 		ServerCodec:  jsonrpc.NewServerCodec(stream),
 		conn:         conn,
+		calls:        calls,
 		slots:        make(chan struct{}, maxCallsPerConn),
 		disconnected: sync.OnceFunc(func() { close(service.disconnected) }),
 	})
 }
 
 // limitedCodec limits the calls in progress on a connection, reports their start and end to the transport, and detects the end
-// of the connection.
+// of the connection. Its callReader limits the size of each call and the time for reading it.
 type limitedCodec struct {
 	rpc.ServerCodec
 	conn         *transport.Conn
+	calls        *callReader
 	slots        chan struct{}
 	disconnected func() // called when the connection has ended
 }
@@ -80,6 +83,7 @@
 // ReadRequestHeader waits for a slot, then for the next call.
 func (c *limitedCodec) ReadRequestHeader(r *rpc.Request) error {
 	c.slots <- struct{}{}
+	c.calls.expectCall()
 	err := c.ServerCodec.ReadRequestHeader(r)
 	if err == nil {
 		err = c.conn.BeginCall()
--- a/internal/net/admin/conns_test.go
+++ b/internal/net/admin/conns_test.go
@@ -53,3 +53,26 @@
 		t.Errorf("%q after %v: %v", answer, time.Since(start), err)
 	}
 }
+
+// Guards against a caller whose call trickles without end, in its head or its body: the connection is closed within headerTimeout.
+func TestTricklingCallEndsConnection(t *testing.T) {
+	address := startServer(t, &stubNode{serving: true}, metrics.New(nil), 4)
+	for _, prefix := range []string{"GET /status HTTP/1.1\r\nHost: n\r\nX: ", "POST /maintenance/enter/s HTTP/1.1\r\nHost: n\r\nContent-Length: 100000\r\n\r\n"} {
+		t.Run(prefix[:4], func(t *testing.T) {
+			t.Parallel()
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			_, err = io.WriteString(c, prefix)
+			start := time.Now()
+			for ; err == nil; time.Sleep(20 * time.Millisecond) {
+				if time.Since(start) > headerTimeout+2*time.Second {
+					t.Fatal("the connection is still open")
+				}
+				_, err = io.WriteString(c, "x")
+			}
+		})
+	}
+}
