Show who ends each read that trickles, and that its test misses the bound

Need: the cause of endless answers, a read that begins in time and has no end of its own, is to be looked for on every other path.

--- a/internal/net/node/answer_end_test.go
+++ b/internal/net/node/answer_end_test.go
@@ -343,3 +343,32 @@
 		t.Errorf("status %d, %d bytes, %v after %v", resp.StatusCode, n, err, elapsed)
 	}
 }
+
+// Guards against a client whose upload trickles on after its server has answered early: its connection ends by the pace that bodies have to keep.
+func TestTricklingUploadAfterEarlyAnswerEnds(t *testing.T) {
+	const limit = 3 * time.Second // for clients that stop in the middle of a request
+	e := newTestEnv(t, nil, "a", "b", "c")
+	e.handleRaw = func(_ string, rw http.ResponseWriter, _ *http.Request) { fmt.Fprint(rw, "kept") }
+	s := e.nodeConfig(128)
+	startNode(t, s)
+	u := startUpload(t, s.ListenAddress, "PUT /once/k", "t1", megabyte)
+	start := time.Now()
+	ended := make(chan time.Duration, 1)
+	go func() {
+		_, _ = io.Copy(io.Discard, u.conn)
+		ended <- time.Since(start)
+	}()
+	for err := error(nil); err == nil; time.Sleep(20 * time.Millisecond) {
+		select {
+		case elapsed := <-ended:
+			if elapsed > limit+machineSlack {
+				t.Errorf("the connection ended after %v", elapsed)
+			}
+			return
+		case <-time.After(limit + time.Second - time.Since(start)):
+			t.Fatal("the connection is still open")
+		default:
+		}
+		err = u.sendBytes(100)
+	}
+}
