Count a streamed answer's bytes atomically, and build the table tests once

Need: the log line of a broken answer reads the count of its bytes while the client's side may still be in a Read (a client that leaves closes the stream from another goroutine); found by reading, no run showed it.

--- a/internal/net/node/answer_end_test.go
+++ b/internal/net/node/answer_end_test.go
@@ -162,11 +162,11 @@
 	}
 }
 
-// Guards against an answer of unknown length that never ends: its client gets a final answer, or an end that it can tell, before its request is lost.
-func TestEndlessAnswerEndsBeforeRequestIsLost(t *testing.T) {
+// runForms runs check for each form, chunked and ended by a close, as a read and as a write. Each has a node of its own that has learned teachingForm.
+func runForms(t *testing.T, forms []answerForm, check func(t *testing.T, client formClient, form int)) {
 	for _, chunked := range []bool{true, false} {
 		for _, write := range []bool{false, true} {
-			for i, form := range endlessForms {
+			for i, form := range forms {
 				t.Run(fmt.Sprintf("%s, chunked %v, write %v", form.name, chunked, write), func(t *testing.T) {
 					t.Parallel()
 					e := newTestEnv(t, nil, "a", "b", "c")
@@ -175,55 +175,50 @@
 					startNode(t, s)
 					client := formClient{address: s.ListenAddress, write: write}
 					client.learnPauses(t)
-					var clients sync.WaitGroup
-					for n := range 2 {
-						clients.Go(func() {
-							end, err := client.send(endlessPath(i), fmt.Sprint("t", n), answerDeadline+answerLostAfter+machineSlack)
-							switch {
-							case err != nil:
-								t.Error(err)
-							case end.after > answerDeadline+answerLostAfter+machineSlack-10*time.Millisecond:
-								t.Errorf("no end %v after the deadline, status %d, %d bytes", end.after-answerDeadline, end.status, end.bytes)
-							case end.status == http.StatusOK && end.err == nil:
-								t.Errorf("a whole answer of %d bytes", end.bytes)
-							}
-						})
-					}
-					clients.Wait()
+					check(t, client, i)
 				})
 			}
 		}
 	}
 }
 
+// Guards against an answer of unknown length that never ends: its client gets a final answer, or an end that it can tell, before its request is lost.
+func TestEndlessAnswerEndsBeforeRequestIsLost(t *testing.T) {
+	const wait = answerDeadline + answerLostAfter + machineSlack
+	runForms(t, endlessForms, func(t *testing.T, client formClient, i int) {
+		var clients sync.WaitGroup
+		for n := range 2 {
+			clients.Go(func() {
+				end, err := client.send(endlessPath(i), fmt.Sprint("t", n), wait)
+				switch {
+				case err != nil:
+					t.Error(err)
+				case end.after > wait-10*time.Millisecond:
+					t.Errorf("no end %v after the deadline, status %d, %d bytes", end.after-answerDeadline, end.status, end.bytes)
+				case end.status == http.StatusOK && end.err == nil:
+					t.Errorf("a whole answer of %d bytes", end.bytes)
+				}
+			})
+		}
+		clients.Wait()
+	})
+}
+
 // Guards against cutting off a sound answer of unknown length: it arrives whole, also where it becomes longer than 64 KiB only after the deadline.
 func TestSoundAnswerOfUnknownLengthIsWhole(t *testing.T) {
-	for _, chunked := range []bool{true, false} {
-		for _, write := range []bool{false, true} {
-			for i, form := range soundForms {
-				t.Run(fmt.Sprintf("%s, chunked %v, write %v", form.name, chunked, write), func(t *testing.T) {
-					t.Parallel()
-					e := newTestEnv(t, nil, "a", "b", "c")
-					serveForms(t, e, chunked)
-					s := e.nodeConfig(128)
-					startNode(t, s)
-					client := formClient{address: s.ListenAddress, write: write}
-					client.learnPauses(t)
-					for try := range 100 {
-						end, err := client.send(soundPath(i), fmt.Sprint("t", try), 20*time.Second)
-						if err == nil && end.status == http.StatusServiceUnavailable && try < 99 {
-							time.Sleep(20 * time.Millisecond) // rejected, as the node has just started
-							continue
-						}
-						if err != nil || end.err != nil || end.bytes != form.bytes() {
-							t.Errorf("%+v, %v, want %d bytes", end, err, form.bytes())
-						}
-						return
-					}
-				})
+	runForms(t, soundForms, func(t *testing.T, client formClient, i int) {
+		for try := range 100 {
+			end, err := client.send(soundPath(i), fmt.Sprint("t", try), 20*time.Second)
+			if err == nil && end.status == http.StatusServiceUnavailable && try < 99 {
+				time.Sleep(20 * time.Millisecond) // rejected, as the node has just started
+				continue
+			}
+			if want := soundForms[i].bytes(); err != nil || end.err != nil || end.bytes != want {
+				t.Errorf("%+v, %v, want %d bytes", end, err, want)
 			}
+			return
 		}
-	}
+	})
 }
 
 // Guards against a truncated answer that looks whole: the end of an endless answer is an error for the client in each framing in which the node
--- a/internal/net/upstream/answer.go
+++ b/internal/net/upstream/answer.go
@@ -76,6 +76,9 @@
 	}
 	now := time.Now()
 	bufferUntil := now.Add(deadline.Sub(now) / bufferTimeDivisor)
+	streamNow := func() bool {
+		return resp.ContentLength > c.limits.MaxBufferedBody || !knownLength && time.Now().After(bufferUntil)
+	}
 	body = make([]byte, 0, size)
 	for {
 		n, err := resp.Body.Read(body[len(body):cap(body)])
@@ -88,7 +91,7 @@
 			return nil, false, err
 		case tooLong && !mayStream:
 			return nil, false, errTooLong
-		case mayStream && n > 0 && (tooLong || resp.ContentLength > c.limits.MaxBufferedBody || !knownLength && time.Now().After(bufferUntil)):
+		case mayStream && n > 0 && (tooLong || streamNow()):
 			return body, true, nil
 		}
 		if len(body) == cap(body) {
--- a/internal/net/upstream/answer_stream.go
+++ b/internal/net/upstream/answer_stream.go
@@ -31,10 +31,10 @@
 	stream := &answerStream{
 		exchange: x,
 		source:   resp.Body,
-		received: int64(len(answer.Body)),
 		long:     long,
 		closed:   make(chan struct{}),
 	}
+	stream.received.Store(int64(len(answer.Body)))
 	stream.silence = time.AfterFunc(time.Hour, stream.checkSilence)
 	stream.silence.Stop()
 	if !x.startStreaming(stream, long) {
@@ -65,8 +65,8 @@
 type answerStream struct {
 	exchange  *exchange
 	source    io.Reader
-	received  int64 // bytes of the body, including those before the stream
-	long      bool  // the answer is known to be long
+	received  atomic.Int64 // bytes of the body, including those before the stream
+	long      bool         // the answer is known to be long
 	silence   *time.Timer
 	readStart atomic.Int64 // clock.Moment at which the current Read started; 0: no Read is in progress
 
@@ -83,11 +83,11 @@
 	n, err := s.source.Read(b)
 	s.readStart.Store(0)
 	s.silence.Stop()
-	s.received += int64(n)
-	if s.received > s.exchange.client.limits.MaxStreamedBody {
+	received := s.received.Add(int64(n))
+	if received > s.exchange.client.limits.MaxStreamedBody {
 		err = errTooLong
 	}
-	if !s.long && s.exchange.isLong(s.received, unknownLength) {
+	if !s.long && s.exchange.isLong(received, unknownLength) {
 		s.long = true
 		s.exchange.reportLong()
 	}
--- a/internal/net/upstream/attempt.go
+++ b/internal/net/upstream/attempt.go
@@ -86,7 +86,7 @@
 	case result == dispatch.ClientLeft:
 		c.log.Debug("client left a streamed answer", fields...)
 	default:
-		c.log.Info("streamed answer broke off", append(fields, zap.Int64("bytes", stream.received))...)
+		c.log.Info("streamed answer broke off", append(fields, zap.Int64("bytes", stream.received.Load()))...)
 	}
 }
 
