Let an answer go on after its time while it is about to become long

Cause: 0.3 s after a time of 0.31 s such an answer has brought 29 to 70 KB (the node's log: "unfinished", with the bytes); the deadline took all below 64 KiB for endless.

Change: after the deadline an answer goes on, checked each 20 ms, while it doesn't stall (the learned threshold) and has brought 16 KiB a second since its first byte: it passes 64 KiB soon, and then its first bytes are timed. What trickles or has stopped is ended as before.

--- a/internal/net/upstream/answer_stream.go
+++ b/internal/net/upstream/answer_stream.go
@@ -100,6 +100,16 @@
 // waiting reports whether a Read waits for the server. Otherwise the client is slow to take what was read.
 func (s *answerStream) waiting() bool { return s.readStart.Load() != 0 }
 
+// growing reports whether the answer goes on without a stall and at minAnswerPace, so that it is about to become long.
+func (s *answerStream) growing() bool {
+	x := s.exchange
+	if x.conn.answerSilence() >= x.client.stalls.threshold() {
+		return false
+	}
+	elapsed := clock.Moment(x.answerStart.Load()).Since()
+	return float64(s.received.Load()) >= minAnswerPace*elapsed.Seconds()
+}
+
 // checkSilence cancels the exchange if the current Read has lasted maxStreamSilence.
 func (s *answerStream) checkSilence() {
 	start := s.readStart.Load()
--- a/internal/net/upstream/answer_timeout.go
+++ b/internal/net/upstream/answer_timeout.go
@@ -8,8 +8,12 @@
 	"github.com/thistlerudder/thistlerudder/internal/net/dispatch"
 )
 
-// clientPollInterval is how often an answer whose deadline has passed is checked while its client is slow to take it.
-const clientPollInterval = 20 * time.Millisecond
+const (
+	// overduePollInterval is how often an answer is checked that goes on after its deadline.
+	overduePollInterval = 20 * time.Millisecond
+	// minAnswerPace is the least mean pace, in bytes per second, of an answer that is about to become long.
+	minAnswerPace = 16 << 10
+)
 
 // errTimedOut is the cancellation cause of an exchange whose answer did not come in time.
 var errTimedOut = errors.New("no answer in time")
@@ -47,7 +51,7 @@
 }
 
 // checkAnswerTimeout cancels the exchange if its deadline has passed. The timer may fire although the deadline has been
-// moved meanwhile. It does not cut off an answer that only its client holds up.
+// moved meanwhile. It does not cut off an answer that only its client holds up, nor one that is about to become long.
 func (x *exchange) checkAnswerTimeout() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -57,8 +61,8 @@
 	case t.stopped || t.paused:
 	case remaining > 0:
 		t.timer.Reset(remaining)
-	case t.stream != nil && !t.stream.waiting() && errors.Is(t.cause, errUnfinished):
-		t.timer.Reset(clientPollInterval)
+	case t.stream != nil && errors.Is(t.cause, errUnfinished) && (!t.stream.waiting() || t.stream.growing()):
+		t.timer.Reset(overduePollInterval)
 	default:
 		x.cancel(t.cause)
 	}
--- a/internal/net/upstream/exchange.go
+++ b/internal/net/upstream/exchange.go
@@ -6,8 +6,10 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/thistlerudder/thistlerudder/internal/clock"
 	"github.com/thistlerudder/thistlerudder/internal/faults"
 	"github.com/thistlerudder/thistlerudder/internal/net/admission"
 	"github.com/thistlerudder/thistlerudder/internal/net/dispatch"
@@ -39,6 +41,8 @@
 	mu      sync.Mutex // guards timeout
 	timeout answerTimeout
 
+	answerStart atomic.Int64 // clock.Moment of the answer's first byte
+
 	conn                *conn // nil until the transport provides one
 	outgoing            *outgoingRequest
 	initialBytesWritten int64 // conn.bytesWritten before this request
@@ -138,7 +142,10 @@
 }
 
 // gotFirstResponseByte starts the stall timer.
-func (x *exchange) gotFirstResponseByte() { x.restart(x.stall, x.client.stalls.threshold()) }
+func (x *exchange) gotFirstResponseByte() {
+	x.answerStart.Store(int64(clock.Now()))
+	x.restart(x.stall, x.client.stalls.threshold())
+}
 
 // restart starts a timer anew, unless the timers have been stopped for good.
 func (x *exchange) restart(timer *time.Timer, timeout time.Duration) {
--- a/internal/soaktest/checker.go
+++ b/internal/soaktest/checker.go
@@ -214,6 +214,7 @@
 	elapsed := r.connectionBrokenAt.Sub(r.sentAt)
 	switch {
 	case r.incompleteBytes > longAnswerBytes:
+	case slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayBecomeLong }):
 	case r.noEndSeen:
 		c.addViolation("lost", "%d bytes of an answer and no end after %v of %v", r.incompleteBytes, elapsed, r.class.deadline)
 	case elapsed > r.class.deadline+lateAnswerSlack+delay:
--- a/internal/soaktest/endless_answer.go
+++ b/internal/soaktest/endless_answer.go
@@ -40,6 +40,12 @@
 	}
 }
 
+// mayBecomeLong reports whether the answer goes on so quickly that a node may take it for a long one, whose first bytes are timed.
+func (e endlessAnswer) mayBecomeLong() bool {
+	const slowPace = 8 << 10 // bytes per second
+	return e.pieces != 1 && e.pieces != 2 && float64(e.pieceBytes) > slowPace*e.pause.Seconds()
+}
+
 // headAndPiece returns the bytes before the first piece, and those of each piece.
 func (e endlessAnswer) headAndPiece() (head, piece string) {
 	const ok = "HTTP/1.1 200 OK\r\n"
--- a/internal/soaktest/recorder.go
+++ b/internal/soaktest/recorder.go
@@ -24,6 +24,7 @@
 	provedNotRunAt   time.Time     // when the server answered in a way that proves that the attempt did not run; zero: never
 	endedAt          time.Time     // when the server ended its answer, or the connection ended; zero: never
 	ran              bool          // the server did the work
+	mayBecomeLong    bool          // the server answers without an end, see endlessAnswer.mayBecomeLong
 }
 
 // request is one request of a client, with all that was recorded of it.
--- a/internal/soaktest/server.go
+++ b/internal/soaktest/server.go
@@ -227,7 +227,9 @@
 		return false
 	case endless:
 		doWork()
-		s.drawEndlessAnswer().send(c, peeked)
+		form := s.drawEndlessAnswer()
+		s.recorder.update(func() { a.mayBecomeLong = form.mayBecomeLong() })
+		form.send(c, peeked)
 		return false
 	case dropShortDeadline:
 		if a.declaredDeadline > 20*time.Millisecond {
