--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -37,6 +37,7 @@
         kill -KILL "${pids[@]}" 2>/dev/null
         wait "${pids[@]}" 2>/dev/null
     fi
+    rm -f "$work/platform.log"
     for log in "$work"/*.log; do
         [ -f "$log" ] && { echo "log ${log##*/}, without info:"; grep -v '"level":"info"' "$log" | tail -n 30; } >>"$record"
     done
@@ -85,7 +86,7 @@
 # found_fleet starts three voters with leases of 3 s, the default, and founds their fleet. It returns once one of them leads.
 found_fleet() {
     mapfile -t port < <("$kit" ports 11)
-    start platform "$kit" platform "${port[9]}" "${port[10]}"
+    start platform "$kit" platform "${port[9]}" 60ms "${port[10]}"
     for name in n1 n2 n3; do
         node_file "$name" 3000
         start_node "$name"
--- a/review/standins-2/kit/main.go
+++ b/review/standins-2/kit/main.go
@@ -1,5 +1,5 @@
 // Command kit has the small stand-ins of the second review's cases: a job that leaves a trace of each of its acts, the judge of such traces, a
-// platform of one cache server with its discovery service, and a search for free loopback ports.
+// platform of cache servers with a discovery service, a proxy that can be cut, and a search for free loopback ports.
 package main
 
 import (
@@ -8,13 +8,16 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
 func main() {
-	usage := "usage: kit ports N | kit work FILE NAME DURATION | kit judge FILE SLACK | kit platform PORT PORT"
+	usage := "usage: kit ports N | kit work FILE NAME DURATION | kit judge FILE SLACK | kit platform DISCOVERY WORK CACHE... | kit lookups ADDRESS N NAME together|singly | kit proxy FROM TO [FROM TO...]"
 	if len(os.Args) < 2 {
 		fail(usage)
 	}
@@ -24,10 +27,14 @@
 		ports(args[0])
 	case os.Args[1] == "work" && len(args) == 3:
 		work(args[0], args[1], parseDuration(args[2]))
-	case os.Args[1] == "platform" && len(args) == 2:
-		platform(args[0], args[1])
+	case os.Args[1] == "platform" && len(args) >= 3:
+		platform(args[0], parseDuration(args[1]), args[2:])
+	case os.Args[1] == "lookups" && len(args) == 4:
+		lookups(args[0], args[1], args[2], args[3] == "together")
 	case os.Args[1] == "judge" && len(args) == 2:
 		judge(args[0], parseDuration(args[1]))
+	case os.Args[1] == "proxy" && len(args) >= 2:
+		proxy(args)
 	default:
 		fail(usage)
 	}
@@ -126,14 +133,19 @@
 	}
 }
 
-// platform serves a discovery service at one loopback port, whose list never changes, and its only cache server, which lacks all keys, at another.
-func platform(discoveryPort, cachePort string) {
+// platform serves a discovery service at one loopback port, whose list never changes, and its cache servers at others.
+func platform(discoveryPort string, work time.Duration, cachePorts []string) {
+	var entries []string
+	for i, port := range cachePorts {
+		entries = append(entries, fmt.Sprintf(
+			`{"id":"s-%d","addr":"127.0.0.1:%s","zone":"a","kind":"box","cell":0,"state":"Ready","weight":1.0,"started_ms":0}`, i+1, port))
+		go cacheServer(port, work)
+	}
 	list := `{"version":1,"full":%v,"servers":[%s]}`
-	entry := `{"id":"s-1","addr":"127.0.0.1:` + cachePort + `","zone":"a","kind":"box","cell":0,"state":"Ready","weight":1.0,"started_ms":0}`
 	discovery := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		hold, err := strconv.Atoi(r.URL.Query().Get("hold_ms"))
 		if err != nil || r.URL.Query().Get("from") != "1" {
-			fmt.Fprintf(w, list, true, entry)
+			fmt.Fprintf(w, list, true, strings.Join(entries, ","))
 			return
 		}
 		select {
@@ -142,6 +154,63 @@
 			fmt.Fprintf(w, list, false, "")
 		}
 	})
-	go func() { fail(http.ListenAndServe("127.0.0.1:"+cachePort, http.NotFoundHandler()).Error()) }()
 	fail(http.ListenAndServe("127.0.0.1:"+discoveryPort, discovery).Error())
 }
+
+// proxy forwards connections from each FROM port to the TO port behind it, until SIGUSR1: from then on it passes nothing on, in either direction, and takes
+// new connections without a word, as a network does that is cut.
+func proxy(ports []string) {
+	var cut atomic.Bool
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	go func() {
+		<-signals
+		cut.Store(true)
+	}()
+	for i := 0; i+1 < len(ports); i += 2 {
+		l, err := net.Listen("tcp", "127.0.0.1:"+ports[i])
+		if err != nil {
+			fail(err.Error())
+		}
+		go forwardAll(l, "127.0.0.1:"+ports[i+1], &cut)
+	}
+	select {}
+}
+
+func forwardAll(l net.Listener, to string, cut *atomic.Bool) {
+	for {
+		from, err := l.Accept()
+		if err != nil {
+			fail(err.Error())
+		}
+		if cut.Load() {
+			continue // left open and silent
+		}
+		server, err := net.Dial("tcp", to)
+		if err != nil {
+			_ = from.Close()
+			continue
+		}
+		go forward(from, server, cut)
+		go forward(server, from, cut)
+	}
+}
+
+// forward passes bytes on until one side ends. Once the network is cut it passes on neither bytes nor ends.
+func forward(from, to net.Conn, cut *atomic.Bool) {
+	buffer := make([]byte, 4<<10)
+	for {
+		n, err := from.Read(buffer)
+		switch {
+		case cut.Load():
+			return
+		case err != nil:
+			_ = to.Close()
+			return
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			_ = from.Close()
+			return
+		}
+	}
+}
