--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -8,7 +8,6 @@
 trouble=${TROUBLE:-1}
 record=$here/record.txt
 work=$(mktemp -d)
-pids=()
 : >"$record"
 
 note() { printf '%s %s\n' "$(date +%s.%N)" "$*" | tee -a "$record"; }
@@ -27,15 +26,18 @@
         done
         { echo "acts: time in ns, job, token, process, what"; cat "$work/acts"; } >>"$record"
     fi
-    if [ ${#pids[@]} -gt 0 ]; then
-        kill -CONT "${pids[@]}" 2>/dev/null
-        kill -TERM "${pids[@]}" 2>/dev/null
+    local running
+    running=$(jobs -pr; jobs -ps) # the ids of those that have ended may be others' by now
+    if [ -n "$running" ]; then
+        kill -CONT $running 2>/dev/null
+        kill -TERM $running 2>/dev/null
         for _ in $(seq 60); do
-            kill -0 "${pids[@]}" 2>/dev/null || break
+            running=$(jobs -pr)
+            [ -n "$running" ] || break
             sleep 0.1
         done
-        kill -KILL "${pids[@]}" 2>/dev/null
-        wait "${pids[@]}" 2>/dev/null
+        [ -z "$running" ] || kill -KILL $running 2>/dev/null
+        wait 2>/dev/null
     fi
     rm -f "$work/platform.log"
     for log in "$work"/*.log; do
@@ -56,7 +58,6 @@
     shift
     "$@" >>"$work/$name.log" 2>&1 &
     pid=$!
-    pids+=("$pid")
 }
 
 # node_file NAME LEASE_MS writes the file of one voter of a fleet of three.
